--- /dev/null
+++ b/src/budget.h
@@ -0,0 +1,27 @@
+/* Budget of extra calls: tokens earned as a ratio of primary calls. */
+#ifndef APRICOT_BUDGET_H
+#define APRICOT_BUDGET_H
+
+#include <glib.h>
+#include <stdbool.h>
+
+G_BEGIN_DECLS
+
+struct budget;
+
+/*
+ * ratio: tokens per primary call; burst: the most tokens held. The budget starts full, so that the
+ * first refused call after a start can be retried. The caller owns it.
+ */
+struct budget *budget_create(double ratio, double burst);
+void budget_destroy(struct budget *b);
+
+/* Call once for each primary call. */
+void budget_earn(struct budget *b);
+
+/* Takes one token; false when there is none. */
+bool budget_spend(struct budget *b);
+
+G_END_DECLS
+
+#endif
