--- /dev/null
+++ b/tests/replica_test.cc
@@ -0,0 +1,111 @@
+#include "replica.h"
+#include "script.h"
+
+#include <algorithm>
+
+namespace
+{
+/* Times in milliseconds; a pick is not followed by a start unless the step says so. */
+struct replica_script : script_interpreter {
+	struct replica_chooser *c = nullptr;
+	std::vector<struct leafstat *> stats;
+	bool usable[REPLICA_MAX];
+	GRand *rand = g_rand_new_with_seed(1);
+
+	~replica_script() override
+	{
+		clear();
+		g_rand_free(rand);
+	}
+
+	void clear()
+	{
+		replica_chooser_destroy(c);
+		for (auto *s : stats)
+			leafstat_destroy(s);
+		stats.clear();
+	}
+
+	int pick(uint64_t now_ms)
+	{
+		return replica_chooser_pick(c, stats.data(), usable, (unsigned)stats.size(),
+					    now_ms * 1000, rand);
+	}
+
+	std::string leaves(const char *kind, int n, uint64_t now_ms)
+	{
+		GError *error = nullptr;
+		std::string text;
+
+		clear();
+		c = replica_chooser_create(kind, &error);
+		for (int i = 0; i < n;
+		     i++) /* created 9 s earlier: past the ramp, as far as possible */
+			stats.push_back(
+				leafstat_create(now_ms < 9000 ? 0 : (now_ms - 9000) * 1000));
+		std::fill_n(usable, REPLICA_MAX, true);
+		if (error)
+			text = std::string(error->message) + "\n";
+		g_clear_error(&error);
+		return text;
+	}
+
+	std::string picks(int n, uint64_t now_ms, bool as_shares)
+	{
+		std::vector<int> count(stats.size());
+		std::string text;
+		char share[16];
+
+		for (int i = 0; i < n; i++) {
+			int picked = pick(now_ms);
+
+			if (picked < 0)
+				return "none\n";
+			count[picked]++;
+		}
+		for (int k : count) {
+			g_snprintf(share, sizeof(share), "%.1f", (double)k / n);
+			text += (text.empty() ? "" : " ") + (as_shares ? share : std::to_string(k));
+		}
+		return text + "\n";
+	}
+
+	std::string ever(int i, uint64_t now_ms)
+	{
+		for (int k = 0; k < 1000; k++)
+			if (pick(now_ms) == i)
+				return "yes\n";
+		return "no\n";
+	}
+
+	std::string run(const std::vector<std::string> &w) override
+	{
+		uint64_t now_ms = w[0] == "usable" ? 0 : std::stoull(w.back());
+		int i = w[0] == "leaves" ? 0 : std::stoi(w[1]);
+
+		if (w[0] == "leaves")
+			return leaves(w[1].c_str(), std::stoi(w[2]), now_ms);
+		if (w[0] == "picks" || w[0] == "shares")
+			return picks(i, now_ms, w[0] == "shares");
+		if (w[0] == "ever")
+			return ever(i, now_ms);
+		if (w[0] == "usable")
+			for (size_t k = 1; k < w.size(); k++)
+				usable[k - 1] = w[k] == "1";
+		if (w[0] == "start")
+			for (int k = 0; k < std::stoi(w[2]); k++)
+				leafstat_start(stats[i], now_ms * 1000);
+		if (w[0] == "restart")
+			leafstat_restart(stats[i], now_ms * 1000);
+		if (w[0] == "call") {
+			leafstat_start(stats[i], now_ms * 1000);
+			leafstat_finish(stats[i], w[2] == "ok" ? LEAFSTAT_OK : LEAFSTAT_REFUSED,
+					std::stoull(w[3]), now_ms * 1000);
+		}
+		return "";
+	}
+};
+
+bool registered = script_register("replica", "replica.test",
+				  [] { return std::make_unique<replica_script>(); });
+} // namespace
