Add hedge: delay until a second call

Cause: stragglers determine the tail of a search over many leaves. Change: the delay is the measured quantile, at least a minimum; no second call below 20 samples or when one of median latency would end after the remaining time. Measured: 3 tests pass; each of 4 mutations (no sample minimum, median ignored, no minimum delay, p99 instead of the quantile) fails one.

--- /dev/null
+++ b/src/hedge.c
@@ -0,0 +1,17 @@
+#include "hedge.h"
+
+/* Fewer samples than 1/(1 - 0.95) do not determine a p95. */
+#define SAMPLES_MIN 20
+
+uint64_t hedge_delay_us(const struct hist *h, double quantile, uint64_t min_us,
+			uint64_t remaining_us)
+{
+	uint64_t delay_us;
+
+	if (hist_count(h) < SAMPLES_MIN)
+		return 0;
+	delay_us = MAX(MAX(hist_quantile(h, quantile), min_us), 1);
+	if (delay_us + hist_quantile(h, 0.5) >= remaining_us)
+		return 0;
+	return delay_us;
+}
