Add backoff: when the next connection to a leaf may be opened

Cause: a leaf or data centre that returns must not meet the connection attempts of all nodes at once. Change: exponential window from 20 ms to 2 s, delay uniform between 10 ms and the window; one attempt at a time after a failure, up to the cap otherwise; failures of one batch count once.

--- /dev/null
+++ b/src/backoff.c
@@ -0,0 +1,69 @@
+#include "backoff.h"
+
+#define DELAY_MIN_US 10000U
+#define DELAY_MAX_US 2000000U
+#define DOUBLINGS_MAX 8 /* 10 ms x 2^8 is above 2 s */
+
+struct backoff {
+	uint64_t not_before_us;
+	unsigned int max_connecting;
+	unsigned int connecting;
+	unsigned int failures;
+};
+
+struct backoff *backoff_create(unsigned int max_connecting)
+{
+	struct backoff *b = g_new0(struct backoff, 1);
+
+	b->max_connecting = MAX(max_connecting, 1);
+	return b;
+}
+
+void backoff_destroy(struct backoff *b)
+{
+	g_free(b);
+}
+
+uint64_t backoff_wait_us(const struct backoff *b, uint64_t now_us)
+{
+	return now_us < b->not_before_us ? b->not_before_us - now_us : 0;
+}
+
+bool backoff_ready(const struct backoff *b, uint64_t now_us)
+{
+	unsigned int cap = b->failures > 0 ? 1 : b->max_connecting;
+
+	return b->connecting < cap && now_us >= b->not_before_us;
+}
+
+void backoff_start(struct backoff *b)
+{
+	b->connecting++;
+}
+
+void backoff_ok(struct backoff *b)
+{
+	if (b->connecting > 0)
+		b->connecting--;
+	b->failures = 0;
+	b->not_before_us = 0;
+}
+
+void backoff_fail(struct backoff *b, uint64_t now_us, GRand *rand)
+{
+	unsigned int window_us;
+
+	if (b->connecting > 0)
+		b->connecting--;
+	/* Attempts that were started together fail for one cause and count once. */
+	if (b->failures > 0 && now_us < b->not_before_us)
+		return;
+	b->failures = MIN(b->failures + 1, DOUBLINGS_MAX);
+	window_us = MIN(DELAY_MIN_US << b->failures, DELAY_MAX_US);
+	/*
+	 * Uniform over the whole window: with a narrow jitter around the window, nodes that lost a
+	 * data centre together would also come back to it together.
+	 */
+	b->not_before_us = now_us + (uint64_t)g_rand_int_range(rand, (gint32)DELAY_MIN_US,
+							       (gint32)window_us + 1);
+}
--- /dev/null
+++ b/tests/backoff_test.cc
@@ -0,0 +1,95 @@
+#include "backoff.h"
+#include "script.h"
+
+#include <algorithm>
+#include <gtest/gtest.h>
+
+namespace
+{
+/* Times in milliseconds. */
+struct backoff_script : script_interpreter {
+	struct backoff *b = nullptr;
+	GRand *rand = g_rand_new_with_seed(1);
+
+	~backoff_script() override
+	{
+		backoff_destroy(b);
+		g_rand_free(rand);
+	}
+
+	/* Longest delay seen after so many failures in a row, rounded up to 10 ms. */
+	uint64_t longest(int samples, int failures, int batch)
+	{
+		uint64_t longest_us = 0;
+
+		for (int i = 0; i < samples; i++) {
+			uint64_t now_us = 0;
+
+			for (int k = 0; k < failures; k++) {
+				now_us += backoff_wait_us(b, now_us);
+				for (int j = 0; j < batch; j++)
+					backoff_start(b);
+				for (int j = 0; j < batch; j++)
+					backoff_fail(b, now_us, rand);
+			}
+			longest_us = std::max(longest_us, backoff_wait_us(b, now_us));
+			EXPECT_GE(backoff_wait_us(b, now_us), 10000U);
+			backoff_ok(b);
+		}
+		return (longest_us + 9999) / 10000 * 10;
+	}
+
+	std::string run(const std::vector<std::string> &w) override
+	{
+		int n = std::stoi(w[1]);
+		uint64_t now_us = w.size() > 3 && w[2] == "at" ? std::stoull(w[3]) * 1000 : 0;
+		int started = 0;
+
+		if (w[0] == "create")
+			b = backoff_create((unsigned)n);
+		if (w[0] == "longest")
+			return std::to_string(w[3] == "batch" ? longest(n, 1, 4)
+							      : longest(n, std::stoi(w[3]), 1)) +
+			       "\n";
+		for (int i = 0; i < n && w[0] == "ok"; i++)
+			backoff_ok(b);
+		for (int i = 0; i < n && w[0] == "fail"; i++)
+			backoff_fail(b, now_us, rand);
+		if (w[0] != "start")
+			return "";
+		for (; started < n && backoff_ready(b, now_us); started++)
+			backoff_start(b);
+		return std::to_string(started) + "\n";
+	}
+};
+
+bool registered = script_register("backoff", "backoff.test",
+				  [] { return std::make_unique<backoff_script>(); });
+} // namespace
+
+/*
+ * Guards against a returning data centre that meets the attempts of all nodes at once: 1000 nodes
+ * lose it together, and no 10 ms may hold more than 3% of their first attempts after its return.
+ */
+TEST(backoff, attempts_spread_after_outage)
+{
+	for (uint64_t outage_us : {1000000U, 30000000U}) {
+		std::vector<int> slot(201);
+
+		for (unsigned seed = 0; seed < 1000; seed++) {
+			GRand *rand = g_rand_new_with_seed(seed);
+			struct backoff *b = backoff_create(4);
+			uint64_t now_us = 0;
+
+			while (now_us < outage_us) {
+				backoff_start(b);
+				backoff_fail(b, now_us, rand);
+				now_us += backoff_wait_us(b, now_us);
+			}
+			slot.at((now_us - outage_us) / 10000)++;
+			backoff_destroy(b);
+			g_rand_free(rand);
+		}
+		EXPECT_LE(*std::max_element(slot.begin(), slot.end()), 30) << outage_us;
+	}
+}
