--- /dev/null
+++ b/fakes/fake_leaf.c
@@ -0,0 +1,890 @@
+/* Stand-in for a backend server with some leaves (design page, section 5.2). */
+#include <event2/buffer.h>
+#include <event2/bufferevent.h>
+#include <inttypes.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include <sys/socket.h>
+
+#include "httpd.h"
+#include "list.h"
+#include "result.h"
+
+#define HITS_PER_SHARD 2
+#define ID_MAX 128
+#define DEADLINE_MAX_MS 3600000
+
+/* X(name, default): numbers that POST /control can set for one leaf or all leaves */
+#define SETTING_LIST(X)     \
+	X(draining, 0)      \
+	X(cold, 0)          \
+	X(shed, 0)          \
+	X(late_ms, 0)       \
+	X(drop_answer, 0)   \
+	X(wrong_id, 0)      \
+	X(garbage, 0)       \
+	X(lie_load, 0)      \
+	X(slots, 2)         \
+	X(queue, 0)         \
+	X(connections, 25)  \
+	X(service_us, 1000) \
+	X(spread_us, 0)     \
+	X(rtt_us, 0)        \
+	X(connect_us, 0)
+
+/* X(name): refusals before running, by reason */
+#define REFUSAL_LIST(X) \
+	X(shed)         \
+	X(draining)     \
+	X(cold)         \
+	X(slots)        \
+	X(version)      \
+	X(shard)        \
+	X(malformed)
+
+/* X(name): other counts of a leaf */
+#define COUNTER_LIST(X)         \
+	X(received)             \
+	X(ran)                  \
+	X(completed)            \
+	X(cancelled)            \
+	X(expired)              \
+	X(dropped)              \
+	X(running_max)          \
+	X(queued_max)           \
+	X(connections_accepted) \
+	X(connections_refused)  \
+	X(connections_open)     \
+	X(connections_max)
+
+struct settings {
+#define X(name, value) uint64_t name;
+	SETTING_LIST(X)
+#undef X
+};
+
+struct refusals {
+#define X(name) uint64_t name;
+	REFUSAL_LIST(X)
+#undef X
+};
+
+struct counters {
+#define X(name) uint64_t name;
+	COUNTER_LIST(X)
+#undef X
+};
+
+struct server {
+	struct event_base *base;
+	struct leaf *leaves;
+	unsigned int n_leaves;
+	int64_t start_us;
+	char *name;
+	char *incarnation;
+	GHashTable *commands; /* command id to number of runs */
+};
+
+struct leaf {
+	struct server *server;
+	unsigned int index;
+	struct evhttp *http;
+	uint16_t port;
+	GArray *shards;
+	GArray *versions;
+	GArray *map_versions;
+	struct settings settings;
+	double slow_factor;
+	struct refusals refusals;
+	struct counters counters;
+	int64_t last_new_work_ms; /* since start; -1: none */
+	int64_t draining_ms; /* when draining was last set, since start; -1: never */
+	unsigned int running;
+	unsigned int queued;
+	struct list_head calls;
+	struct list_head queue;
+	GHashTable *conns; /* struct bufferevent to struct conn */
+	GRand *rand;
+	char last_id[ID_MAX + 1];
+};
+
+struct conn {
+	struct leaf *leaf;
+	struct bufferevent *bev; /* holds a reference, so that the address is not reused */
+	bool refused;
+	bool watched; /* a close callback is set */
+	bool answered;
+};
+
+enum call_state { CALL_QUEUED, CALL_RUNNING, CALL_ANSWERING };
+
+struct call {
+	struct list_head node; /* in leaf->calls until the answer is sent */
+	struct list_head queue_node; /* in leaf->queue while queued */
+	struct leaf *leaf;
+	struct evhttp_request *req;
+	struct event *timer;
+	enum call_state state;
+	bool command;
+	char id[ID_MAX + 1];
+	char answer_id[ID_MAX + 1];
+	unsigned int shard;
+	unsigned int version;
+	unsigned int map_version;
+	int64_t deadline_us; /* monotonic; INT64_MAX: none */
+	int64_t end_us; /* end of the service time */
+	char *body;
+	size_t body_bytes;
+	int code;
+	const char *refusal;
+};
+
+static int64_t now_ms_get(const struct server *server)
+{
+	return (g_get_monotonic_time() - server->start_us) / 1000;
+}
+
+static bool list_contains(const GArray *list, unsigned int item)
+{
+	for (unsigned int i = 0; i < list->len; i++) {
+		if (g_array_index(list, unsigned int, i) == item)
+			return true;
+	}
+	return false;
+}
+
+/* Connections */
+
+static void conn_release(void *arg)
+{
+	struct conn *conn = arg;
+
+	if (!conn->refused)
+		conn->leaf->counters.connections_open--;
+	bufferevent_decref(conn->bev);
+	g_free(conn);
+}
+
+static void conn_close(struct evhttp_connection *evcon, void *arg)
+{
+	struct conn *conn = arg;
+
+	g_hash_table_remove(conn->leaf->conns, conn->bev);
+}
+
+/*
+ * evhttp offers a close callback only with the first request. A connection without a request is
+ * recognised as closed because evhttp disables reading when it frees it.
+ */
+static gboolean conn_is_closed(gpointer bev, gpointer arg, gpointer data)
+{
+	const struct conn *conn = arg;
+
+	return !conn->watched && !(bufferevent_get_enabled(bev) & EV_READ);
+}
+
+static void conns_sweep(struct leaf *leaf)
+{
+	g_hash_table_foreach_remove(leaf->conns, conn_is_closed, NULL);
+}
+
+/* Runs after evhttp has set up the new connection. */
+static void conn_accept(evutil_socket_t fd, short events, void *arg)
+{
+	struct conn *conn = arg;
+	struct leaf *leaf = conn->leaf;
+
+	conns_sweep(leaf);
+	leaf->counters.connections_accepted++;
+	if (leaf->counters.connections_open >= leaf->settings.connections) {
+		conn->refused = true;
+		leaf->counters.connections_refused++;
+		shutdown(bufferevent_getfd(conn->bev), SHUT_RDWR);
+	} else {
+		leaf->counters.connections_open++;
+		leaf->counters.connections_max =
+			MAX(leaf->counters.connections_max, leaf->counters.connections_open);
+	}
+	g_hash_table_insert(leaf->conns, conn->bev, conn);
+}
+
+/* evhttp calls this for each accepted connection and sets the socket afterwards. */
+static struct bufferevent *bev_create(struct event_base *base, void *arg)
+{
+	const struct timeval now = {0};
+	struct conn *conn = g_new0(struct conn, 1);
+
+	conn->leaf = arg;
+	conn->bev = bufferevent_socket_new(base, -1, 0);
+	bufferevent_incref(conn->bev);
+	event_base_once(base, -1, EV_TIMEOUT, conn_accept, conn, &now);
+	return conn->bev;
+}
+
+/* NULL when the client has closed the connection. */
+static struct conn *conn_find(const struct leaf *leaf, struct evhttp_request *req)
+{
+	struct evhttp_connection *evcon = evhttp_request_get_connection(req);
+
+	if (!evcon)
+		return NULL;
+	return g_hash_table_lookup(leaf->conns, evhttp_connection_get_bufferevent(evcon));
+}
+
+static void conn_watch(const struct leaf *leaf, struct evhttp_request *req)
+{
+	struct conn *conn = conn_find(leaf, req);
+
+	if (!conn || conn->watched)
+		return;
+	conn->watched = true;
+	evhttp_connection_set_closecb(evhttp_request_get_connection(req), conn_close, conn);
+}
+
+/* Calls */
+
+static void call_timer_set(struct call *call, int64_t at_us)
+{
+	int64_t wait_us = MAX(at_us - g_get_monotonic_time(), 0);
+	struct timeval wait = {.tv_sec = wait_us / G_USEC_PER_SEC,
+			       .tv_usec = wait_us % G_USEC_PER_SEC};
+
+	evtimer_add(call->timer, &wait);
+}
+
+static void call_destroy(struct call *call)
+{
+	list_del(&call->node);
+	list_del(&call->queue_node);
+	event_free(call->timer);
+	g_free(call->body);
+	g_free(call);
+}
+
+/* Hits depend on the query, the shard and the index version only. */
+static json_t *hits_create(const struct call *call)
+{
+	json_t *hits = json_array();
+
+	for (unsigned int i = 0; i < HITS_PER_SHARD; i++) {
+		char *id = g_strdup_printf("s%u-v%u-%u", call->shard, call->version, i);
+		char *seed = g_strdup_printf("%s %s", id, call->body);
+
+		json_array_append_new(hits, json_pack("{s:s, s:f, s:i}", "id", id, "score",
+						      g_str_hash(seed) / (double)UINT32_MAX,
+						      "shard", (int)call->shard));
+		g_free(seed);
+		g_free(id);
+	}
+	return hits;
+}
+
+static json_t *command_result_create(const struct call *call)
+{
+	const struct server *server = call->leaf->server;
+	gpointer runs = g_hash_table_lookup(server->commands, call->id);
+
+	return json_pack("{s:s, s:i, s:i, s:s}", "id", call->id, "shard", (int)call->shard, "run",
+			 GPOINTER_TO_INT(runs), "backend", server->name);
+}
+
+static void number_header_set(struct evhttp_request *req, const char *name, unsigned int value)
+{
+	char text[16];
+
+	snprintf(text, sizeof(text), "%u", value);
+	httpd_header_set(req, name, text);
+}
+
+static void answer_headers_set(const struct call *call)
+{
+	const struct leaf *leaf = call->leaf;
+	char *versions = httpd_list_format(leaf->versions);
+
+	httpd_header_set(call->req, "X-Incarnation", leaf->server->incarnation);
+	httpd_header_set(call->req, "X-Versions", versions);
+	if (leaf->settings.draining)
+		httpd_header_set(call->req, "X-Draining", "1");
+	if (call->refusal)
+		httpd_header_set(call->req, "X-Refusal", call->refusal);
+	if (call->code == 200) {
+		httpd_header_set(call->req, call->command ? "X-Command-Id" : "X-Request-Id",
+				 call->answer_id);
+		if (!call->command)
+			number_header_set(call->req, "X-Index-Version", call->version);
+		number_header_set(call->req, "X-Map-Version", call->map_version);
+		number_header_set(call->req, "X-Shard", call->shard);
+	}
+	g_free(versions);
+}
+
+static void call_send(struct call *call)
+{
+	static const char garbage[] = "[{\"id\": \"s";
+	struct leaf *leaf = call->leaf;
+	struct evhttp_request *req = call->req;
+	struct conn *conn = conn_find(leaf, req);
+
+	if (conn)
+		conn->answered = true;
+	if (call->code == 200 && leaf->settings.drop_answer) {
+		leaf->counters.dropped++;
+		httpd_request_drop(leaf->server->base, req);
+	} else {
+		answer_headers_set(call);
+		if (call->code != 200)
+			httpd_reply(req, call->code, NULL, 0);
+		else if (leaf->settings.garbage)
+			httpd_reply(req, 200, garbage, strlen(garbage));
+		else
+			httpd_reply_json(req, 200,
+					 call->command ? command_result_create(call)
+						       : hits_create(call));
+	}
+	call_destroy(call);
+}
+
+/* The answer leaves after the round trip time and, on a new connection, the connection set-up. */
+static void call_answer(struct call *call, int code, const char *refusal)
+{
+	const struct settings *settings = &call->leaf->settings;
+	const struct conn *conn = conn_find(call->leaf, call->req);
+	uint64_t delay_us = settings->rtt_us;
+
+	if (conn && !conn->answered)
+		delay_us += settings->connect_us;
+	if (code == 200)
+		delay_us += settings->late_ms * 1000;
+	call->state = CALL_ANSWERING;
+	call->code = code;
+	call->refusal = refusal;
+	if (delay_us)
+		call_timer_set(call, g_get_monotonic_time() + (int64_t)delay_us);
+	else
+		call_send(call);
+}
+
+static void call_start(struct call *call)
+{
+	struct leaf *leaf = call->leaf;
+	double service_us = (double)leaf->settings.service_us;
+
+	service_us += g_rand_double(leaf->rand) * (double)leaf->settings.spread_us;
+	call->end_us = g_get_monotonic_time() + (int64_t)(service_us * leaf->slow_factor);
+	call->state = CALL_RUNNING;
+	leaf->counters.ran++;
+	leaf->running++;
+	leaf->counters.running_max = MAX(leaf->counters.running_max, leaf->running);
+	if (call->command) {
+		GHashTable *commands = leaf->server->commands;
+		int runs = GPOINTER_TO_INT(g_hash_table_lookup(commands, call->id));
+
+		g_hash_table_replace(commands, g_strdup(call->id), GINT_TO_POINTER(runs + 1));
+	}
+	/* A late answer is sent although the deadline has passed. */
+	if (leaf->settings.late_ms)
+		call->deadline_us = INT64_MAX;
+	call_timer_set(call, MIN(call->end_us, call->deadline_us));
+}
+
+static void queue_remove(struct call *call)
+{
+	list_del(&call->queue_node);
+	call->leaf->queued--;
+}
+
+static void queue_run(struct leaf *leaf)
+{
+	while (leaf->running < leaf->settings.slots && !list_is_empty(&leaf->queue)) {
+		struct call *call = list_entry(leaf->queue.next, struct call, queue_node);
+
+		queue_remove(call);
+		if (call->command || list_contains(leaf->versions, call->version)) {
+			call_start(call);
+		} else {
+			leaf->refusals.version++;
+			call_answer(call, 410, NULL);
+		}
+	}
+}
+
+/* Ends a queued or running call and frees its slot. */
+static void call_finish(struct call *call, int code)
+{
+	struct leaf *leaf = call->leaf;
+
+	if (call->state == CALL_RUNNING)
+		leaf->running--;
+	else
+		queue_remove(call);
+	call_answer(call, code, NULL);
+	queue_run(leaf);
+}
+
+static void call_time(evutil_socket_t fd, short events, void *arg)
+{
+	struct call *call = arg;
+
+	if (call->state == CALL_ANSWERING) {
+		call_send(call);
+	} else if (call->state == CALL_RUNNING && call->end_us <= call->deadline_us) {
+		call->leaf->counters.completed++;
+		call_finish(call, 200);
+	} else {
+		call->leaf->counters.expired++;
+		call_finish(call, 504);
+	}
+}
+
+/* Requests of callers */
+
+static bool number_header_parse(struct evhttp_request *req, const char *name, uint64_t max,
+				uint64_t *value)
+{
+	return httpd_number_parse(httpd_header_get(req, name), max, value);
+}
+
+static bool call_parse(struct call *call)
+{
+	const char *id =
+		httpd_header_get(call->req, call->command ? "X-Command-Id" : "X-Request-Id");
+	uint64_t shard = 0;
+	uint64_t version = 0;
+	uint64_t map_version = 0;
+	uint64_t deadline_ms = 0;
+	json_t *query = NULL;
+
+	if (!id || !*id || strlen(id) > ID_MAX)
+		return false;
+	g_strlcpy(call->id, id, sizeof(call->id));
+	if (!call->command &&
+	    !number_header_parse(call->req, "X-Index-Version", UINT32_MAX, &version))
+		return false;
+	if (!number_header_parse(call->req, "X-Map-Version", UINT32_MAX, &map_version) ||
+	    !number_header_parse(call->req, "X-Shard", INT32_MAX, &shard))
+		return false;
+	call->deadline_us = INT64_MAX;
+	if (httpd_header_get(call->req, "X-Deadline-Ms")) {
+		if (!number_header_parse(call->req, "X-Deadline-Ms", DEADLINE_MAX_MS, &deadline_ms))
+			return false;
+		call->deadline_us = g_get_monotonic_time() + (int64_t)deadline_ms * 1000;
+	}
+	call->shard = (unsigned int)shard;
+	call->version = (unsigned int)version;
+	call->map_version = (unsigned int)map_version;
+	call->body = httpd_body_get(call->req, &call->body_bytes);
+	query = json_loadb(call->body, call->body_bytes, JSON_DECODE_ANY, NULL);
+	json_decref(query);
+	return query != NULL;
+}
+
+/* With wrong_id set, an answer carries the id of the leaf's previous call. */
+static void answer_id_choose(struct call *call)
+{
+	struct leaf *leaf = call->leaf;
+
+	g_strlcpy(call->answer_id, call->id, sizeof(call->answer_id));
+	if (leaf->settings.wrong_id) {
+		if (leaf->last_id[0] && strcmp(leaf->last_id, call->id) != 0)
+			g_strlcpy(call->answer_id, leaf->last_id, sizeof(call->answer_id));
+		else
+			call->answer_id[0] = call->answer_id[0] == '0' ? '1' : '0';
+	}
+	g_strlcpy(leaf->last_id, call->id, sizeof(leaf->last_id));
+}
+
+static void call_refuse(struct call *call, uint64_t *counter, int code, const char *refusal)
+{
+	++*counter;
+	call_answer(call, code, refusal);
+}
+
+static void call_admit(struct call *call)
+{
+	struct leaf *leaf = call->leaf;
+	const struct settings *settings = &leaf->settings;
+
+	if (settings->draining) {
+		call_refuse(call, &leaf->refusals.draining, 503, "draining");
+	} else if (settings->cold) {
+		call_refuse(call, &leaf->refusals.cold, 503, "cold");
+	} else if (settings->shed &&
+		   g_rand_int_range(leaf->rand, 0, 100) < (gint32)settings->shed) {
+		call_refuse(call, &leaf->refusals.shed, 503, "shed");
+	} else if (!list_contains(leaf->map_versions, call->map_version) ||
+		   !list_contains(leaf->shards, call->shard)) {
+		call_refuse(call, &leaf->refusals.shard, 404, NULL);
+	} else if (!call->command && !list_contains(leaf->versions, call->version)) {
+		call_refuse(call, &leaf->refusals.version, 410, NULL);
+	} else if (call->deadline_us <= g_get_monotonic_time()) {
+		call_refuse(call, &leaf->counters.expired, 504, NULL);
+	} else if (leaf->running < settings->slots) {
+		call_start(call);
+	} else if (leaf->queued < settings->queue) {
+		call->state = CALL_QUEUED;
+		list_add_tail(&call->queue_node, &leaf->queue);
+		leaf->queued++;
+		leaf->counters.queued_max = MAX(leaf->counters.queued_max, leaf->queued);
+		if (call->deadline_us != INT64_MAX)
+			call_timer_set(call, call->deadline_us);
+	} else {
+		call_refuse(call, &leaf->refusals.slots, 503, "slots");
+	}
+}
+
+static void call_receive(struct leaf *leaf, struct evhttp_request *req, bool command)
+{
+	struct call *call = g_new0(struct call, 1);
+
+	leaf->counters.received++;
+	leaf->last_new_work_ms = now_ms_get(leaf->server);
+	call->leaf = leaf;
+	call->req = req;
+	call->command = command;
+	call->timer = evtimer_new(leaf->server->base, call_time, call);
+	list_add_tail(&call->node, &leaf->calls);
+	list_init(&call->queue_node);
+	if (call_parse(call)) {
+		answer_id_choose(call);
+		call_admit(call);
+	} else {
+		call_refuse(call, &leaf->refusals.malformed, 400, NULL);
+	}
+}
+
+static void cancel_receive(struct leaf *leaf, struct evhttp_request *req)
+{
+	const char *id = httpd_header_get(req, "X-Request-Id");
+	struct list_head *pos = NULL;
+	struct list_head *next = NULL;
+	int n = 0;
+
+	if (!id)
+		id = httpd_header_get(req, "X-Command-Id");
+	list_for_each_safe (pos, next, &leaf->calls) {
+		struct call *call = list_entry(pos, struct call, node);
+
+		if (g_strcmp0(call->id, id) != 0 || call->state == CALL_ANSWERING ||
+		    leaf->settings.late_ms)
+			continue;
+		n++;
+		leaf->counters.cancelled++;
+		call_finish(call, 504);
+		break;
+	}
+	httpd_reply_json(req, 200, json_pack("{s:i}", "cancelled", n));
+}
+
+static void load_reply(struct leaf *leaf, struct evhttp_request *req)
+{
+	bool lie = leaf->settings.lie_load;
+
+	httpd_reply_json(req, 200,
+			 json_pack("{s:i, s:i, s:I, s:b}", "running", lie ? 0 : (int)leaf->running,
+				   "queued", lie ? 0 : (int)leaf->queued, "slots",
+				   (json_int_t)leaf->settings.slots, "healthy", 1));
+}
+
+/* Controls and the record */
+
+static bool list_set(GArray **list, const char *text)
+{
+	GArray *parsed = httpd_list_parse(text);
+
+	if (!parsed)
+		return false;
+	g_array_unref(*list);
+	*list = parsed;
+	return true;
+}
+
+static bool number_set(struct leaf *leaf, const char *key, const char *text)
+{
+	struct settings *settings = &leaf->settings;
+	uint64_t value = 0;
+
+	if (!httpd_number_parse(text, UINT32_MAX, &value))
+		return false;
+	if (strcmp(key, "draining") == 0 && value && !settings->draining)
+		leaf->draining_ms = now_ms_get(leaf->server);
+#define X(name, initial)                \
+	if (strcmp(key, #name) == 0) {  \
+		settings->name = value; \
+		return true;            \
+	}
+	SETTING_LIST(X)
+#undef X
+	return false;
+}
+
+static bool setting_set(struct leaf *leaf, const char *key, const char *text)
+{
+	if (strcmp(key, "versions") == 0)
+		return list_set(&leaf->versions, text);
+	if (strcmp(key, "map_version") == 0)
+		return list_set(&leaf->map_versions, text);
+	if (strcmp(key, "shards") == 0)
+		return list_set(&leaf->shards, text);
+	if (strcmp(key, "slow_factor") == 0) {
+		char *end = NULL;
+		double factor = g_ascii_strtod(text, &end);
+
+		if (end == text || *end || !(factor >= 0 && factor <= 1e6))
+			return false;
+		leaf->slow_factor = factor;
+		return true;
+	}
+	return number_set(leaf, key, text);
+}
+
+static void control_receive(struct server *server, struct evhttp_request *req)
+{
+	struct evkeyvalq query;
+	const char *key = NULL;
+	const char *value = NULL;
+	const char *leaf_text = NULL;
+	uint64_t index = 0;
+	bool valid = false;
+
+	httpd_query_get(req, &query);
+	key = evhttp_find_header(&query, "key");
+	value = evhttp_find_header(&query, "value");
+	leaf_text = evhttp_find_header(&query, "leaf");
+	valid = key && value &&
+		(!leaf_text || httpd_number_parse(leaf_text, server->n_leaves - 1, &index));
+	for (unsigned int i = 0; valid && i < server->n_leaves; i++) {
+		if (leaf_text && i != index)
+			continue;
+		valid = setting_set(&server->leaves[i], key, value);
+		queue_run(&server->leaves[i]);
+	}
+	evhttp_clear_headers(&query);
+	httpd_reply(req, valid ? 200 : 400, NULL, 0);
+}
+
+static json_t *leaf_record_create(struct leaf *leaf)
+{
+	json_t *record = json_object();
+	json_t *refused = json_object();
+
+	conns_sweep(leaf);
+#define X(name) json_object_set_new(record, #name, json_integer((json_int_t)leaf->counters.name));
+	COUNTER_LIST(X)
+#undef X
+#define X(name) json_object_set_new(refused, #name, json_integer((json_int_t)leaf->refusals.name));
+	REFUSAL_LIST(X)
+#undef X
+	json_object_set_new(record, "refused", refused);
+	json_object_set_new(record, "port", json_integer(leaf->port));
+	json_object_set_new(record, "running", json_integer(leaf->running));
+	json_object_set_new(record, "queued", json_integer(leaf->queued));
+	json_object_set_new(record, "last_new_work_ms", json_integer(leaf->last_new_work_ms));
+	json_object_set_new(record, "draining_ms", json_integer(leaf->draining_ms));
+	return record;
+}
+
+static void record_reply(struct server *server, struct evhttp_request *req)
+{
+	json_t *leaves = json_array();
+	json_t *commands = json_object();
+	GHashTableIter iter;
+	gpointer id = NULL;
+	gpointer runs = NULL;
+
+	for (unsigned int i = 0; i < server->n_leaves; i++)
+		json_array_append_new(leaves, leaf_record_create(&server->leaves[i]));
+	g_hash_table_iter_init(&iter, server->commands);
+	while (g_hash_table_iter_next(&iter, &id, &runs))
+		json_object_set_new(commands, id, json_integer(GPOINTER_TO_INT(runs)));
+	httpd_reply_json(req, 200,
+			 json_pack("{s:s, s:s, s:I, s:o, s:o}", "name", server->name, "incarnation",
+				   server->incarnation, "now_ms", (json_int_t)now_ms_get(server),
+				   "leaves", leaves, "commands", commands));
+}
+
+static void request_handle(struct evhttp_request *req, void *arg)
+{
+	struct leaf *leaf = arg;
+	const char *path = evhttp_uri_get_path(evhttp_request_get_evhttp_uri(req));
+	bool post = evhttp_request_get_command(req) == EVHTTP_REQ_POST;
+	bool get = evhttp_request_get_command(req) == EVHTTP_REQ_GET;
+
+	conn_watch(leaf, req);
+	if (post && strcmp(path, "/search") == 0)
+		call_receive(leaf, req, false);
+	else if (post && strcmp(path, "/command") == 0)
+		call_receive(leaf, req, true);
+	else if (post && strcmp(path, "/cancel") == 0)
+		cancel_receive(leaf, req);
+	else if (post && strcmp(path, "/control") == 0)
+		control_receive(leaf->server, req);
+	else if (get && strcmp(path, "/load") == 0)
+		load_reply(leaf, req);
+	else if (get && strcmp(path, "/record") == 0)
+		record_reply(leaf->server, req);
+	else
+		httpd_reply(req, 404, NULL, 0);
+}
+
+/* Start */
+
+struct flags {
+	char *name;
+	char *ports;
+	char *shards;
+	char *map_version;
+	char *versions;
+	char *incarnation;
+	int seed;
+	int slots;
+	int queue;
+	int connections;
+	int service_us;
+	int spread_us;
+	int rtt_us;
+	int connect_us;
+};
+
+static bool leaf_init(struct leaf *leaf, const struct flags *flags, const char *shards)
+{
+	leaf->settings = (struct settings){
+#define X(name, value) .name = (value),
+		SETTING_LIST(X)
+#undef X
+	};
+	leaf->settings.slots = (uint64_t)flags->slots;
+	leaf->settings.queue = (uint64_t)flags->queue;
+	leaf->settings.connections = (uint64_t)flags->connections;
+	leaf->settings.service_us = (uint64_t)flags->service_us;
+	leaf->settings.spread_us = (uint64_t)flags->spread_us;
+	leaf->settings.rtt_us = (uint64_t)flags->rtt_us;
+	leaf->settings.connect_us = (uint64_t)flags->connect_us;
+	leaf->slow_factor = 1;
+	leaf->last_new_work_ms = -1;
+	leaf->draining_ms = -1;
+	list_init(&leaf->calls);
+	list_init(&leaf->queue);
+	leaf->conns = g_hash_table_new_full(NULL, NULL, NULL, conn_release);
+	leaf->rand = g_rand_new_with_seed((guint32)flags->seed + leaf->index);
+	leaf->shards = httpd_list_parse(shards);
+	leaf->versions = httpd_list_parse(flags->versions);
+	leaf->map_versions = httpd_list_parse(flags->map_version);
+	return leaf->shards && leaf->versions && leaf->map_versions;
+}
+
+static bool server_init(struct server *server, const struct flags *flags, GError **error)
+{
+	GArray *ports = httpd_list_parse(flags->ports);
+	char **shards = g_strsplit(flags->shards, ";", -1);
+	bool valid = ports && ports->len && ports->len == g_strv_length(shards);
+
+	if (!valid) {
+		g_set_error(error, RESULT_ERROR, RESULT_BAD_SETTING,
+			    "--ports and --shards must list the same number of leaves");
+		goto out;
+	}
+	server->n_leaves = ports->len;
+	server->leaves = g_new0(struct leaf, ports->len);
+	for (unsigned int i = 0; valid && i < ports->len; i++) {
+		struct leaf *leaf = &server->leaves[i];
+		unsigned int port = g_array_index(ports, unsigned int, i);
+
+		leaf->server = server;
+		leaf->index = i;
+		valid = port <= UINT16_MAX && leaf_init(leaf, flags, shards[i]);
+		if (!valid) {
+			g_set_error(error, RESULT_ERROR, RESULT_BAD_SETTING,
+				    "a port, shard or version is malformed");
+			break;
+		}
+		leaf->http = httpd_create(server->base, (uint16_t)port, &leaf->port, error);
+		valid = leaf->http != NULL;
+		if (valid) {
+			evhttp_set_bevcb(leaf->http, bev_create, leaf);
+			evhttp_set_gencb(leaf->http, request_handle, leaf);
+		}
+	}
+out:
+	g_strfreev(shards);
+	if (ports)
+		g_array_unref(ports);
+	return valid;
+}
+
+static bool flags_parse(struct flags *flags, int argc, char **argv, GError **error)
+{
+	const GOptionEntry entries[] = {
+		{"name", 0, 0, G_OPTION_ARG_STRING, &flags->name, "Name of the server", "NAME"},
+		{"ports", 0, 0, G_OPTION_ARG_STRING, &flags->ports, "Port of each leaf, 0 chooses",
+		 "P1,P2"},
+		{"shards", 0, 0, G_OPTION_ARG_STRING, &flags->shards, "Shards of each leaf",
+		 "0,1;0,1"},
+		{"slots", 0, 0, G_OPTION_ARG_INT, &flags->slots, "Calls at once, each leaf", "N"},
+		{"queue", 0, 0, G_OPTION_ARG_INT, &flags->queue, "Waiting calls, each leaf", "N"},
+		{"connections", 0, 0, G_OPTION_ARG_INT, &flags->connections,
+		 "Connections, each leaf", "N"},
+		{"service-us", 0, 0, G_OPTION_ARG_INT, &flags->service_us, "Service time", "US"},
+		{"spread-us", 0, 0, G_OPTION_ARG_INT, &flags->spread_us,
+		 "Uniform extra service time", "US"},
+		{"rtt-us", 0, 0, G_OPTION_ARG_INT, &flags->rtt_us, "Delay of each answer", "US"},
+		{"connect-us", 0, 0, G_OPTION_ARG_INT, &flags->connect_us,
+		 "Delay of a connection's first answer", "US"},
+		{"map-version", 0, 0, G_OPTION_ARG_STRING, &flags->map_version,
+		 "Shard map versions", "1"},
+		{"versions", 0, 0, G_OPTION_ARG_STRING, &flags->versions, "Index versions", "6,7"},
+		{"incarnation", 0, 0, G_OPTION_ARG_STRING, &flags->incarnation,
+		 "Incarnation, random by default", "HEX"},
+		{"seed", 0, 0, G_OPTION_ARG_INT, &flags->seed, "Seed of service times", "N"},
+		G_OPTION_ENTRY_NULL,
+	};
+	GOptionContext *options = g_option_context_new("- stand-in for a backend server");
+	bool valid = false;
+
+	g_option_context_add_main_entries(options, entries, NULL);
+	valid = g_option_context_parse(options, &argc, &argv, error);
+	g_option_context_free(options);
+	if (valid && (argc > 1 || MIN(flags->slots, flags->queue) < 0 || flags->connections < 0 ||
+		      MIN(flags->service_us, flags->spread_us) < 0 ||
+		      MIN(flags->rtt_us, flags->connect_us) < 0)) {
+		g_set_error(error, RESULT_ERROR, RESULT_BAD_SETTING,
+			    "an argument is unknown or negative");
+		return false;
+	}
+	return valid;
+}
+
+int main(int argc, char **argv)
+{
+	struct flags flags = {
+		.name = g_strdup("backend"),
+		.ports = g_strdup("0"),
+		.shards = g_strdup("0"),
+		.map_version = g_strdup("1"),
+		.versions = g_strdup("1"),
+		.slots = 2,
+		.connections = 25,
+		.service_us = 1000,
+	};
+	struct server server = {.start_us = g_get_monotonic_time()};
+	GError *error = NULL;
+
+	server.base = httpd_base_create();
+	if (!flags_parse(&flags, argc, argv, &error) || !server_init(&server, &flags, &error)) {
+		fprintf(stderr, "fake-leaf: %s\n", error->message);
+		g_clear_error(&error);
+		return EXIT_FAILURE;
+	}
+	server.name = flags.name;
+	server.incarnation = flags.incarnation
+				     ? flags.incarnation
+				     : g_strdup_printf("%08x%08x", g_random_int(), g_random_int());
+	server.commands = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
+	printf("ports");
+	for (unsigned int i = 0; i < server.n_leaves; i++)
+		printf(" %u", server.leaves[i].port);
+	printf("\n");
+	fflush(stdout);
+	event_base_dispatch(server.base);
+	return EXIT_SUCCESS;
+}
