--- a/fakes/fake_leaf.c
+++ b/fakes/fake_leaf.c
@@ -78,6 +78,8 @@
 
 struct server {
 	struct event_base *base;
+	struct evhttp *control; /* NULL without --control-port */
+	uint16_t control_port;
 	struct leaf *leaves;
 	unsigned int n_leaves;
 	int64_t start_us;
@@ -345,7 +347,10 @@
 	call_destroy(call);
 }
 
-/* The answer leaves after the round trip time and, on a new connection, the connection set-up. */
+/*
+ * The answer leaves after the round trip time and, on a new connection, the connection set-up. The
+ * timer sends it also without a delay, so that the call stays valid until the caller has returned.
+ */
 static void call_answer(struct call *call, int code, const char *refusal)
 {
 	const struct settings *settings = &call->leaf->settings;
@@ -362,7 +367,7 @@
 	if (delay_us)
 		call_timer_set(call, g_get_monotonic_time() + (int64_t)delay_us);
 	else
-		call_send(call);
+		event_active(call->timer, EV_TIMEOUT, 0);
 }
 
 static void call_start(struct call *call)
@@ -727,6 +732,20 @@
 		httpd_reply(req, 404, NULL, 0);
 }
 
+/* Controls without a connection to a leaf, so that they do not count towards its connections. */
+static void control_handle(struct evhttp_request *req, void *arg)
+{
+	const char *path = evhttp_uri_get_path(evhttp_request_get_evhttp_uri(req));
+	bool post = evhttp_request_get_command(req) == EVHTTP_REQ_POST;
+
+	if (post && strcmp(path, "/control") == 0)
+		control_receive(arg, req);
+	else if (!post && strcmp(path, "/record") == 0)
+		record_reply(arg, req);
+	else
+		httpd_reply(req, 404, NULL, 0);
+}
+
 /* Start */
 
 struct flags {
@@ -736,6 +755,7 @@
 	char *map_version;
 	char *versions;
 	char *incarnation;
+	int control_port;
 	int seed;
 	int slots;
 	int queue;
@@ -805,6 +825,13 @@
 			evhttp_set_gencb(leaf->http, request_handle, leaf);
 		}
 	}
+	if (valid && flags->control_port >= 0) {
+		server->control = httpd_create(server->base, (uint16_t)flags->control_port,
+					       &server->control_port, error);
+		valid = server->control != NULL;
+		if (valid)
+			evhttp_set_gencb(server->control, control_handle, server);
+	}
 out:
 	g_strfreev(shards);
 	if (ports)
@@ -835,6 +862,8 @@
 		{"versions", 0, 0, G_OPTION_ARG_STRING, &flags->versions, "Index versions", "6,7"},
 		{"incarnation", 0, 0, G_OPTION_ARG_STRING, &flags->incarnation,
 		 "Incarnation, random by default", "HEX"},
+		{"control-port", 0, 0, G_OPTION_ARG_INT, &flags->control_port,
+		 "Extra port for controls and the record, 0 chooses, none by default", "PORT"},
 		{"seed", 0, 0, G_OPTION_ARG_INT, &flags->seed, "Seed of service times", "N"},
 		G_OPTION_ENTRY_NULL,
 	};
@@ -844,11 +873,12 @@
 	g_option_context_add_main_entries(options, entries, NULL);
 	valid = g_option_context_parse(options, &argc, &argv, error);
 	g_option_context_free(options);
-	if (valid && (argc > 1 || MIN(flags->slots, flags->queue) < 0 || flags->connections < 0 ||
-		      MIN(flags->service_us, flags->spread_us) < 0 ||
-		      MIN(flags->rtt_us, flags->connect_us) < 0)) {
+	if (valid &&
+	    (argc > 1 || flags->control_port > UINT16_MAX || MIN(flags->slots, flags->queue) < 0 ||
+	     flags->connections < 0 || MIN(flags->service_us, flags->spread_us) < 0 ||
+	     MIN(flags->rtt_us, flags->connect_us) < 0)) {
 		g_set_error(error, RESULT_ERROR, RESULT_BAD_SETTING,
-			    "an argument is unknown or negative");
+			    "an argument is unknown or out of range");
 		return false;
 	}
 	return valid;
@@ -862,6 +892,7 @@
 		.shards = g_strdup("0"),
 		.map_version = g_strdup("1"),
 		.versions = g_strdup("1"),
+		.control_port = -1,
 		.slots = 2,
 		.connections = 25,
 		.service_us = 1000,
@@ -883,6 +914,8 @@
 	printf("ports");
 	for (unsigned int i = 0; i < server.n_leaves; i++)
 		printf(" %u", server.leaves[i].port);
+	if (server.control)
+		printf(" control %u", server.control_port);
 	printf("\n");
 	fflush(stdout);
 	event_base_dispatch(server.base);
--- a/fakes/fake_platform.c
+++ b/fakes/fake_platform.c
@@ -5,6 +5,7 @@
 
 #include "httpd.h"
 #include "list.h"
+#include "result.h"
 #include "section.h"
 
 #define WAIT_MAX_MS 600000
@@ -433,6 +434,11 @@
 	if (!g_option_context_parse(options, &argc, &argv, &error) ||
 	    !files_load(&p, manifest_path, vms_path, &error))
 		goto out;
+	if (argc > 1 || port < 0 || port > UINT16_MAX) {
+		g_set_error(&error, RESULT_ERROR, RESULT_BAD_SETTING,
+			    "an argument is unknown or out of range");
+		goto out;
+	}
 	p.base = httpd_base_create();
 	p.http = httpd_create(p.base, (uint16_t)port, &p.port, &error);
 	if (!p.http)
