Add the memory of command ids and the outcome of commands

command_log keeps ids in a hash table and in order of expiry; an entry's log refuses ids of another incarnation, a holder's log is keyed by the whole id. Ids are kept for a lifetime after their first arrival instead of after issue: never shorter, and the order of arrival is then the order of expiry, so that insertion is O(1) whatever the order of issue. command_outcome() maps a result to the outcome that it proves.

--- /dev/null
+++ b/src/command.c
@@ -0,0 +1,260 @@
+#include "command.h"
+
+#include <string.h>
+
+#include "list.h"
+
+/* GHashTable keeps 1.1 to 2.7 slots of a key, a value and a hash (20 bytes) for each element. */
+#define HASH_BYTES_PER_ID 40
+
+struct command_entry {
+	struct list_head node; /* in command_log.by_expiry or command_log.overdue */
+	uint64_t expires_ms;
+	bool is_finished;
+	bool is_overdue; /* past its lifetime and still in progress */
+	struct command_result result;
+	char id[];
+};
+
+struct command_log {
+	bool is_holder;
+	uint64_t incarnation;
+	uint64_t lifetime_ms;
+	uint64_t now_ms; /* highest time seen */
+	unsigned int max_ids;
+	size_t bytes;
+	/*
+	 * Ids are kept for lifetime_ms after their first arrival, which is never before issue. Thus
+	 * the order of arrival is the order of expiry, and an insertion is O(1) in any order of
+	 * issue.
+	 */
+	struct list_head by_expiry;
+	/* Entries whose lifetime ended in progress; apart, so that expiry does not walk over them.
+	 */
+	struct list_head overdue;
+	GHashTable *by_id; /* borrows the entries; the lists own them */
+};
+
+void command_prefix_format(char prefix[COMMAND_PREFIX_BYTES], uint64_t incarnation,
+			   uint64_t issued_ms)
+{
+	g_snprintf(prefix, COMMAND_PREFIX_BYTES,
+		   "%016" G_GINT64_MODIFIER "x.%" G_GUINT64_FORMAT ".", incarnation, issued_ms);
+}
+
+bool command_id_parse(const char *text, struct command_id *id)
+{
+	const char *p = text;
+	size_t chars;
+
+	id->incarnation = 0;
+	for (int i = 0; i < 16; i++, p++) {
+		if (!g_ascii_isxdigit(*p) || g_ascii_isupper(*p))
+			return false;
+		id->incarnation = id->incarnation << 4 | (uint64_t)g_ascii_xdigit_value(*p);
+	}
+	if (*p++ != '.')
+		return false;
+	if (!g_ascii_isdigit(*p) || (p[0] == '0' && p[1] != '.'))
+		return false;
+	id->issued_ms = 0;
+	for (; g_ascii_isdigit(*p); p++) {
+		uint64_t digit = (uint64_t)(*p - '0');
+
+		if (id->issued_ms > (UINT64_MAX - digit) / 10)
+			return false;
+		id->issued_ms = id->issued_ms * 10 + digit;
+	}
+	if (*p++ != '.')
+		return false;
+	id->random = p;
+	for (chars = 0; chars <= COMMAND_RANDOM_MAX_CHARS; chars++) {
+		if (!g_ascii_isalnum(p[chars]) && p[chars] != '-')
+			break;
+	}
+	return p[chars] == '\0' && chars >= COMMAND_RANDOM_MIN_CHARS &&
+	       chars <= COMMAND_RANDOM_MAX_CHARS;
+}
+
+static struct command_log *log_create(bool is_holder, uint64_t incarnation, uint64_t lifetime_ms,
+				      unsigned int max_ids)
+{
+	struct command_log *l = g_new0(struct command_log, 1);
+
+	l->is_holder = is_holder;
+	l->incarnation = incarnation;
+	l->lifetime_ms = lifetime_ms;
+	l->max_ids = max_ids;
+	list_init(&l->by_expiry);
+	list_init(&l->overdue);
+	l->by_id = g_hash_table_new(g_str_hash, g_str_equal);
+	return l;
+}
+
+struct command_log *command_log_create(uint64_t incarnation, uint64_t lifetime_ms,
+				       unsigned int max_ids)
+{
+	return log_create(false, incarnation, lifetime_ms, max_ids);
+}
+
+struct command_log *command_log_create_holder(uint64_t lifetime_ms, unsigned int max_ids)
+{
+	return log_create(true, 0, lifetime_ms, max_ids);
+}
+
+static size_t entry_bytes(const struct command_entry *e)
+{
+	return sizeof(*e) + strlen(e->id) + 1 + (e->result.body ? strlen(e->result.body) + 1 : 0) +
+	       HASH_BYTES_PER_ID;
+}
+
+/* Frees an entry that is in neither list any more. */
+static void entry_free(struct command_log *l, struct command_entry *e)
+{
+	l->bytes -= entry_bytes(e);
+	g_hash_table_remove(l->by_id, e->id);
+	g_free(e->result.body);
+	g_free(e);
+}
+
+static void list_free(struct command_log *l, struct list_head *entries)
+{
+	struct list_head *node, *next;
+
+	list_for_each_safe (node, next, entries)
+		entry_free(l, list_entry(node, struct command_entry, node));
+}
+
+void command_log_destroy(struct command_log *l)
+{
+	if (!l)
+		return;
+	list_free(l, &l->by_expiry);
+	list_free(l, &l->overdue);
+	g_hash_table_destroy(l->by_id);
+	g_free(l);
+}
+
+/* a + b, or the highest value: ids and settings can hold any number. */
+static uint64_t add_saturated(uint64_t a, uint64_t b)
+{
+	return a > UINT64_MAX - b ? UINT64_MAX : a + b;
+}
+
+void command_log_expire(struct command_log *l, uint64_t now_ms)
+{
+	struct list_head *node, *next;
+
+	if (now_ms > l->now_ms)
+		l->now_ms = now_ms;
+	list_for_each_safe (node, next, &l->by_expiry) {
+		struct command_entry *e = list_entry(node, struct command_entry, node);
+
+		if (e->expires_ms > l->now_ms)
+			break;
+		list_del(node);
+		if (e->is_finished) {
+			entry_free(l, e);
+		} else {
+			e->is_overdue = true;
+			list_add_tail(node, &l->overdue);
+		}
+	}
+}
+
+static enum result id_check(const struct command_log *l, const struct command_id *id)
+{
+	if (l->is_holder)
+		return RESULT_OK;
+	if (id->incarnation != l->incarnation)
+		return RESULT_FOREIGN_ID;
+	if (id->issued_ms > l->now_ms)
+		return RESULT_BAD_ID;
+	if (add_saturated(id->issued_ms, l->lifetime_ms) <= l->now_ms)
+		return RESULT_EXPIRED_ID;
+	return RESULT_OK;
+}
+
+enum command_verdict command_log_begin(struct command_log *l, const char *id, uint64_t now_ms,
+				       const struct command_result **known, enum result *reason)
+{
+	struct command_id parsed;
+	struct command_entry *e;
+	size_t id_bytes;
+
+	*known = NULL;
+	*reason = RESULT_OK;
+	command_log_expire(l, now_ms);
+	if (!command_id_parse(id, &parsed)) {
+		*reason = RESULT_BAD_ID;
+		return COMMAND_REFUSE;
+	}
+	e = g_hash_table_lookup(l->by_id, id);
+	if (e && !e->is_finished)
+		return COMMAND_WAIT;
+	if (e) {
+		*known = &e->result;
+		return COMMAND_KNOWN;
+	}
+	*reason = id_check(l, &parsed);
+	if (*reason != RESULT_OK)
+		return COMMAND_REFUSE;
+	if (g_hash_table_size(l->by_id) >= l->max_ids) {
+		*reason = RESULT_OVERLOADED;
+		return COMMAND_REFUSE;
+	}
+	id_bytes = strlen(id) + 1;
+	e = g_malloc0(sizeof(*e) + id_bytes);
+	memcpy(e->id, id, id_bytes);
+	e->expires_ms = add_saturated(l->now_ms, l->lifetime_ms);
+	list_add_tail(&e->node, &l->by_expiry);
+	g_hash_table_insert(l->by_id, e->id, e);
+	l->bytes += entry_bytes(e);
+	return COMMAND_DISPATCH;
+}
+
+void command_log_finish(struct command_log *l, const char *id, enum outcome o, enum result r,
+			const char *body)
+{
+	struct command_entry *e = g_hash_table_lookup(l->by_id, id);
+
+	if (!e || (e->is_finished && e->result.outcome != OUTCOME_UNKNOWN))
+		return;
+	if (!body)
+		body = "";
+	l->bytes -= entry_bytes(e);
+	g_free(e->result.body);
+	e->result.outcome = o;
+	e->result.result = r;
+	e->result.body_lost = strlen(body) > COMMAND_BODY_MAX_BYTES;
+	e->result.body = g_strdup(e->result.body_lost ? "" : body);
+	e->is_finished = true;
+	l->bytes += entry_bytes(e);
+	if (e->is_overdue) {
+		/* Back to the front, so that the next expiry removes it. */
+		e->is_overdue = false;
+		list_del(&e->node);
+		list_add_tail(&e->node, l->by_expiry.next);
+	}
+}
+
+unsigned int command_log_count(const struct command_log *l)
+{
+	return g_hash_table_size(l->by_id);
+}
+
+size_t command_log_bytes(const struct command_log *l)
+{
+	return sizeof(*l) + l->bytes;
+}
+
+enum outcome command_outcome(enum result result, bool was_sent)
+{
+	if (!was_sent)
+		return result_is_not_run(result) ? OUTCOME_NOT_RUN : OUTCOME_UNKNOWN;
+	if (result == RESULT_OK)
+		return OUTCOME_DONE;
+	if (result == RESULT_SHED || result == RESULT_LEAVING)
+		return OUTCOME_NOT_RUN;
+	return OUTCOME_UNKNOWN;
+}
