leafstat: space out calls to a leaf that refuses them all

Cause: a leaf that refuses every call was tried again after each service time, at the expense of the retry budget of its group. Change: the refusing state doubles with each refusal in a row, up to 1 s; an answer ends it. leafstat_latency_us() gives the latency with penalty.

--- a/src/leafstat.c
+++ b/src/leafstat.c
@@ -13,7 +13,9 @@
 #define PENALTY_TIMEOUT 4.0
 #define PENALTY_MAX 16.0
 #define REFUSING_MIN_US 1000.0
-#define REFUSING_MAX_US 100000.0
+#define REFUSING_FIRST_MAX_US 100000.0
+#define REFUSING_MAX_US 1000000.0
+#define REFUSALS_MAX 10
 
 struct leafstat {
 	uint64_t ramp_from_us;
@@ -25,8 +27,8 @@
 	double median_us;
 	double penalty;
 	unsigned int outstanding;
+	unsigned int refusals; /* in a row */
 	bool is_sampled;
-	bool is_refused;
 };
 
 static double time_since(uint64_t then_us, uint64_t now_us)
@@ -116,12 +118,15 @@
 	case LEAFSTAT_OK:
 		leafstat_latency_add(s, latency, now_us);
 		leafstat_median_add(s, latency);
-		s->is_refused = false;
+		s->refusals = 0;
 		break;
 	case LEAFSTAT_REFUSED:
 		leafstat_penalty_add(s, PENALTY_REFUSED, now_us);
-		s->is_refused = true;
-		s->refused_us = now_us;
+		/* Calls that were in flight together are refused for one cause and count once. */
+		if (!leafstat_is_refusing(s, now_us)) {
+			s->refusals = MIN(s->refusals + 1, REFUSALS_MAX);
+			s->refused_us = now_us;
+		}
 		break;
 	case LEAFSTAT_TIMEOUT:
 		leafstat_penalty_add(s, PENALTY_TIMEOUT, now_us);
@@ -136,7 +141,7 @@
 
 double leafstat_cost(const struct leafstat *s, uint64_t now_us)
 {
-	return s->ewma_us * (1.0 + leafstat_penalty(s, now_us)) * (double)(s->outstanding + 1);
+	return leafstat_latency_us(s, now_us) * (double)(s->outstanding + 1);
 }
 
 double leafstat_ramp(const struct leafstat *s, uint64_t now_us)
@@ -144,11 +149,23 @@
 	return CLAMP(time_since(s->ramp_from_us, now_us) / RAMP_US, RAMP_MIN, 1.0);
 }
 
+/*
+ * The time doubles with each refusal in a row: a leaf that refuses every call would otherwise use
+ * up the retry budget of the group.
+ */
 bool leafstat_is_refusing(const struct leafstat *s, uint64_t now_us)
 {
-	double hold_us = CLAMP(s->ewma_us, REFUSING_MIN_US, REFUSING_MAX_US);
+	double hold_us = CLAMP(s->ewma_us, REFUSING_MIN_US, REFUSING_FIRST_MAX_US);
 
-	return s->is_refused && time_since(s->refused_us, now_us) < hold_us;
+	if (s->refusals == 0)
+		return false;
+	hold_us = MIN(hold_us * (double)(1U << (s->refusals - 1)), REFUSING_MAX_US);
+	return time_since(s->refused_us, now_us) < hold_us;
+}
+
+double leafstat_latency_us(const struct leafstat *s, uint64_t now_us)
+{
+	return s->ewma_us * (1.0 + leafstat_penalty(s, now_us));
 }
 
 uint64_t leafstat_idle_us(const struct leafstat *s, uint64_t now_us)
--- a/src/leafstat.h
+++ b/src/leafstat.h
@@ -31,13 +31,19 @@
 /* A new incarnation: forgets latency, penalty and refusal, and ramps up again. */
 void leafstat_restart(struct leafstat *s, uint64_t now_us);
 
-/* EWMA latency x (1 + penalty) x (outstanding + 1), in microseconds. */
+/* EWMA latency x (1 + penalty), in microseconds. */
+double leafstat_latency_us(const struct leafstat *s, uint64_t now_us);
+
+/* leafstat_latency_us() x (outstanding + 1). */
 double leafstat_cost(const struct leafstat *s, uint64_t now_us);
 
 /* Share of the full load that the leaf should get: 0.05 just after a start, 1 after 5 s. */
 double leafstat_ramp(const struct leafstat *s, uint64_t now_us);
 
-/* Refused a call within about one service time, and answered none since. */
+/*
+ * Refused a call within about one service time (1 to 100 ms), and answered none since. Doubles with
+ * each further refusal, up to 1 s.
+ */
 bool leafstat_is_refusing(const struct leafstat *s, uint64_t now_us);
 
 /* Time since the last call that was started or finished on the leaf. */
--- a/tests/leafstat_test.cc
+++ b/tests/leafstat_test.cc
@@ -63,3 +63,23 @@
 	leafstat_destroy(s);
 	g_rand_free(rand);
 }
+
+/* Guards against a leaf that refuses every call and so uses up the retry budget of its group. */
+TEST(leafstat, refusals_in_a_row_space_out)
+{
+	struct leafstat *s = leafstat_create(0);
+	int calls = 0;
+
+	for (uint64_t now_us = 0; now_us < 20000000; now_us += 1000) {
+		if (leafstat_is_refusing(s, now_us))
+			continue;
+		calls++;
+		for (int i = 0; i < 2; i++)
+			leafstat_start(s, now_us);
+		for (int i = 0; i < 2; i++)
+			leafstat_finish(s, LEAFSTAT_REFUSED, 0, now_us);
+	}
+	/* 10, 20, ... 640 ms, then once a second. */
+	EXPECT_EQ(calls, 26);
+	leafstat_destroy(s);
+}
