replica: let calls wait rather than go to a slow or refusing leaf

Cause: as soon as the good leaves are at their limit, a call went to whatever leaf was usable. Change: replica_slow_exclude() drops slow and refusing leaves from usable while the queue is short; classq_waited_us() gives the wait that relaxes it.

--- a/src/classq.c
+++ b/src/classq.c
@@ -189,6 +189,7 @@
 		classq_remove(q, victim);
 		list_add_tail(&victim->node, &q->displaced);
 	}
+	item->pushed_us = now_us;
 	classq_add(q, item, name, hash);
 	return RESULT_OK;
 }
@@ -245,6 +246,19 @@
 		list_add_tail(node, dropped);
 }
 
+uint64_t classq_waited_us(const struct classq *q, uint64_t now_us)
+{
+	for (unsigned int c = 0; c < CLASSQ_PRIORITIES; c++) {
+		if (!list_is_empty(&q->classes[c])) {
+			uint64_t pushed_us =
+				list_entry(q->classes[c].next, struct classq_item, node)->pushed_us;
+
+			return now_us > pushed_us ? now_us - pushed_us : 0;
+		}
+	}
+	return 0;
+}
+
 unsigned int classq_count(const struct classq *q)
 {
 	return q->count;
--- a/src/classq.h
+++ b/src/classq.h
@@ -24,6 +24,7 @@
 	/* Private to the queue. */
 	struct list_head caller_node;
 	struct classq_caller *share;
+	uint64_t pushed_us;
 };
 
 /* Items that are still queued at destroy stay with the caller. */
@@ -39,9 +40,10 @@
 enum result classq_push(struct classq *q, struct classq_item *item, uint64_t now_us);
 
 /*
- * Next item, or NULL. Items that would end after their deadline when started now (service_us: the
- * median service time of a leaf) and displaced items are appended to dropped, by node; the caller
- * answers them as not run.
+ * Next item, or NULL. Items that would end after their deadline when started now, and displaced
+ * items, are appended to dropped, by node; the caller answers them as not run. service_us: expected
+ * service time. The median lets half of the items at the edge of their deadline end late; a
+ * quantile needs a bound (such as twice the median), or a slow group drops everything.
  */
 struct classq_item *classq_pop(struct classq *q, uint64_t service_us, uint64_t now_us,
 			       struct list_head *dropped);
@@ -52,6 +54,9 @@
 /* Takes an item out of the queue or of a list of dropped items; harmless when it is in neither. */
 void classq_remove(struct classq *q, struct classq_item *item);
 
+/* How long the first item of the highest class has waited; 0 for an empty queue. */
+uint64_t classq_waited_us(const struct classq *q, uint64_t now_us);
+
 /* Items that wait, without displaced ones. */
 unsigned int classq_count(const struct classq *q);
 
--- a/src/replica.c
+++ b/src/replica.c
@@ -4,6 +4,8 @@
 
 #define PROBE_IDLE_US 1000000
 #define PROBE_ONE_IN 64
+/* One straggler of 20 times the median raises the EWMA 3.4 times, which excludes no leaf. */
+#define SLOW_FACTOR 4.0
 
 static int replica_random_pick(struct replica_chooser *c, struct leafstat *const *stats,
 			       const bool *usable, unsigned int n, uint64_t now_us, GRand *rand)
@@ -140,3 +142,24 @@
 {
 	return c->ops->pick(c, stats, usable, MIN(n, REPLICA_MAX), now_us, rand);
 }
+
+void replica_slow_exclude(struct leafstat *const *stats, const bool *alive, bool *usable,
+			  unsigned int n, uint64_t waited_us, uint64_t now_us)
+{
+	double lowest_us = G_MAXDOUBLE;
+	double limit_us;
+
+	for (unsigned int i = 0; i < n; i++)
+		if (alive[i] && !leafstat_is_refusing(stats[i], now_us))
+			lowest_us = MIN(lowest_us, leafstat_latency_us(stats[i], now_us));
+	if (lowest_us == G_MAXDOUBLE)
+		return;
+	limit_us = SLOW_FACTOR * lowest_us + (double)waited_us;
+	for (unsigned int i = 0; i < n; i++) {
+		bool is_slow = leafstat_latency_us(stats[i], now_us) > limit_us &&
+			       leafstat_idle_us(stats[i], now_us) < PROBE_IDLE_US;
+
+		if (is_slow || leafstat_is_refusing(stats[i], now_us))
+			usable[i] = false;
+	}
+}
--- a/src/replica.h
+++ b/src/replica.h
@@ -40,6 +40,16 @@
 int replica_chooser_pick(struct replica_chooser *c, struct leafstat *const *stats,
 			 const bool *usable, unsigned int n, uint64_t now_us, GRand *rand);
 
+/*
+ * Clears usable[i] of leaves for which it is better to leave the call in the queue, because another
+ * alive leaf, perhaps at its limit, is free soon: a leaf that is refusing, or whose latency is
+ * above 4 times the lowest plus waited_us (see classq_waited_us()). alive[i]: neither draining nor
+ * tried. A slow leaf idle for 1 s stays usable as a probe. Without an alive leaf that is not
+ * refusing, usable stays as it is.
+ */
+void replica_slow_exclude(struct leafstat *const *stats, const bool *alive, bool *usable,
+			  unsigned int n, uint64_t waited_us, uint64_t now_us);
+
 G_END_DECLS
 
 #endif
--- a/tests/classq_test.cc
+++ b/tests/classq_test.cc
@@ -77,6 +77,8 @@
 			it->name[0] = '?'; /* as after a free */
 			break;
 		}
+		if (w[0] == "waited")
+			text = std::to_string(classq_waited_us(q, now_us));
 		if (w[0] == "count")
 			text = std::to_string(classq_count(q));
 		return text.empty() || text.back() == '\n' ? text : text + "\n";
--- a/tests/replica_test.cc
+++ b/tests/replica_test.cc
@@ -10,6 +10,7 @@
 	struct replica_chooser *c = nullptr;
 	std::vector<struct leafstat *> stats;
 	bool usable[REPLICA_MAX];
+	bool alive[REPLICA_MAX];
 	GRand *rand = g_rand_new_with_seed(1);
 
 	~replica_script() override
@@ -44,6 +45,7 @@
 			stats.push_back(
 				leafstat_create(now_ms < 9000 ? 0 : (now_ms - 9000) * 1000));
 		std::fill_n(usable, REPLICA_MAX, true);
+		std::fill_n(alive, REPLICA_MAX, true);
 		if (error)
 			text = std::string(error->message) + "\n";
 		g_clear_error(&error);
@@ -80,7 +82,9 @@
 
 	std::string run(const std::vector<std::string> &w) override
 	{
-		uint64_t now_ms = w[0] == "usable" ? 0 : std::stoull(w.back());
+		bool is_flags = w[0] == "usable" || w[0] == "alive";
+		uint64_t now_ms = is_flags ? 0 : std::stoull(w.back());
+		std::string text;
 		int i = w[0] == "leaves" ? 0 : std::stoi(w[1]);
 
 		if (w[0] == "leaves")
@@ -89,9 +93,15 @@
 			return picks(i, now_ms, w[0] == "shares");
 		if (w[0] == "ever")
 			return ever(i, now_ms);
-		if (w[0] == "usable")
-			for (size_t k = 1; k < w.size(); k++)
-				usable[k - 1] = w[k] == "1";
+		for (size_t k = 1; is_flags && k < w.size(); k++)
+			(w[0] == "usable" ? usable : alive)[k - 1] = w[k] == "1";
+		if (w[0] == "exclude") {
+			replica_slow_exclude(stats.data(), alive, usable, (unsigned)stats.size(),
+					     (uint64_t)i * 1000, now_ms * 1000);
+			for (size_t k = 0; k < stats.size(); k++)
+				text += std::string(k ? " " : "") + (usable[k] ? "1" : "0");
+			return text + "\n";
+		}
 		if (w[0] == "start")
 			for (int k = 0; k < std::stoi(w[2]); k++)
 				leafstat_start(stats[i], now_ms * 1000);
