Add the SWIM state machine of the membership

Cause: each VM needs a member list of its own that finds lost VMs, does not remove live ones under packet loss and heals after partitions, without shared state. Change: member.c: round-robin pings in random order, checks through 3 proxies, suspicion and refutation, piggybacked updates.

--- a/src/list.h
+++ b/src/list.h
@@ -12,11 +12,12 @@
 
 #define list_entry(ptr, type, member) ((type *)((char *)(ptr)-offsetof(type, member)))
 
-#define list_for_each(pos, head) for (pos = (head)->next; pos != (head); pos = pos->next)
+#define list_for_each(pos, head) for ((pos) = (head)->next; (pos) != (head); (pos) = (pos)->next)
 
 /* Allows removal of pos during the walk. */
-#define list_for_each_safe(pos, n, head) \
-	for (pos = (head)->next, n = pos->next; pos != (head); pos = n, n = pos->next)
+#define list_for_each_safe(pos, n, head)                               \
+	for ((pos) = (head)->next, (n) = (pos)->next; (pos) != (head); \
+	     (pos) = (n), (n) = (pos)->next)
 
 static inline void list_init(struct list_head *head)
 {
--- /dev/null
+++ b/tests/member_test.cc
@@ -0,0 +1,227 @@
+#include "member_net.h"
+#include "script.h"
+
+#include <set>
+
+namespace
+{
+/* net N SEED starts a network; the other steps act on it, or on the table of vm-0 alone. */
+class interpreter : public script_interpreter
+{
+      public:
+	std::string run(const std::vector<std::string> &w) override
+	{
+		auto num = [&](size_t i) { return std::stoi(w.at(i)); };
+		auto node = [&](size_t i) -> member_net::node & { return *net->nodes.at(num(i)); };
+
+		if (w[0] == "net") {
+			net = std::make_unique<member_net>(num(1), num(2));
+		} else if (w[0] == "loss") {
+			net->loss_pct = num(1);
+		} else if (w[0] == "run") {
+			net->run(num(1));
+		} else if (w[0] == "kill") {
+			net->stop(node(1));
+		} else if (w[0] == "restart") {
+			if (node(1).table)
+				net->stop(node(1));
+			net->start(node(1));
+			net->seed_list(node(1));
+		} else if (w[0] == "pause") {
+			node(1).paused_until_ms = net->now_ms + num(2);
+		} else if (w[0] == "cut") { /* cut FIRST LAST SIDE */
+			for (int i = num(1); i <= num(2); i++)
+				net->nodes[i]->side = num(3);
+		} else if (w[0] == "cut-pair") {
+			net->cut_a = num(1);
+			net->cut_b = num(2);
+		} else if (w[0] == "leave") {
+			member_table_leave(node(1).table);
+		} else if (w[0] == "churn") { /* churn ROUNDS: half of the VMs fail together */
+			size_t half = net->nodes.size() / 2;
+
+			for (int round = 0; round < num(1); round++) {
+				for (size_t i = half; i < net->nodes.size(); i++)
+					net->stop(*net->nodes[i]);
+				net->run(15000);
+				for (size_t i = half; i < net->nodes.size(); i++) {
+					net->start(*net->nodes[i]);
+					net->seed_list(*net->nodes[i]);
+				}
+				net->run(15000);
+			}
+		} else if (w[0] == "join") {
+			return join();
+		} else if (w[0] == "until") { /* until I STATE MS: every other VM sees I so */
+			return until(num(1), w[2], num(3));
+		} else if (w[0] == "until-whole") {
+			return until_whole(num(1));
+		} else if (w[0] == "false-removals") {
+			return std::to_string(net->false_removals) + "\n";
+		} else if (w[0] == "suspected") {
+			uint64_t n = 0;
+
+			for (auto &v : net->nodes)
+				n += v->table ? member_table_stats(v->table)->suspected : 0;
+			return n ? "some\n" : "none\n";
+		} else if (w[0] == "hear") { /* hear I INCARNATION STARTED SEQUENCE STATE */
+			return hear(w);
+		} else if (w[0] == "list") { /* list I STATE: the platform's list names VM I so */
+			return list(num(1), w[2]);
+		} else if (w[0] == "seen") {
+			return seen(num(1));
+		} else if (w[0] == "self") {
+			return self();
+		} else if (w[0] == "count") {
+			return std::to_string(member_table_count(first())) + "\n";
+		} else if (w[0] == "uptime") { /* known by vm-0 less the real one */
+			return uptime(node(1));
+		} else {
+			return "unknown step\n";
+		}
+		return "";
+	}
+
+      private:
+	std::unique_ptr<member_net> net;
+
+	member_table *first()
+	{
+		return net->nodes[0]->table;
+	}
+
+	static member_state state_of(const std::string &name)
+	{
+		int s = 0;
+
+		while (name != member_state_name((member_state)s))
+			s++;
+		return (member_state)s;
+	}
+
+	std::string until(int i, const std::string &state, uint64_t ms)
+	{
+		const auto &about = *net->nodes[i];
+		member_entry e;
+
+		for (uint64_t end_ms = net->now_ms + ms; net->now_ms < end_ms; net->run(100)) {
+			bool all = true;
+
+			for (auto &v : net->nodes)
+				if (v->table && v.get() != &about)
+					all = all &&
+					      member_table_find(v->table, about.self.name,
+								net->now_ms, &e) &&
+					      e.incarnation == about.self.incarnation &&
+					      member_state_name(e.state) == state;
+			if (all)
+				return "in time\n";
+		}
+		return "too late\n";
+	}
+
+	std::set<std::string> names(member_table *t)
+	{
+		std::set<std::string> s;
+
+		member_table_foreach(
+			t, net->now_ms,
+			[](const member_entry *e, void *data) {
+				static_cast<std::set<std::string> *>(data)->insert(e->name);
+			},
+			&s);
+		return s;
+	}
+
+	std::string until_whole(uint64_t ms)
+	{
+		for (uint64_t end_ms = net->now_ms + ms; net->now_ms < end_ms; net->run(100)) {
+			bool all = true;
+
+			for (auto &v : net->nodes)
+				all = all && names(v->table).size() == net->nodes.size();
+			if (all)
+				return "in time\n";
+		}
+		return "too late\n";
+	}
+
+	/* A VM joins that knows only vm-0's full list. */
+	std::string join()
+	{
+		unsigned int n;
+		member_entry *entries = member_table_snapshot(first(), net->now_ms, &n);
+		auto &v = net->add();
+
+		member_table_merge(v.table, entries, n, net->now_ms);
+		g_free(entries);
+		return "knows " + std::to_string(member_table_count(v.table)) + "\n";
+	}
+
+	std::string hear(const std::vector<std::string> &w)
+	{
+		member_message m{};
+		member_entry &e = m.updates[0];
+
+		m.kind = MEMBER_ACK;
+		m.sender = net->nodes[1]->self; /* a lost VM, whose address vm-1 has now */
+		m.sender.incarnation = 1;
+		g_strlcpy(m.sender.name, "peer", sizeof(m.sender.name));
+		m.update_count = 1;
+		e = net->nodes[std::stoi(w[1])]->self;
+		e.incarnation = w[2] == "own" ? e.incarnation : std::stoull(w[2]);
+		e.started_ms = w[3] == "own" ? e.started_ms : std::stoull(w[3]);
+		e.sequence = std::stoul(w[4]);
+		e.state = state_of(w[5]);
+		member_table_receive(first(), &m, net->now_ms, net->rand);
+		return w[1] == "0" ? self() : seen(std::stoi(w[1]));
+	}
+
+	std::string list(int i, const std::string &state)
+	{
+		member_entry e = net->nodes[i]->self;
+
+		e.state = state_of(state);
+		member_table_seed(first(), &e, 1, net->now_ms);
+		return i ? seen(i) : self();
+	}
+
+	std::string seen(int i)
+	{
+		member_entry e;
+
+		if (!member_table_find(first(), net->nodes[i]->self.name, net->now_ms, &e))
+			return "unknown\n";
+		return std::string(member_state_name(e.state)) + " incarnation " +
+		       (e.incarnation == net->nodes[i]->self.incarnation
+				? "own"
+				: std::to_string(e.incarnation)) +
+		       " sequence " + std::to_string(e.sequence) + "\n";
+	}
+
+	std::string self()
+	{
+		std::string s = seen(0);
+
+		if (member_table_is_asked_to_leave(first()))
+			s += "asked to leave\n";
+		if (member_table_is_superseded(first()))
+			s += "superseded\n";
+		return s;
+	}
+
+	std::string uptime(const member_net::node &v)
+	{
+		member_entry e;
+		int64_t diff;
+
+		if (!member_table_find(first(), v.self.name, net->now_ms, &e))
+			return "unknown\n";
+		diff = (int64_t)e.uptime_ms - (int64_t)(net->now_ms - v.self.started_ms);
+		return diff > 0 ? "ahead\n" : diff < -100 ? "behind\n" : "within 100 ms\n";
+	}
+};
+
+bool registered =
+	script_register("member", "member.test", [] { return std::make_unique<interpreter>(); });
+} // namespace
