Add the order of configurations and their sections

Cause: nodes get versions from the platform and from peers in any order, and a version must never revert or be in force with a missing, corrupt or invalid section. A candidate's index from the platform replaces a peer's of the same version.

--- /dev/null
+++ b/src/config.c
@@ -0,0 +1,363 @@
+#include "config.h"
+
+#include <jansson.h>
+#include <string.h>
+
+/* Refused candidates remembered; the platform repeats only its newest version. */
+#define REFUSED_MAX 16
+
+struct part {
+	char *name;
+	char digest[CONFIG_DIGEST_CHARS + 1];
+	GBytes *text; /* shared between versions; NULL while it is missing */
+	struct part *same; /* next part with the same digest */
+};
+
+struct manifest {
+	uint64_t version;
+	char *index;
+	char *source;
+	struct part *parts;
+	unsigned int part_count;
+	GHashTable *by_digest; /* digest to the first part with it */
+	unsigned int missing; /* digests without a text */
+};
+
+struct refusal {
+	uint64_t version;
+	guint index_hash;
+};
+
+struct config_store {
+	struct config_sink *sink;
+	struct manifest *current;
+	struct manifest *candidate;
+	struct refusal refused[REFUSED_MAX];
+	unsigned int refused_next;
+	unsigned int sources;
+	unsigned int answered;
+	uint64_t started_ms;
+	bool ready;
+	struct config_stats stats;
+};
+
+static void manifest_destroy(struct manifest *m)
+{
+	if (!m)
+		return;
+	for (unsigned int i = 0; i < m->part_count; i++) {
+		g_free(m->parts[i].name);
+		if (m->parts[i].text)
+			g_bytes_unref(m->parts[i].text);
+	}
+	g_hash_table_destroy(m->by_digest);
+	g_free(m->parts);
+	g_free(m->index);
+	g_free(m->source);
+	g_free(m);
+}
+
+static bool digest_is_valid(const char *digest)
+{
+	return strlen(digest) == CONFIG_DIGEST_CHARS &&
+	       strspn(digest, "0123456789abcdef") == CONFIG_DIGEST_CHARS;
+}
+
+static bool manifest_add_part(struct manifest *m, json_t *item, GHashTable *names, GError **error)
+{
+	const char *name = json_string_value(json_object_get(item, "name"));
+	const char *digest = json_string_value(json_object_get(item, "sha256"));
+	struct part *p = &m->parts[m->part_count];
+	struct part *first;
+
+	if (!name || name[0] == '\0' || !digest || !digest_is_valid(digest)) {
+		g_set_error(error, RESULT_ERROR, RESULT_BAD_MANIFEST,
+			    "section %u of the index: name or sha256 is missing or malformed",
+			    m->part_count);
+		return false;
+	}
+	p->name = g_strdup(name);
+	g_strlcpy(p->digest, digest, sizeof(p->digest));
+	m->part_count++;
+	if (!g_hash_table_add(names, p->name)) {
+		g_set_error(error, RESULT_ERROR, RESULT_BAD_MANIFEST,
+			    "section \"%s\" is listed twice in the index", name);
+		return false;
+	}
+	first = g_hash_table_lookup(m->by_digest, p->digest);
+	if (first) {
+		p->same = first->same;
+		first->same = p;
+	} else {
+		g_hash_table_insert(m->by_digest, p->digest, p);
+		m->missing++;
+	}
+	return true;
+}
+
+static struct manifest *manifest_parse(uint64_t version, const char *index, const char *source,
+				       GError **error)
+{
+	struct manifest *m = g_new0(struct manifest, 1);
+	GHashTable *names = g_hash_table_new(g_str_hash, g_str_equal);
+	json_t *root = NULL, *sections, *item;
+	json_error_t json_error;
+	bool ok = false;
+	size_t i;
+
+	m->version = version;
+	m->index = g_strdup(index);
+	m->source = g_strdup(source);
+	m->by_digest = g_hash_table_new(g_str_hash, g_str_equal);
+	if (strlen(index) > CONFIG_TEXT_MAX) {
+		g_set_error(error, RESULT_ERROR, RESULT_BAD_MANIFEST, "the index exceeds %d bytes",
+			    CONFIG_TEXT_MAX);
+		goto out;
+	}
+	root = json_loads(index, 0, &json_error);
+	if (!root) {
+		g_set_error(error, RESULT_ERROR, RESULT_BAD_MANIFEST, "index: %s at line %d",
+			    json_error.text, json_error.line);
+		goto out;
+	}
+	sections = json_object_get(root, "sections");
+	if (json_array_size(sections) == 0 || json_array_size(sections) > CONFIG_SECTIONS_MAX) {
+		g_set_error(error, RESULT_ERROR, RESULT_BAD_MANIFEST,
+			    "index: \"sections\" must be an array of 1 to %d sections",
+			    CONFIG_SECTIONS_MAX);
+		goto out;
+	}
+	m->parts = g_new0(struct part, json_array_size(sections));
+	json_array_foreach(sections, i, item)
+	{
+		if (!manifest_add_part(m, item, names, error))
+			goto out;
+	}
+	ok = true;
+out:
+	json_decref(root);
+	g_hash_table_destroy(names);
+	if (!ok) {
+		manifest_destroy(m);
+		return NULL;
+	}
+	return m;
+}
+
+/* Gives the text to every part with the digest. */
+static void manifest_set_text(struct manifest *m, const char *digest, GBytes *text)
+{
+	struct part *p = g_hash_table_lookup(m->by_digest, digest);
+
+	if (!p || p->text)
+		return;
+	for (; p; p = p->same)
+		p->text = g_bytes_ref(text);
+	m->missing--;
+}
+
+static void manifest_reuse_texts(struct manifest *m, const struct manifest *from)
+{
+	if (!from)
+		return;
+	for (unsigned int i = 0; i < from->part_count; i++)
+		if (from->parts[i].text)
+			manifest_set_text(m, from->parts[i].digest, from->parts[i].text);
+}
+
+static bool store_has_refused(const struct config_store *s, uint64_t version, guint index_hash)
+{
+	for (unsigned int i = 0; i < REFUSED_MAX; i++)
+		if (s->refused[i].version == version && s->refused[i].index_hash == index_hash)
+			return true;
+	return false;
+}
+
+static void store_refuse(struct config_store *s, uint64_t version, const char *index)
+{
+	struct refusal *r = &s->refused[s->refused_next++ % REFUSED_MAX];
+
+	r->version = version;
+	r->index_hash = g_str_hash(index);
+	s->stats.refused++;
+}
+
+/* Validates the whole candidate and puts it in force or refuses it. */
+static enum result store_finish(struct config_store *s, GError **error)
+{
+	struct manifest *m = s->candidate;
+	struct config_section *sections = g_new0(struct config_section, m->part_count);
+	enum result r = RESULT_OK;
+
+	s->candidate = NULL;
+	for (unsigned int i = 0; i < m->part_count; i++) {
+		sections[i].name = m->parts[i].name;
+		sections[i].digest = m->parts[i].digest;
+		sections[i].text = g_bytes_get_data(m->parts[i].text, NULL);
+		sections[i].bytes = g_bytes_get_size(m->parts[i].text) - 1;
+	}
+	if (s->sink->ops->validate(s->sink, m->version, sections, m->part_count, error)) {
+		s->sink->ops->apply(s->sink, m->version, sections, m->part_count);
+		s->stats.applied++;
+		manifest_destroy(s->current);
+		s->current = m;
+	} else {
+		store_refuse(s, m->version, m->index);
+		manifest_destroy(m);
+		r = RESULT_BAD_MANIFEST;
+	}
+	g_free(sections);
+	return r;
+}
+
+struct config_store *config_store_create(struct config_sink *sink, unsigned int sources,
+					 uint64_t now_ms)
+{
+	struct config_store *s = g_new0(struct config_store, 1);
+
+	s->sink = sink;
+	s->sources = sources;
+	s->started_ms = now_ms;
+	return s;
+}
+
+void config_store_destroy(struct config_store *s)
+{
+	if (!s)
+		return;
+	manifest_destroy(s->current);
+	manifest_destroy(s->candidate);
+	g_free(s);
+}
+
+enum result config_store_offer(struct config_store *s, uint64_t version, const char *index,
+			       const char *source, GError **error)
+{
+	struct manifest *m;
+
+	if (s->current && version == s->current->version && strcmp(index, s->current->index) != 0)
+		s->stats.conflicts++;
+	if (version <= config_store_version(s))
+		return RESULT_OLD_MANIFEST;
+	if (store_has_refused(s, version, g_str_hash(index)))
+		return RESULT_BAD_MANIFEST;
+	if (s->candidate && version < s->candidate->version)
+		return RESULT_OLD_MANIFEST;
+	if (s->candidate && version == s->candidate->version) {
+		if (strcmp(index, s->candidate->index) == 0) {
+			g_free(s->candidate->source);
+			s->candidate->source = g_strdup(source);
+			return RESULT_OK;
+		}
+		/* The platform orders configurations, so that its index replaces a peer's. */
+		if (strcmp(source, CONFIG_PLATFORM) != 0)
+			return RESULT_OLD_MANIFEST;
+	}
+	m = manifest_parse(version, index, source, error);
+	if (!m) {
+		store_refuse(s, version, index);
+		return RESULT_BAD_MANIFEST;
+	}
+	manifest_reuse_texts(m, s->current);
+	manifest_reuse_texts(m, s->candidate);
+	manifest_destroy(s->candidate);
+	s->candidate = m;
+	return m->missing == 0 ? store_finish(s, error) : RESULT_OK;
+}
+
+unsigned int config_store_missing(const struct config_store *s, const char **digests,
+				  unsigned int max)
+{
+	unsigned int n = 0;
+
+	if (!s->candidate)
+		return 0;
+	for (unsigned int i = 0; i < s->candidate->part_count && n < max; i++) {
+		const struct part *p = &s->candidate->parts[i];
+
+		if (!p->text && g_hash_table_lookup(s->candidate->by_digest, p->digest) == p)
+			digests[n++] = p->digest;
+	}
+	return s->candidate->missing;
+}
+
+const char *config_store_source(const struct config_store *s)
+{
+	return s->candidate ? s->candidate->source : NULL;
+}
+
+enum result config_store_take(struct config_store *s, const char *digest, const char *text,
+			      size_t bytes, GError **error)
+{
+	const struct part *p =
+		s->candidate ? g_hash_table_lookup(s->candidate->by_digest, digest) : NULL;
+	enum result r = RESULT_OK;
+	char *copy, *sum;
+	GBytes *shared;
+
+	if (!p || p->text)
+		return RESULT_NOT_FOUND;
+	if (bytes > CONFIG_TEXT_MAX)
+		return RESULT_TOO_LARGE;
+	sum = g_compute_checksum_for_data(G_CHECKSUM_SHA256, (const guchar *)text, bytes);
+	if (strcmp(sum, digest) != 0) {
+		s->stats.bad_digest++;
+		g_free(sum);
+		return RESULT_MISMATCH;
+	}
+	g_free(sum);
+	copy = g_malloc(bytes + 1);
+	memcpy(copy, text, bytes);
+	copy[bytes] = '\0';
+	shared = g_bytes_new_take(copy, bytes + 1);
+	manifest_set_text(s->candidate, digest, shared);
+	g_bytes_unref(shared);
+	if (s->candidate->missing == 0)
+		r = store_finish(s, error);
+	return r;
+}
+
+uint64_t config_store_version(const struct config_store *s)
+{
+	return s->current ? s->current->version : 0;
+}
+
+const char *config_store_index(const struct config_store *s)
+{
+	return s->current ? s->current->index : NULL;
+}
+
+uint64_t config_store_known_version(const struct config_store *s)
+{
+	return s->candidate ? s->candidate->version : config_store_version(s);
+}
+
+const char *config_store_section(const struct config_store *s, const char *digest, size_t *bytes)
+{
+	const struct part *p =
+		s->current ? g_hash_table_lookup(s->current->by_digest, digest) : NULL;
+
+	if (!p)
+		return NULL;
+	*bytes = g_bytes_get_size(p->text) - 1;
+	return g_bytes_get_data(p->text, NULL);
+}
+
+void config_store_answered(struct config_store *s)
+{
+	s->answered++;
+}
+
+bool config_store_is_ready(struct config_store *s, uint64_t now_ms)
+{
+	if (s->ready || !s->current)
+		return s->ready;
+	s->ready = (s->answered >= s->sources && !s->candidate) ||
+		   now_ms >= s->started_ms + CONFIG_START_WAIT_MS;
+	return s->ready;
+}
+
+const struct config_stats *config_store_stats(const struct config_store *s)
+{
+	return &s->stats;
+}
