Add the marks of leaving backend servers

Change: leaving.c keeps marks by (backend, incarnation), remembers the last 4 replaced incarnations to recognise late news, binds marks without an incarnation to the known or next observed one, lets the VM list mark once until it names the backend as live, and forgets unmarked backends first when full.

--- /dev/null
+++ b/src/leaving.c
@@ -0,0 +1,230 @@
+#include "leaving.h"
+
+#include "list.h"
+
+#include <string.h>
+
+/* A late answer is at most one deadline old; a backend does not restart more often in that time. */
+#define PAST_MAX 4
+#define MARKS_MAX 4
+
+struct mark {
+	uint64_t incarnation;
+	enum leaving_sign sign;
+};
+
+struct backend {
+	struct list_head node; /* in marked or unmarked, least recently seen first */
+	char name[LEAVING_NAME_MAX];
+	uint64_t newest; /* by the last news of an unseen incarnation; 0: unknown */
+	bool observed; /* newest was observed, not only marked by a peer */
+	uint64_t past[PAST_MAX];
+	unsigned int past_next;
+	struct mark marks[MARKS_MAX]; /* the newest ones; incarnation 0 in an unused place */
+	unsigned int marks_next;
+	bool unbound; /* marked without a known incarnation */
+	enum leaving_sign unbound_sign;
+	bool listed;
+};
+
+struct leaving {
+	GHashTable *by_name;
+	struct list_head marked;
+	struct list_head unmarked;
+	unsigned int max_backends;
+};
+
+const char *leaving_sign_name(enum leaving_sign sign)
+{
+	switch (sign) {
+#define X(symbol, name)        \
+	case LEAVING_##symbol: \
+		return name;
+		LEAVING_SIGN_LIST(X)
+#undef X
+	}
+	return "?";
+}
+
+struct leaving *leaving_create(unsigned int max_backends)
+{
+	struct leaving *l = g_new0(struct leaving, 1);
+
+	l->by_name = g_hash_table_new_full(g_str_hash, g_str_equal, NULL, g_free);
+	list_init(&l->marked);
+	list_init(&l->unmarked);
+	l->max_backends = max_backends;
+	return l;
+}
+
+void leaving_destroy(struct leaving *l)
+{
+	if (!l)
+		return;
+	g_hash_table_destroy(l->by_name);
+	g_free(l);
+}
+
+static bool backend_has_mark(const struct backend *b, uint64_t incarnation)
+{
+	for (unsigned int i = 0; i < MARKS_MAX; i++)
+		if (incarnation != 0 && b->marks[i].incarnation == incarnation)
+			return true;
+	return false;
+}
+
+static bool backend_is_past(const struct backend *b, uint64_t incarnation)
+{
+	for (unsigned int i = 0; i < PAST_MAX; i++)
+		if (b->past[i] == incarnation)
+			return true;
+	return false;
+}
+
+static void backend_touch(struct leaving *l, struct backend *b)
+{
+	bool marked = b->unbound;
+
+	for (unsigned int i = 0; i < MARKS_MAX; i++)
+		marked = marked || b->marks[i].incarnation != 0;
+	list_del(&b->node);
+	list_add_tail(&b->node, marked ? &l->marked : &l->unmarked);
+}
+
+static struct backend *backend_get(struct leaving *l, const char *name)
+{
+	struct backend *b = g_hash_table_lookup(l->by_name, name);
+	struct list_head *oldest;
+
+	if (b || strlen(name) >= LEAVING_NAME_MAX)
+		return b;
+	if (g_hash_table_size(l->by_name) >= l->max_backends) {
+		oldest = list_pop_head(&l->unmarked);
+		if (!oldest)
+			oldest = list_pop_head(&l->marked);
+		if (oldest)
+			g_hash_table_remove(l->by_name,
+					    list_entry(oldest, struct backend, node)->name);
+	}
+	b = g_new0(struct backend, 1);
+	list_init(&b->node);
+	g_strlcpy(b->name, name, sizeof(b->name));
+	g_hash_table_insert(l->by_name, b->name, b);
+	return b;
+}
+
+static bool backend_mark(struct backend *b, uint64_t incarnation, enum leaving_sign sign)
+{
+	if (backend_has_mark(b, incarnation))
+		return false;
+	b->marks[b->marks_next++ % MARKS_MAX] = (struct mark){incarnation, sign};
+	return true;
+}
+
+bool leaving_mark(struct leaving *l, const char *backend, uint64_t incarnation,
+		  enum leaving_sign sign)
+{
+	struct backend *b = backend_get(l, backend);
+	bool is_new;
+
+	if (!b)
+		return false;
+	if (sign == LEAVING_VM_LIST) {
+		if (b->listed)
+			return false;
+		b->listed = true;
+	}
+	if (incarnation == 0)
+		incarnation = b->newest;
+	if (incarnation == 0) {
+		is_new = !b->unbound;
+		b->unbound = true;
+		b->unbound_sign = sign;
+	} else {
+		is_new = backend_mark(b, incarnation, sign);
+		/* Of an incarnation not seen here: taken for the newest until an answer tells. */
+		if (is_new && incarnation != b->newest && !backend_is_past(b, incarnation)) {
+			b->newest = incarnation;
+			b->observed = false;
+		}
+	}
+	backend_touch(l, b);
+	return is_new;
+}
+
+void leaving_unlist(struct leaving *l, const char *backend)
+{
+	struct backend *b = g_hash_table_lookup(l->by_name, backend);
+
+	if (b)
+		b->listed = false;
+}
+
+void leaving_observe(struct leaving *l, const char *backend, uint64_t incarnation)
+{
+	struct backend *b;
+
+	if (incarnation == 0)
+		return;
+	b = backend_get(l, backend);
+	if (!b || backend_is_past(b, incarnation))
+		return;
+	if (incarnation != b->newest) {
+		/* One that only a peer named may still turn out to be the newer one. */
+		if (b->observed)
+			b->past[b->past_next++ % PAST_MAX] = b->newest;
+		b->newest = incarnation;
+	}
+	b->observed = true;
+	if (b->unbound) {
+		b->unbound = false;
+		backend_mark(b, incarnation, b->unbound_sign);
+	}
+	backend_touch(l, b);
+}
+
+bool leaving_is_marked(const struct leaving *l, const char *backend, uint64_t incarnation)
+{
+	const struct backend *b = g_hash_table_lookup(l->by_name, backend);
+
+	if (!b)
+		return false;
+	if (b->unbound)
+		return true;
+	return backend_has_mark(b, incarnation ? incarnation : b->newest);
+}
+
+struct leaving_mark_record *leaving_export(const struct leaving *l, unsigned int *n)
+{
+	GArray *records = g_array_new(FALSE, TRUE, sizeof(struct leaving_mark_record));
+	struct leaving_mark_record r;
+	struct list_head *node;
+
+	list_for_each (node, &l->marked) {
+		const struct backend *b = list_entry(node, struct backend, node);
+
+		memcpy(r.backend, b->name, sizeof(r.backend));
+		for (unsigned int i = 0; i < MARKS_MAX; i++) {
+			r.incarnation = b->marks[i].incarnation;
+			r.sign = b->marks[i].sign;
+			if (r.incarnation != 0)
+				g_array_append_val(records, r);
+		}
+		r.incarnation = 0;
+		r.sign = b->unbound_sign;
+		if (b->unbound)
+			g_array_append_val(records, r);
+	}
+	*n = records->len;
+	return (struct leaving_mark_record *)g_array_free(records, FALSE);
+}
+
+unsigned int leaving_import(struct leaving *l, const struct leaving_mark_record *records,
+			    unsigned int n)
+{
+	unsigned int count = 0;
+
+	for (unsigned int i = 0; i < n; i++)
+		count += leaving_mark(l, records[i].backend, records[i].incarnation, LEAVING_PEER);
+	return count;
+}
