Add the lease check after a pause and the state machine of a planned stop

Cause: a process that resumes after a pause must not dispatch commands from old knowledge, and a planned stop must not cut requests of callers whose lists still name the VM. Change: wake.c reports gaps longer than the lease; only an answer to a request sent after the gap renews, since older answers may have waited in the socket. stop.c goes from running to announced, draining and done, with a limit of 60 s, the reason and the number of requests cut.

--- /dev/null
+++ b/src/stop.h
@@ -0,0 +1,61 @@
+/*
+ * State machine of a planned stop: the VM announces that it leaves, serves until no caller's list
+ * names it and no request is in flight, and then ends.
+ */
+#ifndef APRICOT_STOP_H
+#define APRICOT_STOP_H
+
+#include <glib.h>
+#include <stdbool.h>
+#include <stdint.h>
+
+G_BEGIN_DECLS
+
+#define STOP_LIMIT_MS 60000
+
+/* X(symbol, name) */
+#define STOP_STATE_LIST(X)        \
+	X(RUNNING, "running")     \
+	X(ANNOUNCED, "announced") \
+	X(DRAINING, "draining")   \
+	X(DONE, "done")
+
+enum stop_state {
+#define X(symbol, name) STOP_##symbol,
+	STOP_STATE_LIST(X)
+#undef X
+};
+
+struct stop;
+
+/*
+ * lists_ms: time from the announcement until the last list that names this VM has expired, that is,
+ * the time to live of the list plus the time in which the other VMs learn of the announcement.
+ * Destroy accepts NULL.
+ */
+struct stop *stop_create(uint64_t lists_ms);
+void stop_destroy(struct stop *s);
+
+/* Starts the stop: the caller announces it to the members. Returns false if it had started before.
+ */
+bool stop_request(struct stop *s, uint64_t now_ms);
+
+/*
+ * Advances and returns the state. ANNOUNCED and DRAINING still serve every request that arrives.
+ * in_flight: requests of callers and calls of other VMs that are not answered yet.
+ */
+enum stop_state stop_tick(struct stop *s, unsigned int in_flight, uint64_t now_ms);
+
+enum stop_state stop_state(const struct stop *s);
+
+/* Why the stop is done, for the log, or NULL before that. */
+const char *stop_reason(const struct stop *s);
+
+/* Requests that were in flight when the stop was done; they are cut. */
+unsigned int stop_cut_count(const struct stop *s);
+
+const char *stop_state_name(enum stop_state state);
+
+G_END_DECLS
+
+#endif
--- /dev/null
+++ b/src/wake.c
@@ -0,0 +1,46 @@
+#include "wake.h"
+
+struct wake {
+	uint64_t lease_ms;
+	uint64_t last_ms;
+	uint64_t stale_since_ms; /* end of the last gap */
+	bool started;
+	bool stale;
+};
+
+struct wake *wake_create(uint64_t lease_ms)
+{
+	struct wake *w = g_new0(struct wake, 1);
+
+	w->lease_ms = lease_ms;
+	return w;
+}
+
+void wake_destroy(struct wake *w)
+{
+	g_free(w);
+}
+
+uint64_t wake_tick(struct wake *w, uint64_t now_ms)
+{
+	uint64_t gap_ms = w->started && now_ms > w->last_ms ? now_ms - w->last_ms : 0;
+
+	w->started = true;
+	w->last_ms = now_ms;
+	if (gap_ms <= w->lease_ms)
+		return 0;
+	w->stale = true;
+	w->stale_since_ms = now_ms;
+	return gap_ms;
+}
+
+bool wake_is_stale(const struct wake *w)
+{
+	return w->stale;
+}
+
+void wake_renewed(struct wake *w, uint64_t asked_ms)
+{
+	if (asked_ms >= w->stale_since_ms)
+		w->stale = false;
+}
