Free everything when a test fake ends

Defaults that GLib's option parser overwrites and the state of the servers were never freed, so LeakSanitizer ended fake-leaf with status 1 and a test that checks a clean exit failed. Both programs now free their state after one exit label; the unit tests pass with -fsanitize=address,undefined.

--- a/fakes/fake_leaf.c
+++ b/fakes/fake_leaf.c
@@ -766,6 +766,66 @@
 	int connect_us;
 };
 
+static void list_free(GArray *list)
+{
+	if (list)
+		g_array_unref(list);
+}
+
+static void leaf_clear(struct leaf *leaf)
+{
+	struct list_head *pos = NULL;
+	struct list_head *next = NULL;
+
+	list_for_each_safe (pos, next, &leaf->calls)
+		call_destroy(list_entry(pos, struct call, node));
+	if (leaf->http)
+		evhttp_free(leaf->http);
+	g_hash_table_destroy(leaf->conns);
+	g_rand_free(leaf->rand);
+	list_free(leaf->map_versions);
+	list_free(leaf->versions);
+	list_free(leaf->shards);
+}
+
+static void server_clear(struct server *server)
+{
+	if (server->control)
+		evhttp_free(server->control);
+	for (unsigned int i = 0; i < server->n_leaves; i++)
+		leaf_clear(&server->leaves[i]);
+	g_free(server->leaves);
+	g_hash_table_destroy(server->commands);
+	httpd_base_destroy(server->base);
+}
+
+static void text_default_set(char **text, const char *value)
+{
+	if (!*text)
+		*text = g_strdup(value);
+}
+
+static void flags_default_set(struct flags *flags)
+{
+	text_default_set(&flags->name, "backend");
+	text_default_set(&flags->ports, "0");
+	text_default_set(&flags->shards, "0");
+	text_default_set(&flags->map_version, "1");
+	text_default_set(&flags->versions, "1");
+	if (!flags->incarnation)
+		flags->incarnation = g_strdup_printf("%08x%08x", g_random_int(), g_random_int());
+}
+
+static void flags_clear(struct flags *flags)
+{
+	g_free(flags->incarnation);
+	g_free(flags->versions);
+	g_free(flags->map_version);
+	g_free(flags->shards);
+	g_free(flags->ports);
+	g_free(flags->name);
+}
+
 static bool leaf_init(struct leaf *leaf, const struct flags *flags, const char *shards)
 {
 	leaf->settings = (struct settings){
@@ -804,15 +864,15 @@
 			    "--ports and --shards must list the same number of leaves");
 		goto out;
 	}
-	server->n_leaves = ports->len;
 	server->leaves = g_new0(struct leaf, ports->len);
 	for (unsigned int i = 0; valid && i < ports->len; i++) {
 		struct leaf *leaf = &server->leaves[i];
 		unsigned int port = g_array_index(ports, unsigned int, i);
 
+		server->n_leaves++;
 		leaf->server = server;
 		leaf->index = i;
-		valid = port <= UINT16_MAX && leaf_init(leaf, flags, shards[i]);
+		valid = leaf_init(leaf, flags, shards[i]) && port <= UINT16_MAX;
 		if (!valid) {
 			g_set_error(error, RESULT_ERROR, RESULT_BAD_SETTING,
 				    "a port, shard or version is malformed");
@@ -887,11 +947,6 @@
 int main(int argc, char **argv)
 {
 	struct flags flags = {
-		.name = g_strdup("backend"),
-		.ports = g_strdup("0"),
-		.shards = g_strdup("0"),
-		.map_version = g_strdup("1"),
-		.versions = g_strdup("1"),
 		.control_port = -1,
 		.slots = 2,
 		.connections = 25,
@@ -899,18 +954,17 @@
 	};
 	struct server server = {.start_us = g_get_monotonic_time()};
 	GError *error = NULL;
+	int status = EXIT_FAILURE;
 
 	server.base = httpd_base_create();
-	if (!flags_parse(&flags, argc, argv, &error) || !server_init(&server, &flags, &error)) {
-		fprintf(stderr, "fake-leaf: %s\n", error->message);
-		g_clear_error(&error);
-		return EXIT_FAILURE;
-	}
-	server.name = flags.name;
-	server.incarnation = flags.incarnation
-				     ? flags.incarnation
-				     : g_strdup_printf("%08x%08x", g_random_int(), g_random_int());
 	server.commands = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
+	if (!flags_parse(&flags, argc, argv, &error))
+		goto out;
+	flags_default_set(&flags);
+	server.name = flags.name;
+	server.incarnation = flags.incarnation;
+	if (!server_init(&server, &flags, &error))
+		goto out;
 	printf("ports");
 	for (unsigned int i = 0; i < server.n_leaves; i++)
 		printf(" %u", server.leaves[i].port);
@@ -919,5 +973,12 @@
 	printf("\n");
 	fflush(stdout);
 	event_base_dispatch(server.base);
-	return EXIT_SUCCESS;
+	status = EXIT_SUCCESS;
+out:
+	if (error)
+		fprintf(stderr, "fake-leaf: %s\n", error->message);
+	g_clear_error(&error);
+	server_clear(&server);
+	flags_clear(&flags);
+	return status;
 }
--- a/fakes/fake_platform.c
+++ b/fakes/fake_platform.c
@@ -415,6 +415,8 @@
 int main(int argc, char **argv)
 {
 	struct platform p = {.mode = MODE_OK};
+	struct list_head *pos = NULL;
+	struct list_head *next = NULL;
 	int port = 0;
 	char *manifest_path = NULL;
 	char *vms_path = NULL;
@@ -452,6 +454,16 @@
 	if (error)
 		fprintf(stderr, "fake-platform: %s\n", error->message);
 	g_clear_error(&error);
+	list_for_each_safe (pos, next, &p.watches)
+		watch_destroy(list_entry(pos, struct watch, node));
+	if (p.http)
+		evhttp_free(p.http);
+	httpd_base_destroy(p.base);
+	if (p.stale)
+		g_hash_table_destroy(p.stale);
+	g_hash_table_destroy(p.values);
+	g_free(vms_path);
+	g_free(manifest_path);
 	g_option_context_free(options);
 	return status;
 }
--- a/fakes/httpd.c
+++ b/fakes/httpd.c
@@ -14,6 +14,8 @@
 #define IDLE_TIMEOUT_S 3600
 #define BODY_MAX_BYTES 8388608
 
+static struct event *signal_events[2];
+
 static void loop_stop(evutil_socket_t signal_number, short events, void *arg)
 {
 	event_base_loopbreak(arg);
@@ -28,11 +30,22 @@
 	base = event_base_new_with_config(config);
 	event_config_free(config);
 	signal(SIGPIPE, SIG_IGN);
-	evsignal_add(evsignal_new(base, SIGTERM, loop_stop, base), NULL);
-	evsignal_add(evsignal_new(base, SIGINT, loop_stop, base), NULL);
+	signal_events[0] = evsignal_new(base, SIGTERM, loop_stop, base);
+	signal_events[1] = evsignal_new(base, SIGINT, loop_stop, base);
+	evsignal_add(signal_events[0], NULL);
+	evsignal_add(signal_events[1], NULL);
 	return base;
 }
 
+void httpd_base_destroy(struct event_base *base)
+{
+	if (!base)
+		return;
+	event_free(signal_events[0]);
+	event_free(signal_events[1]);
+	event_base_free(base);
+}
+
 struct evhttp *httpd_create(struct event_base *base, uint16_t port, uint16_t *bound, GError **error)
 {
 	struct evhttp *http = evhttp_new(base);
--- a/fakes/httpd.h
+++ b/fakes/httpd.h
@@ -10,8 +10,10 @@
 #include <stdbool.h>
 #include <stdint.h>
 
-/* Event base with microsecond timers that ends its loop on SIGTERM and SIGINT. */
+/* Event base with microsecond timers that ends its loop on SIGTERM and SIGINT; one per process. */
 struct event_base *httpd_base_create(void);
+/* Call after the servers and events of the base have been freed; NULL is allowed. */
+void httpd_base_destroy(struct event_base *base);
 
 /* HTTP server on 127.0.0.1; port 0 chooses one, *bound is the port. NULL and RESULT_SYSTEM on
  * failure. */
