--- /dev/null
+++ b/tests/section_test.cc
@@ -0,0 +1,135 @@
+#include <gtest/gtest.h>
+
+#include <cstring>
+
+#include "result.h"
+
+extern "C" {
+#include "section.h"
+}
+
+static const char *set_lookup(const char *sha256, size_t *body_bytes, void *arg)
+{
+	auto *set = static_cast<struct section_set *>(arg);
+
+	for (size_t i = 0; i < set->n; i++) {
+		if (strcmp(set->sections[i].sha256, sha256) == 0) {
+			*body_bytes = set->sections[i].body_bytes;
+			return set->sections[i].body;
+		}
+	}
+	return nullptr;
+}
+
+class section_test : public testing::Test
+{
+      protected:
+	void SetUp() override
+	{
+		whole_ = json_loads(R"({"services": [{"name": "a", "ratio": 0.1}], "groups":
+			[{"shards": [1], "id": "g"}, {"id": "ü", "shards": []}]})",
+				    0, nullptr);
+		set_ = section_split(whole_, nullptr);
+		ASSERT_NE(set_, nullptr);
+	}
+
+	void TearDown() override
+	{
+		section_set_destroy(set_);
+		json_decref(whole_);
+	}
+
+	void expect_bad_index(const char *text)
+	{
+		json_t *index = json_loads(text, 0, nullptr);
+		GError *error = nullptr;
+
+		ASSERT_NE(index, nullptr);
+		EXPECT_EQ(section_join(index, set_lookup, set_, &error), nullptr) << text;
+		EXPECT_TRUE(g_error_matches(error, RESULT_ERROR, RESULT_BAD_MANIFEST)) << text;
+		g_clear_error(&error);
+		json_decref(index);
+	}
+
+	/* Index with the sections given by position, in this order. */
+	std::string index_text(std::initializer_list<size_t> order)
+	{
+		std::string text;
+
+		for (size_t i : order) {
+			text += text.empty() ? "" : ",";
+			text += std::string("{\"name\":\"") + set_->sections[i].name +
+				"\",\"sha256\":\"" + set_->sections[i].sha256 + "\"}";
+		}
+		return "{\"sections\":[" + text + "]}";
+	}
+
+	json_t *whole_ = nullptr;
+	struct section_set *set_ = nullptr;
+};
+
+/* Guards against nodes that compute different digests of one section. */
+TEST_F(section_test, bodies_are_canonical)
+{
+	ASSERT_EQ(set_->n, 3u);
+	EXPECT_STREQ(set_->sections[0].name, "services");
+	EXPECT_STREQ(set_->sections[1].name, "group/g");
+	EXPECT_STREQ(set_->sections[1].body, R"({"id":"g","shards":[1]})");
+	/* sha256sum of the body above */
+	EXPECT_STREQ(set_->sections[1].sha256,
+		     "36d6a170759c31ca8e3459981736b8daad65c424cdd9fbfe13854c8980bb9b50");
+	EXPECT_EQ(strlen(set_->sections[1].sha256), (size_t)SECTION_DIGEST_LEN);
+}
+
+/* Guards against content that is lost or reordered between split and join. */
+TEST_F(section_test, join_restores_whole)
+{
+	json_t *joined = section_join(set_->index, set_lookup, set_, nullptr);
+
+	EXPECT_TRUE(json_equal(joined, whole_));
+	json_decref(joined);
+}
+
+/* Guards against a manifest whose parts would be lost by the split. */
+TEST_F(section_test, split_rejects_malformed)
+{
+	for (const char *text :
+	     {"[]", "{}", R"({"services":[]})", R"({"services":[],"groups":{}})",
+	      R"({"services":[],"groups":[],"other":1})", R"({"services":[],"groups":[{}]})",
+	      R"({"services":[],"groups":[{"id":""}]})", R"({"services":[],"groups":[1]})",
+	      R"({"services":[],"groups":[{"id":"g"},{"id":"g"}]})"}) {
+		json_t *whole = json_loads(text, 0, nullptr);
+		GError *error = nullptr;
+
+		ASSERT_NE(whole, nullptr) << text;
+		EXPECT_EQ(section_split(whole, &error), nullptr) << text;
+		EXPECT_TRUE(g_error_matches(error, RESULT_ERROR, RESULT_BAD_MANIFEST)) << text;
+		g_clear_error(&error);
+		json_decref(whole);
+	}
+	EXPECT_EQ(section_split(nullptr, nullptr), nullptr);
+}
+
+/* Guards against a node that applies an incomplete or inconsistent configuration. */
+TEST_F(section_test, join_rejects_malformed)
+{
+	expect_bad_index("{}");
+	expect_bad_index(R"({"sections":[]})");
+	expect_bad_index(R"({"sections":[1]})");
+	expect_bad_index(R"({"sections":[{"name":"services"}]})");
+	expect_bad_index(R"({"sections":[{"name":"services","sha256":"00"}]})");
+	expect_bad_index(index_text({1, 2}).c_str());
+	expect_bad_index(index_text({0, 0}).c_str());
+	expect_bad_index(index_text({0, 1, 1}).c_str());
+	std::swap(set_->sections[1].name, set_->sections[2].name);
+	expect_bad_index(index_text({0, 1, 2}).c_str());
+	std::swap(set_->sections[1].name, set_->sections[0].name);
+	expect_bad_index(index_text({0, 1, 2}).c_str());
+}
+
+/* Guards against a section that was altered on its way. */
+TEST_F(section_test, join_checks_digest)
+{
+	set_->sections[1].body[0] = ' ';
+	EXPECT_EQ(section_join(set_->index, set_lookup, set_, nullptr), nullptr);
+}
