Make two tests of the fakes stricter

Trials with altered sources showed that a join without the digest check and a watch woken by any change still passed. The altered section is now valid JSON, so that only the digest reveals it, and a change of vms must leave a watch of the manifest waiting. Both altered sources now fail a test.

--- a/tests/fakes_test.cc
+++ b/tests/fakes_test.cc
@@ -382,6 +382,8 @@
 	EXPECT_GE(clock_ms() - start_ms, 100);
 	watch.request_send("GET", "/v1/values/manifest?after=1&wait_ms=20000");
 	ASSERT_TRUE(wait_until([this] { return count("waiting") == 1; }));
+	EXPECT_EQ(http_put(port_, "/v1/vms", "{\"vms\":[]}").status, 200);
+	EXPECT_EQ(count("waiting"), 1);
 	http_put(port_, "/v1/manifest", manifest_2);
 	EXPECT_EQ(watch.answer_read().headers["x-version"], "2");
 	EXPECT_EQ(count("reads_manifest"), 2);
--- a/tests/section_test.cc
+++ b/tests/section_test.cc
@@ -130,6 +130,6 @@
 /* Guards against a section that was altered on its way. */
 TEST_F(section_test, join_checks_digest)
 {
-	set_->sections[1].body[0] = ' ';
+	*strchr(set_->sections[1].body, '1') = '2';
 	EXPECT_EQ(section_join(set_->index, set_lookup, set_, nullptr), nullptr);
 }
