--- a/Makefile
+++ b/Makefile
@@ -17,7 +17,7 @@
 LDLIBS = $(SAN) $(shell pkg-config --libs $(PKGS)) -lm
 
 # Files with sockets or clocks; every other file of src/ belongs to libapricot.
-TASKS = kernel rpc clock http front searcher commander holder leafconn configurer membership stopper settings
+TASKS = kernel log peer rpc clock http front searcher commander holder leafconn configurer membership stopper settings
 MAINS = main ctl
 
 ALL_SRCS = $(wildcard src/*.c)
--- /dev/null
+++ b/src/clock.h
@@ -0,0 +1,20 @@
+/* The only sources of time; decision modules receive their values as arguments. */
+#ifndef APRICOT_CLOCK_H
+#define APRICOT_CLOCK_H
+
+#include <stdint.h>
+
+#define CLOCK_US_PER_MS 1000u
+#define CLOCK_MS_PER_S 1000u
+
+/*
+ * Microseconds of CLOCK_BOOTTIME, which also advances while the VM is suspended, so that a lease
+ * cannot outlive a suspension.
+ */
+uint64_t clock_now_us(void);
+uint64_t clock_now_ms(void);
+
+/* Milliseconds since the Unix epoch; used for the start time of a process and in logs only. */
+uint64_t clock_wall_ms(void);
+
+#endif
--- /dev/null
+++ b/src/ctl.c
@@ -0,0 +1,322 @@
+#include "command.h"
+#include "http.h"
+#include "manifest.h"
+#include "result.h"
+
+#include <event2/event.h>
+#include <jansson.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+/* Exit codes: what scripts of operators can rely on. */
+enum exit_code { EXIT_OK, EXIT_PARTIAL, EXIT_USAGE, EXIT_NOT_RUN, EXIT_UNKNOWN, EXIT_NO_ANSWER };
+
+static char *opt_entry;
+static char *opt_class = "";
+static char *opt_caller;
+static char *opt_id;
+static gint opt_deadline_ms;
+static gint opt_timeout_ms = 65000;
+
+static const GOptionEntry option_entries[] = {
+	{"entry", 'e', 0, G_OPTION_ARG_STRING, &opt_entry,
+	 "address of any entry VM [APRICOT_ENTRY]", "IP:PORT"},
+	{"class", 'c', 0, G_OPTION_ARG_STRING, &opt_class, "class of the request", "NAME"},
+	{"caller", 0, 0, G_OPTION_ARG_STRING, &opt_caller, "name of the caller", "NAME"},
+	{"id", 0, 0, G_OPTION_ARG_STRING, &opt_id, "repeat the command with this id", "ID"},
+	{"deadline-ms", 'd', 0, G_OPTION_ARG_INT, &opt_deadline_ms, "deadline, ms", "N"},
+	{"timeout-ms", 't', 0, G_OPTION_ARG_INT, &opt_timeout_ms,
+	 "how long to wait for an answer, ms", "N"},
+	G_OPTION_ENTRY_NULL,
+};
+
+struct exchange {
+	struct event_base *base;
+	int status;
+	char *body;
+};
+
+static void exchange_done(void *arg, const struct http_answer *answer)
+{
+	struct exchange *x = arg;
+
+	x->status = answer->status;
+	x->body = g_strndup(answer->body, answer->body_bytes);
+	event_base_loopbreak(x->base);
+}
+
+/* The body of the answer, or NULL without one; *status is 0 then. */
+static char *exchange_run(const char *address, const char *path, const char *body, int *status)
+{
+	struct exchange x = {.base = event_base_new()};
+	struct http_client *client = http_client_create(x.base, address);
+
+	http_client_call(client, path, opt_caller, body, opt_timeout_ms, exchange_done, &x);
+	event_base_dispatch(x.base);
+	http_client_destroy(client);
+	event_base_free(x.base);
+	*status = x.status;
+	if (x.status != 0)
+		return x.body;
+	g_free(x.body);
+	fprintf(stderr, "apricotctl: no answer from %s\n", address);
+	return NULL;
+}
+
+static int text_show(const char *path)
+{
+	int status;
+	char *body = exchange_run(opt_entry, path, NULL, &status);
+	json_t *json = body ? json_loads(body, 0, NULL) : NULL;
+
+	if (!body)
+		return EXIT_NO_ANSWER;
+	if (json)
+		json_dumpf(json, stdout, JSON_INDENT(2) | JSON_PRESERVE_ORDER);
+	else
+		fputs(body, stdout);
+	putchar('\n');
+	json_decref(json);
+	g_free(body);
+	return status == 200 ? EXIT_OK : EXIT_NOT_RUN;
+}
+
+/* A text that is not JSON is taken as a string. */
+static json_t *payload_parse(const char *text)
+{
+	json_t *value = json_loads(text, JSON_DECODE_ANY, NULL);
+
+	return value ? value : json_string(text);
+}
+
+static int result_exit(const json_t *answer)
+{
+	json_int_t result = json_integer_value(json_object_get(answer, "result"));
+	const char *outcome = json_string_value(json_object_get(answer, "outcome"));
+
+	if (outcome && strcmp(outcome, "unknown") == 0)
+		return EXIT_UNKNOWN;
+	if (outcome && strcmp(outcome, "not_run") == 0)
+		return EXIT_NOT_RUN;
+	if (result == RESULT_OK)
+		return EXIT_OK;
+	if (result == RESULT_PARTIAL)
+		return EXIT_PARTIAL;
+	return result_is_not_run((enum result)result) ? EXIT_NOT_RUN : EXIT_USAGE;
+}
+
+/* Takes over the request. */
+static int request_run(const char *address, const char *path, json_t *request)
+{
+	char *text = json_dumps(request, JSON_COMPACT);
+	int status;
+	char *body = exchange_run(address, path, text, &status);
+	json_t *answer = body ? json_loads(body, 0, NULL) : NULL;
+	int code = EXIT_NO_ANSWER;
+
+	if (answer) {
+		json_dumpf(answer, stdout, JSON_INDENT(2) | JSON_PRESERVE_ORDER);
+		putchar('\n');
+		code = result_exit(answer);
+	}
+	json_decref(answer);
+	json_decref(request);
+	g_free(body);
+	free(text);
+	return code;
+}
+
+static json_t *request_create(const char *service)
+{
+	json_t *request = json_pack("{s:s, s:s}", "service", service, "class", opt_class);
+
+	if (opt_deadline_ms > 0)
+		json_object_set_new(request, "deadline_ms", json_integer(opt_deadline_ms));
+	return request;
+}
+
+/* The entries in order of preference; NULL with a message when there are none. */
+static json_t *entries_fetch(void)
+{
+	int status;
+	char *body = exchange_run(opt_entry, "/entries", NULL, &status);
+	json_t *answer = body ? json_loads(body, 0, NULL) : NULL;
+	json_t *entries = json_incref(json_object_get(answer, "entries"));
+
+	if (body && json_array_size(entries) == 0) {
+		fprintf(stderr, "apricotctl: %s knows no entry that can be used\n", opt_entry);
+		json_decref(entries);
+		entries = NULL;
+	}
+	json_decref(answer);
+	g_free(body);
+	return entries;
+}
+
+static const char *entry_field(const json_t *entry, const char *name)
+{
+	const char *text = json_string_value(json_object_get(entry, name));
+
+	return text ? text : "";
+}
+
+static int ask_run(int argc, char **argv)
+{
+	json_t *entries;
+	json_t *request;
+	int code;
+
+	if (argc != 4) {
+		fprintf(stderr, "usage: apricotctl ask SERVICE QUERY\n");
+		return EXIT_USAGE;
+	}
+	entries = entries_fetch();
+	if (!entries)
+		return EXIT_NO_ANSWER;
+	request = request_create(argv[2]);
+	json_object_set_new(request, "query", payload_parse(argv[3]));
+	code = request_run(entry_field(json_array_get(entries, 0), "http"), "/search", request);
+	json_decref(entries);
+	return code;
+}
+
+/* The entry that issued the id's prefix: only that process may dispatch the command. */
+static json_t *entry_of_id(const json_t *entries, const char *id)
+{
+	size_t i;
+	json_t *entry;
+
+	json_array_foreach(entries, i, entry)
+	{
+		const char *prefix = entry_field(entry, "id_prefix");
+		const char *dot = strchr(prefix, '.');
+
+		if (dot && strncmp(prefix, id, dot - prefix + 1) == 0)
+			return entry;
+	}
+	return json_array_get(entries, 0);
+}
+
+static int command_run(int argc, char **argv)
+{
+	g_autofree char *id = NULL;
+	json_t *entries;
+	json_t *entry;
+	json_t *request;
+	int code;
+
+	if (argc != 5) {
+		fprintf(stderr, "usage: apricotctl command SERVICE KEY BODY\n");
+		return EXIT_USAGE;
+	}
+	entries = entries_fetch();
+	if (!entries)
+		return EXIT_NO_ANSWER;
+	if (opt_id) {
+		id = g_strdup(opt_id);
+		entry = entry_of_id(entries, id);
+	} else {
+		g_autofree char *uuid = g_uuid_string_random();
+
+		entry = json_array_get(entries, 0);
+		id = g_strdup_printf("%s.%s", entry_field(entry, "id_prefix"), uuid);
+	}
+	request = request_create(argv[2]);
+	json_object_set_new(request, "id", json_string(id));
+	json_object_set_new(request, "key", json_string(argv[3]));
+	json_object_set_new(request, "body", payload_parse(argv[4]));
+	code = request_run(entry_field(entry, "http"), "/command", request);
+	if (code == EXIT_NO_ANSWER) {
+		fprintf(stderr, "apricotctl: outcome unknown, repeat with --id %s\n", id);
+		code = EXIT_UNKNOWN;
+	}
+	json_decref(entries);
+	return code;
+}
+
+static int config_check(int argc, char **argv)
+{
+	GError *error = NULL;
+	json_error_t json_error;
+	json_t *whole;
+	struct manifest *m;
+
+	if (argc != 3) {
+		fprintf(stderr, "usage: apricotctl check-config MANIFEST\n");
+		return EXIT_USAGE;
+	}
+	whole = json_load_file(argv[2], JSON_REJECT_DUPLICATES, &json_error);
+	if (!whole) {
+		fprintf(stderr, "apricotctl: %s: line %d: %s\n", argv[2], json_error.line,
+			json_error.text);
+		return EXIT_USAGE;
+	}
+	m = manifest_create(whole, 1, &error);
+	json_decref(whole);
+	if (!m) {
+		fprintf(stderr, "apricotctl: %s: %s\n", argv[2], error->message);
+		g_error_free(error);
+		return EXIT_USAGE;
+	}
+	printf("%s: %u services, %u groups: ok\n", argv[2], m->services->len, m->groups->len);
+	manifest_put(m);
+	return EXIT_OK;
+}
+
+static int verb_run(int argc, char **argv)
+{
+	const char *verb = argv[1];
+
+	if (strcmp(verb, "check-config") == 0)
+		return config_check(argc, argv);
+	if (!opt_entry)
+		opt_entry = g_strdup(g_getenv("APRICOT_ENTRY"));
+	if (!opt_entry || !manifest_address_is_valid(opt_entry)) {
+		fprintf(stderr, "apricotctl: --entry (or APRICOT_ENTRY): IP:PORT is required\n");
+		return EXIT_USAGE;
+	}
+	if (strcmp(verb, "ask") == 0)
+		return ask_run(argc, argv);
+	if (strcmp(verb, "command") == 0)
+		return command_run(argc, argv);
+	if (strcmp(verb, "entries") == 0 && argc == 2)
+		return text_show("/entries");
+	if (strcmp(verb, "status") == 0 && argc == 2)
+		return text_show("/status");
+	if (strcmp(verb, "metrics") == 0 && argc == 2)
+		return text_show("/metrics");
+	fprintf(stderr, "apricotctl: unknown command '%s', see --help\n", verb);
+	return EXIT_USAGE;
+}
+
+int main(int argc, char **argv)
+{
+	GOptionContext *context = g_option_context_new("COMMAND [ARGUMENT...]");
+	GError *error = NULL;
+	int code;
+
+	g_option_context_add_main_entries(context, option_entries, NULL);
+	g_option_context_set_summary(
+		context,
+		"Commands:\n"
+		"  ask SERVICE QUERY         search; QUERY is JSON or a text\n"
+		"  command SERVICE KEY BODY  loan entry or hold, run at most once\n"
+		"  entries                   the entry VMs to use\n"
+		"  status                    configuration, members, groups and work of a VM\n"
+		"  metrics                   counters and latencies of a VM\n"
+		"  check-config MANIFEST     check a manifest file\n\n"
+		"Exit codes: 0 complete or done, 1 partial, 2 usage, 3 not run, 4 unknown, "
+		"5 no answer");
+	if (!g_option_context_parse(context, &argc, &argv, &error)) {
+		fprintf(stderr, "apricotctl: %s\n", error->message);
+		return EXIT_USAGE;
+	}
+	g_option_context_free(context);
+	if (argc < 2) {
+		fprintf(stderr, "apricotctl: a command is required, see --help\n");
+		return EXIT_USAGE;
+	}
+	code = verb_run(argc, argv);
+	return code;
+}
--- /dev/null
+++ b/src/front.c
@@ -0,0 +1,394 @@
+#include "front.h"
+
+#include "clock.h"
+#include "hist.h"
+#include "message.h"
+
+#include <event2/buffer.h>
+#include <event2/http.h>
+#include <inttypes.h>
+#include <string.h>
+
+#define BODY_BYTES_MAX 65536
+#define HEADER_BYTES_MAX 16384
+#define NAME_BYTES_MAX 63
+#define ID_BYTES_MAX 159
+#define DEADLINE_MS_MAX 60000
+
+struct front {
+	struct service service;
+	struct evhttp *http;
+	struct evhttp_bound_socket *bound;
+	GHashTable *pending; /* tag -> struct pending */
+	GHashTable *latency; /* "service/class" -> struct hist */
+	uint64_t next_tag;
+};
+
+enum pending_kind { PENDING_REQUEST, PENDING_STATUS, PENDING_ENTRIES };
+
+/* A request of a caller or operator that waits for other services. */
+struct pending {
+	struct evhttp_request *req;
+	enum pending_kind kind;
+	unsigned int n_replies_missing;
+	json_t *body; /* merged status replies */
+};
+
+static int http_status(enum result result)
+{
+	if (result == RESULT_UNKNOWN_SERVICE || result == RESULT_NOT_FOUND)
+		return 404;
+	if (result < 100)
+		return 200;
+	if (result < 200)
+		return 400;
+	return result < 300 ? 503 : 504;
+}
+
+static void json_send(struct evhttp_request *req, int status, const json_t *body)
+{
+	struct evbuffer *out = evhttp_request_get_output_buffer(req);
+	char *text = json_dumps(body, JSON_COMPACT | JSON_PRESERVE_ORDER);
+
+	evhttp_add_header(evhttp_request_get_output_headers(req), "Content-Type",
+			  "application/json");
+	if (text)
+		evbuffer_add(out, text, strlen(text));
+	free(text);
+	evhttp_send_reply(req, status, NULL, NULL);
+}
+
+static void error_send(struct front *f, struct evhttp_request *req, enum result result,
+		       const char *detail)
+{
+	json_t *body = json_pack("{s:i, s:s, s:s}", "result", result, "reason", result_name(result),
+				 "detail", detail);
+
+	if (result < 200)
+		counter_increment(kernel_counters(f->service.kernel), COUNTER_HTTP_BAD_REQUESTS);
+	json_send(req, http_status(result), body);
+	json_decref(body);
+}
+
+static uint64_t pending_add(struct front *f, struct evhttp_request *req, enum pending_kind kind)
+{
+	struct pending *p = g_new0(struct pending, 1);
+
+	p->req = req;
+	p->kind = kind;
+	p->body = json_object();
+	g_hash_table_insert(f->pending, (gpointer)(guintptr)++f->next_tag, p);
+	return f->next_tag;
+}
+
+static void pending_free(gpointer data)
+{
+	struct pending *p = data;
+
+	json_decref(p->body);
+	g_free(p);
+}
+
+/* A copy of a string field; NULL with an answer sent when it is missing or too long. */
+static bool field_read(const json_t *body, const char *name, size_t max_bytes, bool is_required,
+		       char **out, const char **problem)
+{
+	const json_t *value = json_object_get(body, name);
+	const char *text = json_string_value(value);
+
+	if (!value && !is_required) {
+		*out = g_strdup("");
+		return true;
+	}
+	if (!text || strlen(text) > max_bytes || (is_required && !*text)) {
+		*problem = name;
+		return false;
+	}
+	*out = g_strdup(text);
+	return true;
+}
+
+static bool deadline_read(const json_t *body, uint32_t *deadline_ms, const char **problem)
+{
+	const json_t *value = json_object_get(body, "deadline_ms");
+	json_int_t n = json_integer_value(value);
+
+	if (!value)
+		return true;
+	if (!json_is_integer(value) || n < 1 || n > DEADLINE_MS_MAX) {
+		*problem = "deadline_ms";
+		return false;
+	}
+	*deadline_ms = (uint32_t)n;
+	return true;
+}
+
+static bool payload_read(const json_t *body, const char *name, char **out, const char **problem)
+{
+	const json_t *value = json_object_get(body, name);
+
+	if (!value) {
+		*problem = name;
+		return false;
+	}
+	*out = json_dumps(value, JSON_COMPACT | JSON_ENCODE_ANY);
+	return *out != NULL;
+}
+
+static bool request_parse(struct caller_request *r, const json_t *body, bool is_command,
+			  const char **problem)
+{
+	if (!json_is_object(body)) {
+		*problem = "body: a JSON object is required";
+		return false;
+	}
+	if (!field_read(body, "service", NAME_BYTES_MAX, true, &r->service, problem) ||
+	    !field_read(body, "class", NAME_BYTES_MAX, false, &r->klass, problem) ||
+	    !deadline_read(body, &r->deadline_ms, problem))
+		return false;
+	if (!is_command)
+		return payload_read(body, "query", &r->body, problem);
+	return field_read(body, "id", ID_BYTES_MAX, true, &r->id, problem) &&
+	       field_read(body, "key", BODY_BYTES_MAX, true, &r->key, problem) &&
+	       payload_read(body, "body", &r->body, problem);
+}
+
+/* The name a caller gives itself, else its address; it decides about its share of the queues. */
+static char *caller_name(struct evhttp_request *req)
+{
+	const char *name = evhttp_find_header(evhttp_request_get_input_headers(req), "X-Caller");
+	char *address = NULL;
+	ev_uint16_t port;
+
+	if (name && *name && strlen(name) <= NAME_BYTES_MAX)
+		return g_strdup(name);
+	evhttp_connection_get_peer(evhttp_request_get_connection(req), &address, &port);
+	return g_strdup(address ? address : "");
+}
+
+static void request_forward(struct front *f, struct evhttp_request *req, bool is_command)
+{
+	struct evbuffer *in = evhttp_request_get_input_buffer(req);
+	size_t n = evbuffer_get_length(in);
+	json_error_t json_error;
+	json_t *body = json_loadb(n ? (char *)evbuffer_pullup(in, -1) : "", n, 0, &json_error);
+	struct caller_request *r = caller_request_create();
+	const char *problem = json_error.text;
+	const char *to = is_command ? "commander" : "searcher";
+
+	r->arrived_us = clock_now_us();
+	if (!body || !request_parse(r, body, is_command, &problem)) {
+		error_send(f, req, RESULT_BAD_REQUEST, problem);
+		json_decref(body);
+		message_destroy(&r->message);
+		return;
+	}
+	json_decref(body);
+	r->caller = caller_name(req);
+	r->reply_to = &f->service;
+	r->tag = pending_add(f, req, PENDING_REQUEST);
+	kernel_message_send(f->service.kernel, kernel_service_find(f->service.kernel, to),
+			    &r->message);
+}
+
+static void status_ask(struct front *f, struct evhttp_request *req, enum pending_kind kind,
+		       const char *const *services, unsigned int n)
+{
+	uint64_t tag = pending_add(f, req, kind);
+	struct pending *p = g_hash_table_lookup(f->pending, (gpointer)(guintptr)tag);
+
+	p->n_replies_missing = n;
+	for (unsigned int i = 0; i < n; i++) {
+		struct status_request *ask = status_request_create(
+			&f->service, tag, kind == PENDING_ENTRIES ? "entries" : "status");
+
+		kernel_message_send(f->service.kernel,
+				    kernel_service_find(f->service.kernel, services[i]),
+				    &ask->message);
+	}
+}
+
+static void latency_render(const struct front *f, GString *out)
+{
+	static const double quantiles[] = {0.5, 0.95, 0.99, 0.999};
+	GHashTableIter iter;
+	gpointer key;
+	gpointer value;
+
+	g_string_append(out, "# HELP apricot_latency_us latency from arrival to answer\n"
+			     "# TYPE apricot_latency_us summary\n");
+	g_hash_table_iter_init(&iter, f->latency);
+	while (g_hash_table_iter_next(&iter, &key, &value)) {
+		const char *slash = strchr(key, '/');
+		g_autofree char *service = g_strndup(key, slash - (char *)key);
+
+		for (size_t i = 0; i < G_N_ELEMENTS(quantiles); i++)
+			g_string_append_printf(out,
+					       "apricot_latency_us{service=\"%s\",class=\"%s\","
+					       "quantile=\"%g\"} %" PRIu64 "\n",
+					       service, slash + 1, quantiles[i],
+					       hist_quantile(value, quantiles[i]));
+		g_string_append_printf(
+			out, "apricot_latency_us_count{service=\"%s\",class=\"%s\"} %" PRIu64 "\n",
+			service, slash + 1, hist_count(value));
+	}
+}
+
+static void metrics_send(struct front *f, struct evhttp_request *req)
+{
+	GString *text = g_string_new(NULL);
+
+	counter_render(kernel_counters(f->service.kernel), text);
+	latency_render(f, text);
+	evhttp_add_header(evhttp_request_get_output_headers(req), "Content-Type", "text/plain");
+	evbuffer_add(evhttp_request_get_output_buffer(req), text->str, text->len);
+	evhttp_send_reply(req, 200, NULL, NULL);
+	g_string_free(text, TRUE);
+}
+
+static void http_handle(struct evhttp_request *req, void *arg)
+{
+	static const char *const all[] = {"configurer", "membership", "holder", "commander",
+					  "stopper"};
+	static const char *const members[] = {"membership"};
+	struct front *f = arg;
+	const char *path = evhttp_uri_get_path(evhttp_request_get_evhttp_uri(req));
+	bool is_post = evhttp_request_get_command(req) == EVHTTP_REQ_POST;
+
+	if (g_strcmp0(path, "/search") == 0 && is_post)
+		request_forward(f, req, false);
+	else if (g_strcmp0(path, "/command") == 0 && is_post)
+		request_forward(f, req, true);
+	else if (g_strcmp0(path, "/entries") == 0 && !is_post)
+		status_ask(f, req, PENDING_ENTRIES, members, G_N_ELEMENTS(members));
+	else if (g_strcmp0(path, "/status") == 0 && !is_post)
+		status_ask(f, req, PENDING_STATUS, all, G_N_ELEMENTS(all));
+	else if (g_strcmp0(path, "/metrics") == 0 && !is_post)
+		metrics_send(f, req);
+	else
+		error_send(f, req, RESULT_NOT_FOUND, "no such path or method");
+}
+
+static void latency_add(struct front *f, const struct caller_answer *answer)
+{
+	g_autofree char *key = NULL;
+	struct hist *hist;
+
+	if (!answer->service)
+		return;
+	key = g_strconcat(answer->service, "/", answer->klass, NULL);
+	hist = g_hash_table_lookup(f->latency, key);
+	if (!hist) {
+		hist = hist_create();
+		g_hash_table_insert(f->latency, g_strdup(key), hist);
+	}
+	hist_add(hist, clock_now_us() - answer->arrived_us);
+}
+
+static void answer_receive(struct front *f, struct caller_answer *answer)
+{
+	struct pending *p = g_hash_table_lookup(f->pending, (gpointer)(guintptr)answer->tag);
+
+	if (!p)
+		return;
+	latency_add(f, answer);
+	json_send(p->req, http_status(answer->result), answer->body);
+	g_hash_table_remove(f->pending, (gpointer)(guintptr)answer->tag);
+}
+
+static void status_receive(struct front *f, struct status_reply *reply)
+{
+	struct pending *p = g_hash_table_lookup(f->pending, (gpointer)(guintptr)reply->tag);
+
+	if (!p)
+		return;
+	json_object_update(p->body, reply->body);
+	if (--p->n_replies_missing > 0)
+		return;
+	json_send(p->req, 200, p->body);
+	g_hash_table_remove(f->pending, (gpointer)(guintptr)reply->tag);
+}
+
+/* Requests of callers that are not answered yet; a planned stop waits for them. */
+static void own_status_answer(struct front *f, const struct status_request *request)
+{
+	json_int_t n = 0;
+	GHashTableIter iter;
+	gpointer value;
+	struct status_reply *reply;
+
+	g_hash_table_iter_init(&iter, f->pending);
+	while (g_hash_table_iter_next(&iter, NULL, &value))
+		n += ((struct pending *)value)->kind == PENDING_REQUEST;
+	reply = status_reply_create(request->tag, json_pack("{s:{s:I}}", "front", "requests", n));
+	kernel_message_send(f->service.kernel, request->reply_to, &reply->message);
+}
+
+static void front_receive(struct service *s, struct message *m)
+{
+	struct front *f = (struct front *)s;
+
+	switch ((enum message_kind)m->kind) {
+	case MESSAGE_CALLER_ANSWER:
+		answer_receive(f, (struct caller_answer *)m);
+		break;
+	case MESSAGE_STATUS_REPLY:
+		status_receive(f, (struct status_reply *)m);
+		break;
+	case MESSAGE_STATUS_REQUEST:
+		own_status_answer(f, (struct status_request *)m);
+		break;
+	default:
+		break;
+	}
+	message_destroy(m);
+}
+
+static void front_destroy(struct service *s)
+{
+	struct front *f = (struct front *)s;
+
+	if (f->http)
+		evhttp_free(f->http);
+	g_hash_table_destroy(f->pending);
+	g_hash_table_destroy(f->latency);
+	g_free(f);
+}
+
+struct service *front_create(struct kernel *k, const char *http_address, GError **error)
+{
+	static const struct service_ops ops = {
+		.name = "front",
+		.receive = front_receive,
+		.destroy = front_destroy,
+	};
+	struct front *f = g_new0(struct front, 1);
+	const char *colon = strrchr(http_address, ':');
+	g_autofree char *ip = colon ? g_strndup(http_address, colon - http_address) : NULL;
+
+	f->service.ops = &ops;
+	f->pending = g_hash_table_new_full(NULL, NULL, NULL, pending_free);
+	f->latency = g_hash_table_new_full(g_str_hash, g_str_equal, g_free,
+					   (GDestroyNotify)hist_destroy);
+	f->http = evhttp_new(kernel_base(k));
+	evhttp_set_max_body_size(f->http, BODY_BYTES_MAX);
+	evhttp_set_max_headers_size(f->http, HEADER_BYTES_MAX);
+	evhttp_set_allowed_methods(f->http, EVHTTP_REQ_GET | EVHTTP_REQ_POST);
+	evhttp_set_gencb(f->http, http_handle, f);
+	if (!manifest_address_is_valid(http_address)) {
+		g_set_error(error, RESULT_ERROR, RESULT_BAD_SETTING,
+			    "--http: '%s' is not an address of the form IP:PORT", http_address);
+		goto fail;
+	}
+	f->bound = evhttp_bind_socket_with_handle(
+		f->http, ip, (ev_uint16_t)g_ascii_strtoull(colon + 1, NULL, 10));
+	if (!f->bound) {
+		g_set_error(error, RESULT_ERROR, RESULT_SYSTEM, "--http: cannot bind %s: %s",
+			    http_address, g_strerror(errno));
+		goto fail;
+	}
+	return &f->service;
+fail:
+	front_destroy(&f->service);
+	return NULL;
+}
--- /dev/null
+++ b/src/gather.c
@@ -0,0 +1,128 @@
+#include "gather.h"
+
+#include <stdlib.h>
+#include <string.h>
+
+struct gather {
+	struct gather_params params;
+	struct coverage *coverage;
+	json_t **hits; /* by shard */
+};
+
+struct gather *gather_create(const struct gather_params *params)
+{
+	struct gather *g = g_new0(struct gather, 1);
+
+	g->params = *params;
+	g->coverage = coverage_create(params->n_shards);
+	g->hits = g_new0(json_t *, params->n_shards);
+	return g;
+}
+
+void gather_destroy(struct gather *g)
+{
+	if (!g)
+		return;
+	for (unsigned int i = 0; i < g->params.n_shards; i++)
+		json_decref(g->hits[i]);
+	g_free(g->hits);
+	coverage_destroy(g->coverage);
+	g_free(g);
+}
+
+static bool is_own_answer(const struct gather *g, const unsigned char *request_id,
+			  uint64_t index_version, uint64_t map_version)
+{
+	return memcmp(g->params.request_id, request_id, GATHER_ID_BYTES) == 0 &&
+	       g->params.index_version == index_version && g->params.map_version == map_version;
+}
+
+enum result gather_accept(struct gather *g, const unsigned char *request_id, uint64_t index_version,
+			  uint64_t map_version, unsigned int shard, json_t *hits)
+{
+	if (!is_own_answer(g, request_id, index_version, map_version))
+		return RESULT_MISMATCH;
+	if (!json_is_array(hits)) {
+		coverage_fail(g->coverage, shard, RESULT_LEAF_ERROR);
+		return RESULT_LEAF_ERROR;
+	}
+	if (!coverage_add(g->coverage, shard))
+		return RESULT_WRONG_SHARD;
+	g->hits[shard] = json_incref(hits);
+	return RESULT_OK;
+}
+
+enum result gather_refuse(struct gather *g, const unsigned char *request_id, uint64_t index_version,
+			  uint64_t map_version, unsigned int shard, enum result reason)
+{
+	if (!is_own_answer(g, request_id, index_version, map_version))
+		return RESULT_MISMATCH;
+	return coverage_fail(g->coverage, shard, reason) ? RESULT_OK : RESULT_WRONG_SHARD;
+}
+
+uint64_t gather_answer_us(const struct gather *g)
+{
+	uint64_t wait_us = g->params.deadline_us;
+
+	if (g->params.policy == MANIFEST_POLICY_LATENCY)
+		wait_us = MIN(g->params.target_us, g->params.deadline_us);
+	return g->params.start_us + wait_us;
+}
+
+uint64_t gather_remaining_us(const struct gather *g, uint64_t now_us, uint64_t hop_us)
+{
+	uint64_t end_us = gather_answer_us(g);
+
+	return end_us > now_us + hop_us ? end_us - now_us - hop_us : 0;
+}
+
+const struct coverage *gather_coverage(const struct gather *g)
+{
+	return g->coverage;
+}
+
+const struct gather_params *gather_params(const struct gather *g)
+{
+	return &g->params;
+}
+
+unsigned int gather_gone(const struct gather *g)
+{
+	unsigned int n = 0;
+
+	for (unsigned int i = 0; i < g->params.n_shards; i++)
+		n += coverage_reason(g->coverage, i) == RESULT_VERSION_GONE;
+	return n;
+}
+
+static int hit_compare(const void *a, const void *b)
+{
+	const json_t *x = *(json_t *const *)a;
+	const json_t *y = *(json_t *const *)b;
+	double sx = json_number_value(json_object_get(x, "score"));
+	double sy = json_number_value(json_object_get(y, "score"));
+	const char *ix = json_string_value(json_object_get(x, "id"));
+	const char *iy = json_string_value(json_object_get(y, "id"));
+
+	if (sx != sy)
+		return sx > sy ? -1 : 1;
+	return g_strcmp0(ix, iy);
+}
+
+json_t *gather_merge(const struct gather *g, size_t limit)
+{
+	g_autoptr(GPtrArray) all = g_ptr_array_new();
+	json_t *merged = json_array();
+
+	for (unsigned int i = 0; i < g->params.n_shards; i++) {
+		size_t index;
+		json_t *hit;
+
+		json_array_foreach(g->hits[i], index, hit) g_ptr_array_add(all, hit);
+	}
+	if (all->len > 0)
+		qsort(all->pdata, all->len, sizeof(gpointer), hit_compare);
+	for (guint i = 0; i < all->len && i < limit; i++)
+		json_array_append(merged, all->pdata[i]);
+	return merged;
+}
--- /dev/null
+++ b/src/holder.c
@@ -0,0 +1,768 @@
+#include "holder.h"
+
+#include "clock.h"
+#include "command.h"
+#include "leafgroup.h"
+#include "leaving.h"
+#include "log.h"
+#include "message.h"
+#include "procedure.h"
+#include "routing.h"
+#include "wake.h"
+
+#include <inttypes.h>
+#include <string.h>
+
+#define TICK_US 1000
+#define HOUSEKEEPING_MS 500
+/* A group of other VMs without calls for this long gives up its connections. */
+#define GROUP_IDLE_MS 60000
+/* The same for a description that is no longer in force: its slots are also the new one's. */
+#define GROUP_REPLACED_MS 2000
+#define MARK_TIMEOUT_US 1000000
+/* Twice the backend servers of the design size. */
+#define BACKENDS_MAX 32768
+
+struct holder {
+	struct service service;
+	struct holder_settings settings;
+	struct leafgroup_env env;
+	struct manifest *manifest;
+	struct manifest *previous; /* map of requests that started before the last change */
+	struct routing *routing;
+	GHashTable *groups; /* digest -> struct held_group */
+	struct leaving *leaving;
+	struct command_log *commands;
+	struct wake *wake;
+	struct event *tick;
+	struct event *housekeeping;
+	uint64_t next_call;
+	unsigned int n_jobs;
+};
+
+struct held_group {
+	struct leafgroup *leafgroup;
+	uint64_t used_ms;
+};
+
+struct shard_call {
+	struct leafgroup_call call;
+	struct search_job *job;
+	struct leafgroup *leafgroup;
+	unsigned int index; /* of the shard in the reply */
+	bool is_done;
+};
+
+struct search_job {
+	struct holder *holder;
+	struct peer_call *request;
+	struct apr_search_reply *reply;
+	struct manifest *manifest;
+	struct shard_call *calls;
+	unsigned int n_calls;
+	unsigned int n_open;
+	struct event *timer;
+	bool is_submitting;
+	uint64_t started_us;
+};
+
+struct command_job {
+	struct leafgroup_call call;
+	struct holder *holder;
+	struct peer_call *request;
+	struct manifest *manifest;
+	struct leafgroup *leafgroup;
+	struct event *timer;
+};
+
+static void tick_arm(struct holder *h)
+{
+	static const struct timeval period = {0, TICK_US};
+
+	if (!evtimer_pending(h->tick, NULL))
+		evtimer_add(h->tick, &period);
+}
+
+static void job_count(struct holder *h, int change)
+{
+	h->n_jobs += change;
+	if (h->n_jobs > 0)
+		tick_arm(h);
+}
+
+static void holder_tick(evutil_socket_t fd, short what, void *arg)
+{
+	struct holder *h = arg;
+	uint64_t now_us = clock_now_us();
+	GHashTableIter iter;
+	gpointer value;
+	bool is_busy = h->n_jobs > 0;
+
+	g_hash_table_iter_init(&iter, h->groups);
+	while (g_hash_table_iter_next(&iter, NULL, &value)) {
+		struct leafgroup *lg = ((struct held_group *)value)->leafgroup;
+
+		if (!leafgroup_is_idle(lg))
+			leafgroup_tick(lg, now_us);
+	}
+	if (is_busy)
+		tick_arm(h);
+}
+
+static void held_group_free(gpointer data)
+{
+	struct held_group *held = data;
+
+	leafgroup_destroy(held->leafgroup);
+	g_free(held);
+}
+
+static struct leafgroup *group_get(struct holder *h, struct manifest *m,
+				   const struct manifest_group *g)
+{
+	struct held_group *held = g_hash_table_lookup(h->groups, g->digest);
+
+	if (!held) {
+		held = g_new0(struct held_group, 1);
+		held->leafgroup = leafgroup_create(&h->env, m, g);
+		g_hash_table_insert(h->groups, g_strdup(g->digest), held);
+	}
+	held->used_ms = clock_now_ms();
+	return held->leafgroup;
+}
+
+/* The manifest whose map the request was pinned to, while it is remembered. */
+static struct manifest *manifest_for(struct holder *h, const char *service, uint64_t map_version)
+{
+	struct manifest *candidates[] = {h->manifest, h->previous};
+
+	for (size_t i = 0; i < G_N_ELEMENTS(candidates); i++) {
+		struct manifest_service *s =
+			candidates[i] ? manifest_service_find(candidates[i], service) : NULL;
+
+		if (s && s->map_version == map_version)
+			return candidates[i];
+	}
+	return h->manifest;
+}
+
+static void reply_send(struct holder *h, struct peer_call *request, void *result)
+{
+	struct peer_reply *reply =
+		peer_reply_create(request->tag, request->procedure, PEER_STATUS_DONE, result);
+
+	if (request->reply_to)
+		kernel_message_send(h->service.kernel, request->reply_to, &reply->message);
+	else
+		message_destroy(&reply->message);
+	message_destroy(&request->message);
+}
+
+static void shard_result_set(struct search_job *job, unsigned int index, unsigned int shard,
+			     enum result result, const char *hits, size_t hits_bytes)
+{
+	apr_shard_result *slot = &job->reply->shards.shards_val[index];
+
+	slot->shard = shard;
+	slot->result = result;
+	g_free(slot->hits);
+	slot->hits = g_strndup(hits, hits_bytes);
+}
+
+static void versions_report(struct search_job *job)
+{
+	const apr_search_args *args = job->request->args;
+	unsigned int n = args->parts.parts_len;
+	apr_group_versions *out = g_new0(apr_group_versions, n);
+
+	for (unsigned int i = 0; i < n; i++) {
+		uint64_t versions[APR_VERSIONS_MAX] = {0};
+		struct manifest_group *g =
+			manifest_group_find(job->manifest, args->parts.parts_val[i].group);
+		struct held_group *held =
+			g ? g_hash_table_lookup(job->holder->groups, g->digest) : NULL;
+		unsigned int n_versions = 0;
+
+		out[i].group = g_strdup(args->parts.parts_val[i].group);
+		if (held)
+			n_versions =
+				leafgroup_versions(held->leafgroup, versions, APR_VERSIONS_MAX);
+		out[i].versions.versions_val = g_new0(u_quad_t, MAX(n_versions, 1));
+		out[i].versions.versions_len = n_versions;
+		for (unsigned int j = 0; j < n_versions; j++)
+			out[i].versions.versions_val[j] = versions[j];
+	}
+	job->reply->groups.groups_val = out;
+	job->reply->groups.groups_len = n;
+}
+
+static void search_job_finish(struct search_job *job)
+{
+	struct holder *h = job->holder;
+	uint64_t now_us = clock_now_us();
+
+	for (unsigned int i = 0; i < job->n_calls; i++) {
+		struct shard_call *sc = &job->calls[i];
+
+		if (sc->is_done || !sc->leafgroup)
+			continue;
+		leafgroup_withdraw(sc->leafgroup, &sc->call, now_us);
+		shard_result_set(job, sc->index, sc->call.shard, RESULT_LEAF_TIMEOUT, "", 0);
+	}
+	versions_report(job);
+	job->reply->served_us = (u_int)MIN(now_us - job->started_us, G_MAXUINT32);
+	reply_send(h, job->request, job->reply);
+	event_free(job->timer);
+	manifest_put(job->manifest);
+	g_free(job->calls);
+	g_free(job);
+	job_count(h, -1);
+}
+
+static void search_job_expire(evutil_socket_t fd, short what, void *arg)
+{
+	search_job_finish(arg);
+}
+
+static void shard_call_done(struct leafgroup_call *call, enum result result, bool was_sent,
+			    const char *body, size_t body_bytes)
+{
+	struct shard_call *sc = list_entry(call, struct shard_call, call);
+	struct search_job *job = sc->job;
+
+	sc->is_done = true;
+	job->n_open--;
+	if (body_bytes > APR_HITS_MAX) {
+		result = RESULT_TOO_LARGE;
+		body_bytes = 0;
+	}
+	shard_result_set(job, sc->index, call->shard, result, body, body_bytes);
+	if (job->n_open == 0 && !job->is_submitting)
+		search_job_finish(job);
+}
+
+static void shard_call_prepare(struct shard_call *sc, const apr_search_args *args,
+			       unsigned int priority, uint64_t deadline_us)
+{
+	sc->call.kind = LEAFCALL_SEARCH;
+	sc->call.index_version = args->snapshot.index_version;
+	sc->call.map_version = args->snapshot.map_version;
+	sc->call.body = args->query;
+	sc->call.body_bytes = strlen(args->query);
+	sc->call.done = shard_call_done;
+	sc->call.item.priority = priority;
+	sc->call.item.deadline_us = deadline_us;
+	sc->call.item.caller = args->caller;
+}
+
+static void search_job_submit(struct search_job *job, unsigned int priority)
+{
+	const apr_search_args *args = job->request->args;
+	uint64_t now_us = clock_now_us();
+	unsigned int index = 0;
+
+	job->is_submitting = true;
+	for (unsigned int i = 0; i < args->parts.parts_len; i++) {
+		const apr_part *part = &args->parts.parts_val[i];
+		struct manifest_group *g = manifest_group_find(job->manifest, part->group);
+		struct leafgroup *lg = g ? group_get(job->holder, job->manifest, g) : NULL;
+
+		for (unsigned int j = 0; j < part->shards.shards_len; j++, index++) {
+			struct shard_call *sc = &job->calls[index];
+
+			sc->job = job;
+			sc->index = index;
+			sc->call.shard = part->shards.shards_val[j];
+			sc->leafgroup = lg;
+			if (!lg) {
+				sc->is_done = true;
+				job->n_open--;
+				shard_result_set(job, index, sc->call.shard, RESULT_WRONG_SHARD, "",
+						 0);
+				continue;
+			}
+			shard_call_prepare(sc, args, priority, now_us + args->deadline_us);
+			leafgroup_submit(lg, &sc->call, now_us);
+		}
+	}
+	job->is_submitting = false;
+}
+
+static unsigned int parts_count(const apr_search_args *args)
+{
+	unsigned int n = 0;
+
+	for (unsigned int i = 0; i < args->parts.parts_len; i++)
+		n += args->parts.parts_val[i].shards.shards_len;
+	return n;
+}
+
+static void search_refuse(struct holder *h, struct peer_call *request, enum result result)
+{
+	const apr_search_args *args = request->args;
+	struct apr_search_reply *reply = peer_result_create(APR_SEARCH);
+
+	memcpy(reply->request_id, args->request_id, sizeof(reply->request_id));
+	reply->snapshot = args->snapshot;
+	reply->result = result;
+	reply_send(h, request, reply);
+}
+
+static void search_receive(struct holder *h, struct peer_call *request)
+{
+	const apr_search_args *args = request->args;
+	struct manifest *m = manifest_for(h, args->service, args->snapshot.map_version);
+	struct manifest_service *service = m ? manifest_service_find(m, args->service) : NULL;
+	struct manifest_class *klass = service ? manifest_class_find(service, args->klass) : NULL;
+	unsigned int n = parts_count(args);
+	struct search_job *job;
+	struct timeval timeout = {args->answer_us / 1000000, args->answer_us % 1000000};
+
+	if (!m || !klass || n == 0 || n > APR_SHARDS_MAX) {
+		search_refuse(h, request, !m ? RESULT_NOT_READY : RESULT_UNKNOWN_SERVICE);
+		return;
+	}
+	job = g_new0(struct search_job, 1);
+	job->holder = h;
+	job->request = request;
+	job->manifest = manifest_get(m);
+	job->started_us = clock_now_us();
+	job->reply = peer_result_create(APR_SEARCH);
+	memcpy(job->reply->request_id, args->request_id, sizeof(args->request_id));
+	job->reply->snapshot = args->snapshot;
+	job->reply->shards.shards_val = g_new0(apr_shard_result, n);
+	job->reply->shards.shards_len = n;
+	job->calls = g_new0(struct shard_call, n);
+	job->n_calls = n;
+	job->n_open = n;
+	job->timer = evtimer_new(kernel_base(h->service.kernel), search_job_expire, job);
+	job_count(h, 1);
+	search_job_submit(job, klass->priority);
+	if (job->n_open == 0)
+		search_job_finish(job);
+	else
+		evtimer_add(job->timer, &timeout);
+}
+
+static void command_answer(struct holder *h, struct peer_call *request, enum outcome outcome,
+			   enum result result, const char *body)
+{
+	const apr_command_args *args = request->args;
+	struct apr_command_reply *reply = peer_result_create(APR_COMMAND);
+
+	reply->id = g_strdup(args->id);
+	reply->outcome = outcome;
+	reply->result = result;
+	reply->body = g_strdup(body);
+	reply_send(h, request, reply);
+}
+
+static void command_job_finish(struct command_job *job, enum outcome outcome, enum result result,
+			       const char *body)
+{
+	struct holder *h = job->holder;
+	const apr_command_args *args = job->request->args;
+
+	command_log_finish(h->commands, args->id, outcome, result, body);
+	command_answer(h, job->request, outcome, result, body);
+	event_free(job->timer);
+	manifest_put(job->manifest);
+	g_free(job);
+	job_count(h, -1);
+}
+
+static void command_call_done(struct leafgroup_call *call, enum result result, bool was_sent,
+			      const char *body, size_t body_bytes)
+{
+	struct command_job *job = list_entry(call, struct command_job, call);
+	enum outcome outcome = command_outcome(result, was_sent);
+
+	if (body_bytes > APR_BODY_MAX)
+		body = "";
+	if (outcome == OUTCOME_UNKNOWN)
+		result = RESULT_LOST_ANSWER;
+	command_job_finish(job, outcome, result, body);
+}
+
+static void command_job_expire(evutil_socket_t fd, short what, void *arg)
+{
+	struct command_job *job = arg;
+	bool was_sent = leafgroup_withdraw(job->leafgroup, &job->call, clock_now_us());
+
+	if (was_sent)
+		command_job_finish(job, OUTCOME_UNKNOWN, RESULT_LOST_ANSWER, "");
+	else
+		command_job_finish(job, OUTCOME_NOT_RUN, RESULT_DEADLINE, "");
+}
+
+static void command_job_start(struct holder *h, struct peer_call *request, struct manifest *m,
+			      const struct manifest_group *g, unsigned int priority)
+{
+	const apr_command_args *args = request->args;
+	struct timeval timeout = {args->deadline_us / 1000000, args->deadline_us % 1000000};
+	struct command_job *job = g_new0(struct command_job, 1);
+	uint64_t now_us = clock_now_us();
+
+	job->holder = h;
+	job->request = request;
+	job->manifest = manifest_get(m);
+	job->leafgroup = group_get(h, m, g);
+	job->call.kind = LEAFCALL_COMMAND;
+	job->call.id = args->id;
+	job->call.map_version = args->map_version;
+	job->call.shard = args->shard;
+	job->call.body = args->body;
+	job->call.body_bytes = strlen(args->body);
+	job->call.done = command_call_done;
+	job->call.item.priority = priority;
+	job->call.item.deadline_us = now_us + args->deadline_us;
+	job->call.item.caller = args->caller;
+	job->timer = evtimer_new(kernel_base(h->service.kernel), command_job_expire, job);
+	evtimer_add(job->timer, &timeout);
+	job_count(h, 1);
+	leafgroup_submit(job->leafgroup, &job->call, now_us);
+}
+
+static enum result command_obstacle(const struct holder *h, const struct manifest *m,
+				    const struct manifest_class *klass,
+				    const struct manifest_group *g)
+{
+	if (wake_is_stale(h->wake))
+		return RESULT_STALE;
+	if (!m)
+		return RESULT_NOT_READY;
+	return klass && g ? RESULT_OK : RESULT_NO_REPLICA;
+}
+
+static void pause_check(struct holder *h)
+{
+	if (wake_tick(h->wake, clock_now_ms()))
+		renewal_want(h->service.kernel);
+}
+
+static void command_receive(struct holder *h, struct peer_call *request)
+{
+	const apr_command_args *args = request->args;
+	struct manifest *m = manifest_for(h, args->service, args->map_version);
+	struct manifest_service *service = m ? manifest_service_find(m, args->service) : NULL;
+	struct manifest_class *klass = service ? manifest_class_find(service, args->klass) : NULL;
+	struct manifest_group *g = m ? manifest_group_find(m, args->group) : NULL;
+	const struct command_result *known;
+	enum result reason = RESULT_OK;
+
+	pause_check(h);
+	switch (command_log_begin(h->commands, args->id, clock_now_ms(), &known, &reason)) {
+	case COMMAND_DISPATCH:
+		reason = command_obstacle(h, m, klass, g);
+		if (reason == RESULT_OK) {
+			command_job_start(h, request, m, g, klass->priority);
+			return;
+		}
+		/* Remembered, so that the id cannot run after this answer. */
+		command_log_finish(h->commands, args->id, OUTCOME_NOT_RUN, reason, "");
+		command_answer(h, request, OUTCOME_NOT_RUN, reason, "");
+		return;
+	case COMMAND_KNOWN:
+		command_answer(h, request, known->outcome, known->result, known->body);
+		return;
+	case COMMAND_WAIT:
+		command_answer(h, request, OUTCOME_UNKNOWN, RESULT_DUPLICATE_ID, "");
+		return;
+	case COMMAND_REFUSE:
+		command_answer(h, request,
+			       result_is_not_run(reason) ? OUTCOME_NOT_RUN : OUTCOME_UNKNOWN,
+			       reason, "");
+		return;
+	}
+}
+
+/* Tells the other holders of the backend server's groups, so that they need not find out. */
+static void mark_share(struct holder *h, const char *backend, uint64_t incarnation)
+{
+	struct service *peer = kernel_service_find(h->service.kernel, "peer");
+	g_autoptr(GHashTable) told = g_hash_table_new(g_str_hash, g_str_equal);
+
+	for (guint i = 0; h->manifest && i < h->manifest->groups->len; i++) {
+		const struct manifest_group *g = g_ptr_array_index(h->manifest->groups, i);
+		struct route route = routing_find(h->routing, g);
+		const char *addresses[] = {route.first, route.second};
+		bool has_backend = false;
+
+		for (unsigned int j = 0; j < g->n_leaves; j++)
+			has_backend |= strcmp(g->leaves[j].backend, backend) == 0;
+		for (size_t j = 0; has_backend && j < G_N_ELEMENTS(addresses); j++) {
+			apr_mark_args *args;
+			struct peer_call *call;
+
+			if (!addresses[j] || !g_hash_table_add(told, (gpointer)addresses[j]))
+				continue;
+			args = peer_args_create(APR_MARK);
+			args->marks.marks_val = g_new0(apr_mark, 1);
+			args->marks.marks_len = 1;
+			args->marks.marks_val[0].backend = g_strdup(backend);
+			args->marks.marks_val[0].incarnation = incarnation;
+			call = peer_call_create(APR_MARK, addresses[j], args, MARK_TIMEOUT_US);
+			kernel_message_send(h->service.kernel, peer, &call->message);
+		}
+	}
+}
+
+static bool mark_apply(struct holder *h, const char *backend, uint64_t incarnation,
+		       enum leaving_sign sign)
+{
+	if (!leaving_mark(h->leaving, backend, incarnation, sign))
+		return false;
+	counter_increment(h->env.counters, COUNTER_LEAVING_MARKS);
+	log_event(LOG_LEVEL_INFO, "backend_leaving",
+		  "backend=%s incarnation=%016" PRIx64 " sign=%s", backend, incarnation,
+		  leaving_sign_name(sign));
+	return true;
+}
+
+static void drain_seen(void *arg, const char *backend, uint64_t incarnation)
+{
+	struct holder *h = arg;
+
+	if (mark_apply(h, backend, incarnation, LEAVING_DRAIN))
+		mark_share(h, backend, incarnation);
+}
+
+static void marks_receive(struct holder *h, struct peer_call *request)
+{
+	const apr_mark_args *args = request->args;
+
+	for (unsigned int i = 0; i < args->marks.marks_len; i++)
+		mark_apply(h, args->marks.marks_val[i].backend,
+			   args->marks.marks_val[i].incarnation, LEAVING_PEER);
+	reply_send(h, request, peer_result_create(APR_MARK));
+}
+
+static void vms_receive(struct holder *h, const json_t *vms)
+{
+	size_t i;
+	json_t *vm;
+
+	json_array_foreach(json_object_get(vms, "vms"), i, vm)
+	{
+		const char *name = json_string_value(json_object_get(vm, "name"));
+		const char *role = json_string_value(json_object_get(vm, "role"));
+		const char *state = json_string_value(json_object_get(vm, "state"));
+
+		if (!name || g_strcmp0(role, "backend") != 0)
+			continue;
+		if (g_strcmp0(state, "leaving") != 0)
+			leaving_unlist(h->leaving, name);
+		else if (mark_apply(h, name, 0, LEAVING_VM_LIST))
+			mark_share(h, name, 0);
+	}
+}
+
+static void config_receive(struct holder *h, struct manifest *m)
+{
+	GHashTableIter iter;
+	gpointer value;
+
+	manifest_put(h->previous);
+	h->previous = h->manifest;
+	h->manifest = manifest_get(m);
+	routing_manifest_set(h->routing, m);
+	/* Groups whose description did not change keep their connections and statistics. */
+	g_hash_table_iter_init(&iter, h->groups);
+	while (g_hash_table_iter_next(&iter, NULL, &value)) {
+		struct leafgroup *lg = ((struct held_group *)value)->leafgroup;
+		struct manifest_group *g = manifest_group_find(m, leafgroup_id(lg));
+
+		if (g && strcmp(g->digest, leafgroup_digest(lg)) == 0)
+			leafgroup_manifest_set(lg, m, g);
+	}
+}
+
+static bool is_own_group(struct holder *h, const struct manifest_group *g)
+{
+	struct route route = routing_find(h->routing, g);
+
+	return g_strcmp0(route.first, h->settings.rpc_address) == 0 ||
+	       g_strcmp0(route.second, h->settings.rpc_address) == 0;
+}
+
+/* Opens connections of the groups that fall to this VM before the first call needs them. */
+static void groups_warm(struct holder *h)
+{
+	uint64_t now_us = clock_now_us();
+
+	for (guint i = 0; h->manifest && i < h->manifest->groups->len; i++) {
+		const struct manifest_group *g = g_ptr_array_index(h->manifest->groups, i);
+		struct route route = routing_find(h->routing, g);
+
+		if (g_strcmp0(route.first, h->settings.rpc_address) == 0)
+			leafgroup_warm(group_get(h, h->manifest, g), now_us);
+	}
+}
+
+static void groups_release(struct holder *h)
+{
+	uint64_t now_ms = clock_now_ms();
+	GHashTableIter iter;
+	gpointer value;
+
+	g_hash_table_iter_init(&iter, h->groups);
+	while (g_hash_table_iter_next(&iter, NULL, &value)) {
+		struct held_group *held = value;
+		struct manifest_group *g =
+			h->manifest
+				? manifest_group_find(h->manifest, leafgroup_id(held->leafgroup))
+				: NULL;
+
+		uint64_t idle_ms = GROUP_IDLE_MS;
+
+		if (!g || strcmp(g->digest, leafgroup_digest(held->leafgroup)) != 0)
+			idle_ms = GROUP_REPLACED_MS;
+		else if (is_own_group(h, g))
+			continue;
+		if (leafgroup_is_idle(held->leafgroup) && now_ms - held->used_ms > idle_ms)
+			g_hash_table_iter_remove(&iter);
+	}
+}
+
+static void holder_housekeep(evutil_socket_t fd, short what, void *arg)
+{
+	struct holder *h = arg;
+	uint64_t now_ms = clock_now_ms();
+
+	pause_check(h);
+	if (wake_is_stale(h->wake))
+		renewal_want(h->service.kernel);
+	command_log_expire(h->commands, now_ms);
+	groups_release(h);
+	groups_warm(h);
+}
+
+static json_t *holder_status(struct holder *h)
+{
+	json_t *groups = json_array();
+	GHashTableIter iter;
+	gpointer value;
+
+	g_hash_table_iter_init(&iter, h->groups);
+	while (g_hash_table_iter_next(&iter, NULL, &value))
+		json_array_append_new(
+			groups,
+			leafgroup_status(((struct held_group *)value)->leafgroup, clock_now_us()));
+	return json_pack("{s:{s:I, s:I, s:I, s:b, s:o}}", "holder", "jobs", (json_int_t)h->n_jobs,
+			 "command_ids", (json_int_t)command_log_count(h->commands), "command_bytes",
+			 (json_int_t)command_log_bytes(h->commands), "stale",
+			 wake_is_stale(h->wake), "groups", groups);
+}
+
+static void status_answer(struct holder *h, const struct status_request *request)
+{
+	struct status_reply *reply = status_reply_create(request->tag, holder_status(h));
+
+	kernel_message_send(h->service.kernel, request->reply_to, &reply->message);
+}
+
+static void peer_call_receive(struct holder *h, struct peer_call *request)
+{
+	switch (request->procedure) {
+	case APR_SEARCH:
+		search_receive(h, request);
+		break;
+	case APR_COMMAND:
+		command_receive(h, request);
+		break;
+	case APR_MARK:
+		marks_receive(h, request);
+		break;
+	default:
+		message_destroy(&request->message);
+	}
+}
+
+static void holder_receive(struct service *s, struct message *m)
+{
+	struct holder *h = (struct holder *)s;
+
+	switch ((enum message_kind)m->kind) {
+	case MESSAGE_PEER_CALL:
+		peer_call_receive(h, (struct peer_call *)m);
+		return;
+	case MESSAGE_CONFIG_APPLIED:
+		config_receive(h, ((struct config_applied *)m)->manifest);
+		groups_warm(h);
+		break;
+	case MESSAGE_ROSTER_CHANGED:
+		routing_roster_set(h->routing, ((struct roster_changed *)m)->roster);
+		groups_warm(h);
+		break;
+	case MESSAGE_VMS_READ:
+		vms_receive(h, ((struct vms_read *)m)->vms);
+		break;
+	case MESSAGE_KNOWLEDGE_RENEWED:
+		wake_tick(h->wake, clock_now_ms());
+		wake_renewed(h->wake, ((struct knowledge_renewed *)m)->asked_ms);
+		break;
+	case MESSAGE_STATUS_REQUEST:
+		status_answer(h, (struct status_request *)m);
+		break;
+	default:
+		break;
+	}
+	message_destroy(m);
+}
+
+static gboolean holder_start(struct service *s, GError **error)
+{
+	static const struct timeval period = {0, HOUSEKEEPING_MS * 1000L};
+	struct holder *h = (struct holder *)s;
+
+	event_add(h->housekeeping, &period);
+	return TRUE;
+}
+
+static void holder_destroy(struct service *s)
+{
+	struct holder *h = (struct holder *)s;
+
+	event_free(h->tick);
+	event_free(h->housekeeping);
+	g_hash_table_destroy(h->groups);
+	routing_destroy(h->routing);
+	manifest_put(h->manifest);
+	manifest_put(h->previous);
+	leaving_destroy(h->leaving);
+	command_log_destroy(h->commands);
+	wake_destroy(h->wake);
+	g_free(h);
+}
+
+struct service *holder_create(struct kernel *k, const struct holder_settings *settings)
+{
+	static const struct service_ops ops = {
+		.name = "holder",
+		.start = holder_start,
+		.receive = holder_receive,
+		.destroy = holder_destroy,
+	};
+	struct holder *h = g_new0(struct holder, 1);
+
+	h->service.ops = &ops;
+	h->settings = *settings;
+	h->groups = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, held_group_free);
+	h->routing = routing_create();
+	h->leaving = leaving_create(BACKENDS_MAX);
+	h->commands = command_log_create_holder(settings->id_lifetime_ms, settings->max_ids);
+	h->wake = wake_create(settings->lease_ms);
+	h->env = (struct leafgroup_env){
+		.base = kernel_base(k),
+		.counters = kernel_counters(k),
+		.rand = kernel_rand(k),
+		.leaving = h->leaving,
+		.incarnation = settings->incarnation,
+		.next_call = &h->next_call,
+		.drain_seen = drain_seen,
+		.arg = h,
+	};
+	h->tick = evtimer_new(kernel_base(k), holder_tick, h);
+	h->housekeeping = event_new(kernel_base(k), -1, EV_PERSIST, holder_housekeep, h);
+	return &h->service;
+}
--- /dev/null
+++ b/src/leafgroup.c
@@ -0,0 +1,689 @@
+#include "leafgroup.h"
+
+#include "budget.h"
+#include "clock.h"
+#include "hedge.h"
+#include "hist.h"
+#include "leafstat.h"
+#include "limiter.h"
+#include "replica.h"
+
+#include <inttypes.h>
+#include <stdio.h>
+#include <string.h>
+
+#define QUEUE_ITEMS_MAX 512
+#define BUDGET_BURST 10.0
+#define HEDGE_QUANTILE 0.95
+/* Below this a second call costs more than it saves. */
+#define HEDGE_MIN_US 1000
+#define RETRIES_MAX 4
+#define RETRY_DELAY_US 1000
+/* Samples after which the histogram is halved, so that it follows changes of load. */
+#define HIST_SAMPLES_MAX 4096
+
+struct leaf {
+	struct leafpool_owner owner;
+	struct leafgroup *group;
+	const struct manifest_leaf *desc;
+	struct leafpool *pool;
+	struct limiter *limiter;
+	struct leafpool_sight sight;
+};
+
+struct leafgroup_attempt {
+	struct leafgroup_call *call; /* NULL once the call has ended */
+	struct leaf *leaf;
+	struct leafcall *leafcall;
+	uint64_t started_us;
+};
+
+struct leafgroup {
+	struct leafgroup_env env;
+	struct manifest *manifest;
+	const struct manifest_group *desc;
+	struct leaf *leaves;
+	struct leafstat *stats[MANIFEST_GROUP_LEAVES_MAX];
+	unsigned int n_leaves;
+	struct replica_chooser *chooser;
+	struct hist *latency;
+	struct budget *hedge_budget;
+	struct budget *retry_budget;
+	struct classq *queue;
+	struct list_head waiting; /* popped calls without a usable leaf at the moment */
+	struct list_head inflight;
+	unsigned int n_attempts;
+	bool is_pumping;
+};
+
+static void group_pump(struct leafgroup *lg, uint64_t now_us);
+
+static bool leaf_serves(const struct leaf *leaf, const struct leafgroup_call *call)
+{
+	if (call->kind == LEAFCALL_COMMAND || leaf->sight.n_versions == 0)
+		return true;
+	for (unsigned int i = 0; i < leaf->sight.n_versions; i++)
+		if (leaf->sight.versions[i] == call->index_version)
+			return true;
+	return false;
+}
+
+static bool leaf_is_leaving(const struct leaf *leaf)
+{
+	return leaving_is_marked(leaf->group->env.leaving, leaf->desc->backend,
+				 leaf->sight.incarnation);
+}
+
+static bool leaf_is_free(const struct leaf *leaf)
+{
+	return leafpool_has_idle(leaf->pool) &&
+	       limiter_in_use(leaf->limiter) < limiter_limit(leaf->limiter) &&
+	       !leaf_is_leaving(leaf);
+}
+
+static bool was_tried(const struct leafgroup_call *call, unsigned int leaf)
+{
+	return call->tried & (1u << leaf);
+}
+
+/* Why no leaf can take the call now or soon; RESULT_OK when one may. */
+static enum result call_obstacle(const struct leafgroup *lg, const struct leafgroup_call *call)
+{
+	enum result obstacle = RESULT_NO_REPLICA;
+
+	for (unsigned int i = 0; i < lg->n_leaves; i++) {
+		const struct leaf *leaf = &lg->leaves[i];
+
+		if (was_tried(call, i))
+			continue;
+		if (!leaf_serves(leaf, call))
+			obstacle = RESULT_VERSION_GONE;
+		else if (leaf_is_leaving(leaf))
+			obstacle = RESULT_LEAVING;
+		else if (!leafpool_is_down(leaf->pool))
+			return RESULT_OK;
+	}
+	if (call->last_failure != RESULT_OK)
+		return call->last_failure;
+	return obstacle;
+}
+
+static int leaf_pick(struct leafgroup *lg, const struct leafgroup_call *call, uint64_t now_us)
+{
+	bool usable[MANIFEST_GROUP_LEAVES_MAX];
+
+	for (unsigned int i = 0; i < lg->n_leaves; i++)
+		usable[i] = !was_tried(call, i) && leaf_is_free(&lg->leaves[i]) &&
+			    leaf_serves(&lg->leaves[i], call);
+	return replica_chooser_pick(lg->chooser, lg->stats, usable, lg->n_leaves, now_us,
+				    lg->env.rand);
+}
+
+static void attempt_detach(struct leafgroup_attempt *a, enum leafstat_event event, uint64_t now_us)
+{
+	struct leafgroup *lg = a->leaf->group;
+
+	if (event == LEAFSTAT_CANCELLED)
+		hist_add(lg->latency, now_us - a->started_us);
+	leafstat_finish(lg->stats[a->leaf - lg->leaves], event, now_us - a->started_us, now_us);
+	a->call = NULL;
+	leafcall_cancel(a->leafcall);
+}
+
+static void call_unlink(struct leafgroup *lg, struct leafgroup_call *call)
+{
+	list_del(&call->inflight);
+	if (call->is_waiting)
+		list_del(&call->item.node);
+	else
+		classq_remove(lg->queue, &call->item);
+	call->is_waiting = false;
+}
+
+static void attempts_detach(struct leafgroup_call *call, enum leafstat_event event, uint64_t now_us)
+{
+	if (call->primary)
+		attempt_detach(call->primary, event, now_us);
+	if (call->hedge)
+		attempt_detach(call->hedge, event, now_us);
+	call->primary = NULL;
+	call->hedge = NULL;
+}
+
+static void call_finish(struct leafgroup *lg, struct leafgroup_call *call, enum result result,
+			const char *body, size_t body_bytes, uint64_t now_us)
+{
+	attempts_detach(call, LEAFSTAT_CANCELLED, now_us);
+	call_unlink(lg, call);
+	call->done(call, result, call->was_sent, body, body_bytes);
+}
+
+static void call_wait(struct leafgroup *lg, struct leafgroup_call *call)
+{
+	call->is_waiting = true;
+	list_add_tail(&call->item.node, &lg->waiting);
+}
+
+static enum leafstat_event status_event(enum leafcall_status status)
+{
+	switch (status) {
+	case LEAFCALL_ANSWERED:
+		return LEAFSTAT_OK;
+	case LEAFCALL_EXPIRED:
+	case LEAFCALL_FAILED:
+	case LEAFCALL_MISMATCH:
+		return LEAFSTAT_TIMEOUT;
+	default:
+		return LEAFSTAT_REFUSED;
+	}
+}
+
+static enum result status_result(enum leafcall_status status)
+{
+	switch (status) {
+	case LEAFCALL_ANSWERED:
+		return RESULT_OK;
+	case LEAFCALL_REFUSED:
+		return RESULT_SHED;
+	case LEAFCALL_GONE:
+		return RESULT_VERSION_GONE;
+	case LEAFCALL_WRONG_SHARD:
+		return RESULT_WRONG_SHARD;
+	case LEAFCALL_EXPIRED:
+		return RESULT_LEAF_TIMEOUT;
+	case LEAFCALL_MISMATCH:
+		return RESULT_MISMATCH;
+	default:
+		return RESULT_LEAF_ERROR;
+	}
+}
+
+static bool status_is_not_run(enum leafcall_status status)
+{
+	return status == LEAFCALL_REFUSED || status == LEAFCALL_GONE ||
+	       status == LEAFCALL_WRONG_SHARD;
+}
+
+static void status_count(struct leafgroup *lg, enum leafcall_status status)
+{
+	struct counters *counters = lg->env.counters;
+
+	if (status_is_not_run(status))
+		counter_increment(counters, COUNTER_LEAF_REFUSALS);
+	else if (status == LEAFCALL_EXPIRED)
+		counter_increment(counters, COUNTER_LEAF_TIMEOUTS);
+	else if (status == LEAFCALL_MISMATCH)
+		counter_increment(counters, COUNTER_LEAF_MISMATCHES);
+	else if (status == LEAFCALL_FAILED)
+		counter_increment(counters, COUNTER_LEAF_ERRORS);
+}
+
+/*
+ * A command is repeated only after a proof that it was not run. A leaf that refused for lack of
+ * slots may be asked again when every other leaf was tried.
+ */
+static bool call_retry(struct leafgroup *lg, struct leafgroup_call *call,
+		       enum leafcall_status status, uint64_t now_us)
+{
+	if (call->kind == LEAFCALL_COMMAND && call->was_sent)
+		return false;
+	if (call->retries >= RETRIES_MAX || now_us >= call->item.deadline_us)
+		return false;
+	if (status == LEAFCALL_REFUSED && call_obstacle(lg, call) != RESULT_OK)
+		call->tried = 0;
+	if (call_obstacle(lg, call) != RESULT_OK || !budget_spend(lg->retry_budget))
+		return false;
+	counter_increment(lg->env.counters, COUNTER_LEAF_RETRIES);
+	call->not_before_us = now_us;
+	if (status == LEAFCALL_REFUSED)
+		call->not_before_us += (uint64_t)((double)(RETRY_DELAY_US << call->retries) *
+						  g_rand_double_range(lg->env.rand, 0.5, 1.5));
+	call->retries++;
+	list_del(&call->inflight);
+	call_wait(lg, call);
+	return true;
+}
+
+static void attempt_answered(void *arg, const struct leafcall_answer *answer)
+{
+	struct leafgroup_attempt *a = arg;
+	struct leafgroup_call *call = a->call;
+	struct leaf *leaf = a->leaf;
+	struct leafgroup *lg = leaf->group;
+	uint64_t now_us = clock_now_us();
+	uint64_t latency_us = now_us - a->started_us;
+
+	lg->n_attempts--;
+	limiter_release(leaf->limiter, call ? status_event(answer->status) : LEAFSTAT_CANCELLED,
+			now_us);
+	if (!call) {
+		g_free(a);
+		return;
+	}
+	leafstat_finish(lg->stats[leaf - lg->leaves], status_event(answer->status), latency_us,
+			now_us);
+	status_count(lg, answer->status);
+	if (call->primary == a)
+		call->primary = NULL;
+	else
+		call->hedge = NULL;
+	g_free(a);
+	if (!status_is_not_run(answer->status))
+		call->was_sent = true;
+	if (answer->status == LEAFCALL_ANSWERED) {
+		hist_add(lg->latency, latency_us);
+		if (hist_count(lg->latency) > HIST_SAMPLES_MAX)
+			hist_decay(lg->latency);
+		call_finish(lg, call, RESULT_OK, answer->body, answer->body_bytes, now_us);
+		return;
+	}
+	call->last_failure = status_result(answer->status);
+	if (call->primary || call->hedge)
+		return;
+	if (!call_retry(lg, call, answer->status, now_us))
+		call_finish(lg, call, call->last_failure, "", 0, now_us);
+}
+
+static struct leafgroup_attempt *attempt_start(struct leafgroup *lg, struct leafgroup_call *call,
+					       unsigned int index, uint64_t now_us)
+{
+	struct leaf *leaf = &lg->leaves[index];
+	struct leafgroup_attempt *a = g_new0(struct leafgroup_attempt, 1);
+	char id[LEAFPOOL_ID_CHARS + 1];
+	struct leafcall_params params = {
+		.kind = call->kind,
+		.id = call->id,
+		.index_version = call->index_version,
+		.map_version = call->map_version,
+		.shard = call->shard,
+		.deadline_us = call->item.deadline_us - now_us,
+		.body = call->body,
+		.body_bytes = call->body_bytes,
+	};
+
+	if (!call->id) {
+		snprintf(id, sizeof(id), "%016" PRIx64 "%016" PRIx64, lg->env.incarnation,
+			 ++*lg->env.next_call);
+		params.id = id;
+	}
+	a->call = call;
+	a->leaf = leaf;
+	a->started_us = now_us;
+	call->tried |= 1u << index;
+	limiter_admit(leaf->limiter);
+	leafstat_start(lg->stats[index], now_us);
+	lg->n_attempts++;
+	a->leafcall = leafpool_call(leaf->pool, &params, attempt_answered, a);
+	return a;
+}
+
+/*
+ * When the second call follows: after the measured quantile, and at the latest half-way to the
+ * deadline, so that a leaf that stopped answering cannot cost the shard.
+ */
+static void hedge_schedule(const struct leafgroup *lg, struct leafgroup_call *call, uint64_t now_us)
+{
+	uint64_t remaining_us = call->item.deadline_us - now_us;
+	uint64_t delay_us = hedge_delay_us(lg->latency, HEDGE_QUANTILE, HEDGE_MIN_US, remaining_us);
+
+	call->hedge_at_us = 0;
+	if (call->kind != LEAFCALL_SEARCH || lg->n_leaves < 2 || lg->desc->service->hedge_disabled)
+		return;
+	call->rescue_at_us = now_us + remaining_us / 2;
+	call->hedge_at_us = call->rescue_at_us;
+	if (delay_us > 0)
+		call->hedge_at_us = MIN(call->rescue_at_us, now_us + delay_us);
+}
+
+static void call_start(struct leafgroup *lg, struct leafgroup_call *call, unsigned int index,
+		       uint64_t now_us)
+{
+	if (call->retries == 0) {
+		counter_increment(lg->env.counters, COUNTER_LEAF_CALLS);
+		budget_earn(lg->hedge_budget);
+		budget_earn(lg->retry_budget);
+	}
+	hedge_schedule(lg, call, now_us);
+	list_add_tail(&call->inflight, &lg->inflight);
+	call->primary = attempt_start(lg, call, index, now_us);
+}
+
+/* False when the call has to wait for a leaf. */
+static bool call_place(struct leafgroup *lg, struct leafgroup_call *call, uint64_t now_us)
+{
+	enum result obstacle;
+	int index;
+
+	if (now_us >= call->item.deadline_us) {
+		counter_increment(lg->env.counters, COUNTER_QUEUE_DROPS);
+		call_finish(lg, call, call->last_failure ? call->last_failure : RESULT_DEADLINE, "",
+			    0, now_us);
+		return true;
+	}
+	if (now_us < call->not_before_us)
+		return false;
+	index = leaf_pick(lg, call, now_us);
+	if (index >= 0) {
+		call_start(lg, call, index, now_us);
+		return true;
+	}
+	obstacle = call_obstacle(lg, call);
+	if (obstacle == RESULT_OK)
+		return false;
+	call_finish(lg, call, obstacle, "", 0, now_us);
+	return true;
+}
+
+static void waiting_place(struct leafgroup *lg, uint64_t now_us)
+{
+	struct list_head *node;
+	struct list_head batch;
+
+	list_init(&batch);
+	while ((node = list_pop_head(&lg->waiting)))
+		list_add_tail(node, &batch);
+	while ((node = list_pop_head(&batch))) {
+		struct classq_item *item = list_entry(node, struct classq_item, node);
+		struct leafgroup_call *call = list_entry(item, struct leafgroup_call, item);
+
+		call->is_waiting = false;
+		if (!call_place(lg, call, now_us))
+			call_wait(lg, call);
+	}
+}
+
+static void dropped_finish(struct leafgroup *lg, struct list_head *dropped, uint64_t now_us)
+{
+	struct list_head *node;
+
+	while ((node = dropped->next) != dropped) {
+		struct classq_item *item = list_entry(node, struct classq_item, node);
+		struct leafgroup_call *call = list_entry(item, struct leafgroup_call, item);
+
+		counter_increment(lg->env.counters, COUNTER_QUEUE_DROPS);
+		call_finish(lg, call,
+			    now_us < item->deadline_us ? RESULT_OVERLOADED : RESULT_DEADLINE, "", 0,
+			    now_us);
+	}
+}
+
+static bool group_has_free_leaf(const struct leafgroup *lg)
+{
+	for (unsigned int i = 0; i < lg->n_leaves; i++)
+		if (leaf_is_free(&lg->leaves[i]))
+			return true;
+	return false;
+}
+
+static bool group_is_unreachable(const struct leafgroup *lg)
+{
+	for (unsigned int i = 0; i < lg->n_leaves; i++)
+		if (!leaf_is_leaving(&lg->leaves[i]) && !leafpool_is_down(lg->leaves[i].pool))
+			return false;
+	return true;
+}
+
+static uint64_t group_service_us(const struct leafgroup *lg)
+{
+	return hist_quantile(lg->latency, 0.5);
+}
+
+static void group_pump(struct leafgroup *lg, uint64_t now_us)
+{
+	struct list_head dropped;
+	struct classq_item *item;
+
+	/* done functions may submit again; the outer loop sees what they queued. */
+	if (lg->is_pumping)
+		return;
+	lg->is_pumping = true;
+	waiting_place(lg, now_us);
+	list_init(&dropped);
+	while ((group_has_free_leaf(lg) || group_is_unreachable(lg)) &&
+	       (item = classq_pop(lg->queue, group_service_us(lg), now_us, &dropped))) {
+		struct leafgroup_call *call = list_entry(item, struct leafgroup_call, item);
+
+		if (!call_place(lg, call, now_us)) {
+			call_wait(lg, call);
+			break;
+		}
+	}
+	classq_take_displaced(lg->queue, &dropped);
+	dropped_finish(lg, &dropped, now_us);
+	lg->is_pumping = false;
+}
+
+static void leaf_ready(struct leafpool_owner *owner)
+{
+	group_pump(((struct leaf *)owner)->group, clock_now_us());
+}
+
+static void leaf_refused(struct leafpool_owner *owner)
+{
+	group_pump(((struct leaf *)owner)->group, clock_now_us());
+}
+
+static void leaf_observe(struct leafpool_owner *owner, const struct leafpool_sight *sight)
+{
+	struct leaf *leaf = (struct leaf *)owner;
+	struct leafgroup *lg = leaf->group;
+	uint64_t known = leaf->sight.incarnation;
+
+	if (sight->incarnation == 0)
+		return;
+	leaf->sight = *sight;
+	if (known != sight->incarnation) {
+		leafstat_restart(lg->stats[leaf - lg->leaves], clock_now_us());
+		leaving_observe(lg->env.leaving, leaf->desc->backend, sight->incarnation);
+	}
+	if (sight->is_draining && !leaf_is_leaving(leaf) && lg->env.drain_seen)
+		lg->env.drain_seen(lg->env.arg, leaf->desc->backend, sight->incarnation);
+}
+
+static const struct leafpool_owner_ops leaf_owner_ops = {
+	.ready = leaf_ready,
+	.observe = leaf_observe,
+	.refused = leaf_refused,
+};
+
+struct leafgroup *leafgroup_create(const struct leafgroup_env *env, struct manifest *m,
+				   const struct manifest_group *g)
+{
+	struct leafgroup *lg = g_new0(struct leafgroup, 1);
+	uint64_t now_us = clock_now_us();
+
+	lg->env = *env;
+	lg->manifest = manifest_get(m);
+	lg->desc = g;
+	lg->n_leaves = g->n_leaves;
+	lg->leaves = g_new0(struct leaf, g->n_leaves);
+	lg->chooser = replica_chooser_create(g->service->random_replica ? "random" : "ewma", NULL);
+	lg->latency = hist_create();
+	lg->hedge_budget = budget_create(g->service->hedge_ratio, BUDGET_BURST);
+	lg->retry_budget = budget_create(g->service->retry_ratio, BUDGET_BURST);
+	lg->queue = classq_create(QUEUE_ITEMS_MAX);
+	list_init(&lg->waiting);
+	list_init(&lg->inflight);
+	for (unsigned int i = 0; i < g->n_leaves; i++) {
+		struct leaf *leaf = &lg->leaves[i];
+
+		leaf->owner.ops = &leaf_owner_ops;
+		leaf->group = lg;
+		leaf->desc = &g->leaves[i];
+		leaf->limiter = limiter_create(leaf->desc->slots);
+		leaf->pool = leafpool_create(env->base, env->counters, env->rand, leaf->desc,
+					     &leaf->owner);
+		lg->stats[i] = leafstat_create(now_us);
+	}
+	return lg;
+}
+
+void leafgroup_manifest_set(struct leafgroup *lg, struct manifest *m,
+			    const struct manifest_group *g)
+{
+	const struct manifest_service *service = g->service;
+	struct manifest *old = lg->manifest;
+
+	lg->manifest = manifest_get(m);
+	lg->desc = g;
+	for (unsigned int i = 0; i < lg->n_leaves; i++)
+		lg->leaves[i].desc = &g->leaves[i];
+	manifest_put(old);
+	replica_chooser_destroy(lg->chooser);
+	budget_destroy(lg->hedge_budget);
+	budget_destroy(lg->retry_budget);
+	lg->chooser = replica_chooser_create(service->random_replica ? "random" : "ewma", NULL);
+	lg->hedge_budget = budget_create(service->hedge_ratio, BUDGET_BURST);
+	lg->retry_budget = budget_create(service->retry_ratio, BUDGET_BURST);
+}
+
+void leafgroup_destroy(struct leafgroup *lg)
+{
+	if (!lg)
+		return;
+	for (unsigned int i = 0; i < lg->n_leaves; i++) {
+		leafpool_destroy(lg->leaves[i].pool);
+		limiter_destroy(lg->leaves[i].limiter);
+		leafstat_destroy(lg->stats[i]);
+	}
+	g_free(lg->leaves);
+	replica_chooser_destroy(lg->chooser);
+	hist_destroy(lg->latency);
+	budget_destroy(lg->hedge_budget);
+	budget_destroy(lg->retry_budget);
+	classq_destroy(lg->queue);
+	manifest_put(lg->manifest);
+	g_free(lg);
+}
+
+void leafgroup_submit(struct leafgroup *lg, struct leafgroup_call *call, uint64_t now_us)
+{
+	enum result result;
+
+	call->group = lg;
+	list_init(&call->inflight);
+	list_init(&call->item.node);
+	leafgroup_warm(lg, now_us);
+	result = classq_push(lg->queue, &call->item, now_us);
+	if (result != RESULT_OK) {
+		counter_increment(lg->env.counters, COUNTER_QUEUE_DROPS);
+		call->done(call, result, false, "", 0);
+		return;
+	}
+	group_pump(lg, now_us);
+}
+
+bool leafgroup_withdraw(struct leafgroup *lg, struct leafgroup_call *call, uint64_t now_us)
+{
+	bool was_sent = call->was_sent || call->primary || call->hedge;
+
+	if (call->primary || call->hedge)
+		counter_increment(lg->env.counters, COUNTER_LEAF_TIMEOUTS);
+	attempts_detach(call, LEAFSTAT_TIMEOUT, now_us);
+	call_unlink(lg, call);
+	return was_sent;
+}
+
+static void call_hedge(struct leafgroup *lg, struct leafgroup_call *call, uint64_t now_us)
+{
+	int index = leaf_pick(lg, call, now_us);
+
+	if (index < 0)
+		return;
+	if (!budget_spend(lg->hedge_budget) &&
+	    (now_us < call->rescue_at_us || !budget_spend(lg->retry_budget))) {
+		call->hedge_at_us = now_us < call->rescue_at_us ? call->rescue_at_us : 0;
+		return;
+	}
+	call->hedge_at_us = 0;
+	counter_increment(lg->env.counters, COUNTER_LEAF_HEDGES);
+	call->hedge = attempt_start(lg, call, index, now_us);
+}
+
+void leafgroup_tick(struct leafgroup *lg, uint64_t now_us)
+{
+	struct list_head *node;
+
+	list_for_each (node, &lg->inflight) {
+		struct leafgroup_call *call = list_entry(node, struct leafgroup_call, inflight);
+
+		if (call->hedge_at_us && now_us >= call->hedge_at_us && call->primary &&
+		    !call->hedge)
+			call_hedge(lg, call, now_us);
+	}
+	group_pump(lg, now_us);
+}
+
+void leafgroup_warm(struct leafgroup *lg, uint64_t now_us)
+{
+	for (unsigned int i = 0; i < lg->n_leaves; i++)
+		leafpool_warm(lg->leaves[i].pool, now_us);
+}
+
+bool leafgroup_is_idle(const struct leafgroup *lg)
+{
+	return lg->n_attempts == 0 && classq_count(lg->queue) == 0 && list_is_empty(&lg->waiting);
+}
+
+static void version_insert(uint64_t *versions, unsigned int *n, unsigned int max, uint64_t version)
+{
+	unsigned int at = 0;
+
+	while (at < *n && versions[at] > version)
+		at++;
+	if (at < *n && versions[at] == version)
+		return;
+	if (*n < max)
+		(*n)++;
+	else if (at >= max)
+		return;
+	for (unsigned int i = *n - 1; i > at; i--)
+		versions[i] = versions[i - 1];
+	versions[at] = version;
+}
+
+unsigned int leafgroup_versions(const struct leafgroup *lg, uint64_t *versions, unsigned int max)
+{
+	unsigned int n = 0;
+
+	for (unsigned int i = 0; i < lg->n_leaves; i++) {
+		const struct leaf *leaf = &lg->leaves[i];
+
+		if (leaf_is_leaving(leaf) || leafpool_is_down(leaf->pool))
+			continue;
+		for (unsigned int j = 0; j < leaf->sight.n_versions; j++)
+			version_insert(versions, &n, max, leaf->sight.versions[j]);
+	}
+	return n;
+}
+
+const char *leafgroup_id(const struct leafgroup *lg)
+{
+	return lg->desc->id;
+}
+
+const char *leafgroup_digest(const struct leafgroup *lg)
+{
+	return lg->desc->digest;
+}
+
+json_t *leafgroup_status(const struct leafgroup *lg, uint64_t now_us)
+{
+	json_t *leaves = json_array();
+
+	for (unsigned int i = 0; i < lg->n_leaves; i++) {
+		const struct leaf *leaf = &lg->leaves[i];
+
+		json_array_append_new(
+			leaves,
+			json_pack("{s:s, s:I, s:I, s:I, s:b, s:b, s:I}", "name", leaf->desc->name,
+				  "connections", (json_int_t)leafpool_connections(leaf->pool),
+				  "calls", (json_int_t)limiter_in_use(leaf->limiter), "limit",
+				  (json_int_t)limiter_limit(leaf->limiter), "leaving",
+				  leaf_is_leaving(leaf), "down", leafpool_is_down(leaf->pool),
+				  "median_us", (json_int_t)leafstat_median_us(lg->stats[i])));
+	}
+	return json_pack("{s:s, s:I, s:I, s:o}", "id", lg->desc->id, "queued",
+			 (json_int_t)classq_count(lg->queue), "p95_us",
+			 (json_int_t)hist_quantile(lg->latency, HEDGE_QUANTILE), "leaves", leaves);
+}
--- a/src/list.h
+++ b/src/list.h
@@ -52,7 +52,8 @@
 
 	if (node == head)
 		return NULL;
-	list_del(node);
+	/* The analyzer loses track of the neighbours' links after an earlier element was freed. */
+	list_del(node); /* NOLINT(clang-analyzer-unix.Malloc) */
 	return node;
 }
 
--- /dev/null
+++ b/src/membership.c
@@ -0,0 +1,480 @@
+#include "membership.h"
+
+#include "clock.h"
+#include "entrylist.h"
+#include "log.h"
+#include "member.h"
+#include "message.h"
+#include "procedure.h"
+#include "rendezvous.h"
+#include "wake.h"
+
+#include <string.h>
+
+#define TICK_MS 100
+#define JOIN_PEERS 3
+#define JOIN_TIMEOUT_US 1000000
+
+struct membership {
+	struct service service;
+	struct member_transport transport;
+	struct member_entry self;
+	struct member_table *table;
+	struct service *peer;
+	struct event *tick;
+	struct wake *wake;
+	uint64_t started_ms;
+	uint64_t roster_version; /* of the table, last sent */
+	bool has_joined;
+	char **peers; /* listed in the settings; NULL for none */
+	bool stop_sent;
+};
+
+static struct membership *from_transport(struct member_transport *t)
+{
+	return list_entry(t, struct membership, transport);
+}
+
+static void entry_encode(apr_member *out, const struct member_entry *e)
+{
+	out->name = g_strdup(e->name);
+	out->dc = g_strdup(e->dc);
+	out->http = g_strdup(e->http);
+	out->rpc = g_strdup(e->rpc);
+	out->incarnation = e->incarnation;
+	out->started_ms = e->started_ms;
+	out->uptime_ms = e->uptime_ms;
+	out->sequence = e->sequence;
+	out->config_version = e->config_version;
+	out->state = e->state;
+}
+
+static bool entry_decode(struct member_entry *e, const apr_member *in)
+{
+	memset(e, 0, sizeof(*e));
+	if (!*in->name || strlen(in->name) >= sizeof(e->name) || strlen(in->dc) >= sizeof(e->dc) ||
+	    strlen(in->http) >= sizeof(e->http) || strlen(in->rpc) >= sizeof(e->rpc) ||
+	    !manifest_address_is_valid(in->rpc) || in->state < MEMBER_LIVE ||
+	    in->state > MEMBER_REMOVED || in->sequence > G_MAXUINT32)
+		return false;
+	g_strlcpy(e->name, in->name, sizeof(e->name));
+	g_strlcpy(e->dc, in->dc, sizeof(e->dc));
+	g_strlcpy(e->http, in->http, sizeof(e->http));
+	g_strlcpy(e->rpc, in->rpc, sizeof(e->rpc));
+	e->incarnation = in->incarnation;
+	e->started_ms = in->started_ms;
+	e->uptime_ms = in->uptime_ms;
+	e->sequence = (uint32_t)in->sequence;
+	e->config_version = in->config_version;
+	e->state = (enum member_state)in->state;
+	return true;
+}
+
+static void transport_send(struct member_transport *transport, const char *rpc,
+			   const struct member_message *message)
+{
+	struct membership *ms = from_transport(transport);
+	apr_member_message *out = peer_args_create(APR_MEMBER_MESSAGE);
+	struct peer_call *call;
+
+	out->kind = message->kind;
+	out->nonce = message->nonce;
+	entry_encode(&out->sender, &message->sender);
+	out->subject = g_strdup(message->subject);
+	out->subject_rpc = g_strdup(message->subject_rpc);
+	out->updates.updates_val = g_new0(apr_member, MAX(1, message->update_count));
+	out->updates.updates_len = message->update_count;
+	for (unsigned int i = 0; i < message->update_count; i++)
+		entry_encode(&out->updates.updates_val[i], &message->updates[i]);
+	call = peer_call_create(APR_MEMBER_MESSAGE, rpc, out, 0);
+	kernel_message_send(ms->service.kernel, ms->peer, &call->message);
+}
+
+static void transport_changed(struct member_transport *transport, const struct member_entry *entry)
+{
+	struct membership *ms = from_transport(transport);
+
+	counter_increment(kernel_counters(ms->service.kernel), COUNTER_MEMBER_CHANGES);
+	log_event(LOG_LEVEL_INFO, "member_changed",
+		  "member=%s incarnation=%016" G_GINT64_MODIFIER "x state=%s", entry->name,
+		  entry->incarnation, member_state_name(entry->state));
+}
+
+static const struct member_transport_ops transport_ops = {
+	.send = transport_send,
+	.changed = transport_changed,
+};
+
+struct roster_build {
+	const struct membership *membership;
+	struct roster *roster;
+	unsigned int n;
+};
+
+static void roster_add(const struct member_entry *entry, void *data)
+{
+	struct roster_build *build = data;
+	struct roster_vm *vm = &build->roster->vms[build->n++];
+
+	vm->name = g_strdup(entry->name);
+	vm->dc = g_strdup(entry->dc);
+	vm->rpc = g_strdup(entry->rpc);
+	vm->name_hash = rendezvous_name_hash(entry->name);
+	vm->is_self = strcmp(entry->name, build->membership->self.name) == 0;
+	vm->is_available = entry->state == MEMBER_LIVE;
+}
+
+static void stop_if_told(struct membership *ms)
+{
+	if (ms->stop_sent ||
+	    (!member_table_is_asked_to_leave(ms->table) && !member_table_is_superseded(ms->table)))
+		return;
+	ms->stop_sent = true;
+	kernel_message_send(ms->service.kernel, kernel_service_find(ms->service.kernel, "stopper"),
+			    message_create(MESSAGE_STOP_ANNOUNCED));
+}
+
+static void roster_publish(struct membership *ms)
+{
+	static const char *const services[] = {"searcher", "commander", "holder", "configurer"};
+	uint64_t version = member_table_version(ms->table);
+	struct roster_build build = {.membership = ms};
+
+	stop_if_told(ms);
+	if (version == ms->roster_version)
+		return;
+	ms->roster_version = version;
+	build.roster = roster_create(member_table_count(ms->table), version);
+	member_table_foreach(ms->table, clock_now_ms(), roster_add, &build);
+	for (size_t i = 0; i < G_N_ELEMENTS(services); i++)
+		kernel_message_send(ms->service.kernel,
+				    kernel_service_find(ms->service.kernel, services[i]),
+				    &roster_changed_create(build.roster)->message);
+	roster_put(build.roster);
+}
+
+struct peer_pick {
+	const struct membership *membership;
+	GPtrArray *addresses;
+};
+
+static void peer_add(const struct member_entry *entry, void *data)
+{
+	struct peer_pick *pick = data;
+
+	if (strcmp(entry->name, pick->membership->self.name) != 0)
+		g_ptr_array_add(pick->addresses, g_strdup(entry->rpc));
+}
+
+static void member_list_ask(struct membership *ms, const char *address)
+{
+	struct peer_call *call = peer_call_create(APR_MEMBERS, address,
+						  peer_args_create(APR_MEMBERS), JOIN_TIMEOUT_US);
+
+	call->reply_to = &ms->service;
+	call->tag = clock_now_ms();
+	kernel_message_send(ms->service.kernel, ms->peer, &call->message);
+}
+
+/* Asks some random members for their full list: on joining, and to renew knowledge after a pause.
+ */
+static void members_ask(struct membership *ms)
+{
+	struct peer_pick pick = {ms, g_ptr_array_new_with_free_func(g_free)};
+	GRand *rand = kernel_rand(ms->service.kernel);
+
+	member_table_foreach(ms->table, clock_now_ms(), peer_add, &pick);
+	for (unsigned int i = 0; i < JOIN_PEERS && pick.addresses->len > 0; i++) {
+		guint index = g_rand_int_range(rand, 0, (gint32)pick.addresses->len);
+
+		member_list_ask(ms, g_ptr_array_index(pick.addresses, index));
+		g_ptr_array_remove_index_fast(pick.addresses, index);
+	}
+	g_ptr_array_free(pick.addresses, TRUE);
+}
+
+static void pause_check(struct membership *ms)
+{
+	uint64_t gap_ms = wake_tick(ms->wake, clock_now_ms());
+
+	if (gap_ms == 0)
+		return;
+	counter_increment(kernel_counters(ms->service.kernel), COUNTER_PAUSES);
+	log_event(LOG_LEVEL_WARNING, "pause_detected", "gap_ms=%" G_GUINT64_FORMAT, gap_ms);
+}
+
+static void membership_tick(evutil_socket_t fd, short what, void *arg)
+{
+	struct membership *ms = arg;
+
+	pause_check(ms);
+	member_table_tick(ms->table, clock_now_ms(), kernel_rand(ms->service.kernel));
+	roster_publish(ms);
+}
+
+/* Heartbeats repair what a lost notice of a new configuration left behind. */
+static void version_note(struct membership *ms, const struct member_entry *sender)
+{
+	struct member_entry self;
+	apr_notice *notice;
+
+	if (!member_table_find(ms->table, ms->self.name, clock_now_ms(), &self) ||
+	    sender->config_version <= self.config_version)
+		return;
+	notice = peer_args_create(APR_NOTICE);
+	notice->config_version = sender->config_version;
+	notice->rpc = g_strdup(sender->rpc);
+	kernel_message_send(ms->service.kernel,
+			    kernel_service_find(ms->service.kernel, "configurer"),
+			    &peer_call_create(APR_NOTICE, NULL, notice, 0)->message);
+}
+
+static void message_receive(struct membership *ms, const apr_member_message *in)
+{
+	struct member_message message = {.kind = (enum member_kind)in->kind, .nonce = in->nonce};
+
+	if (in->kind < MEMBER_PING || in->kind > MEMBER_PING_REQ ||
+	    !entry_decode(&message.sender, &in->sender) ||
+	    strlen(in->subject) >= sizeof(message.subject) ||
+	    strlen(in->subject_rpc) >= sizeof(message.subject_rpc)) {
+		counter_increment(kernel_counters(ms->service.kernel), COUNTER_RPC_MALFORMED);
+		return;
+	}
+	g_strlcpy(message.subject, in->subject, sizeof(message.subject));
+	g_strlcpy(message.subject_rpc, in->subject_rpc, sizeof(message.subject_rpc));
+	for (u_int i = 0; i < in->updates.updates_len && i < MEMBER_UPDATES_MAX; i++)
+		if (entry_decode(&message.updates[message.update_count],
+				 &in->updates.updates_val[i]))
+			message.update_count++;
+	version_note(ms, &message.sender);
+	member_table_receive(ms->table, &message, clock_now_ms(), kernel_rand(ms->service.kernel));
+}
+
+static void members_merge(struct membership *ms, const apr_members_reply *reply)
+{
+	u_int n = reply->members.members_len;
+	struct member_entry *list = g_new0(struct member_entry, MAX(1, n));
+	unsigned int n_valid = 0;
+
+	for (u_int i = 0; i < n; i++)
+		if (entry_decode(&list[n_valid], &reply->members.members_val[i]))
+			n_valid++;
+	member_table_merge(ms->table, list, n_valid, clock_now_ms());
+	g_free(list);
+}
+
+static void members_answer(struct membership *ms, struct peer_call *call)
+{
+	apr_members_reply *result = peer_result_create(APR_MEMBERS);
+	struct peer_reply *reply;
+	unsigned int n;
+	struct member_entry *list = member_table_snapshot(ms->table, clock_now_ms(), &n);
+
+	n = MIN(n, APR_MEMBERS_MAX);
+	result->members.members_val = g_new0(apr_member, MAX(1, n));
+	result->members.members_len = n;
+	for (unsigned int i = 0; i < n; i++)
+		entry_encode(&result->members.members_val[i], &list[i]);
+	g_free(list);
+	reply = peer_reply_create(call->tag, APR_MEMBERS, PEER_STATUS_DONE, result);
+	if (call->reply_to)
+		kernel_message_send(ms->service.kernel, call->reply_to, &reply->message);
+	else
+		message_destroy(&reply->message);
+}
+
+static bool vm_field(const json_t *vm, const char *name, char *out, size_t n_bytes)
+{
+	const char *text = json_string_value(json_object_get(vm, name));
+
+	return text && *text && g_strlcpy(out, text, n_bytes) < n_bytes;
+}
+
+static void vms_receive(struct membership *ms, const json_t *vms)
+{
+	const json_t *array = json_object_get(vms, "vms");
+	struct member_entry *list = g_new0(struct member_entry, json_array_size(array) + 1);
+	unsigned int n = 0;
+	size_t i;
+	json_t *vm;
+
+	json_array_foreach((json_t *)array, i, vm)
+	{
+		struct member_entry *e = &list[n];
+		const char *state = json_string_value(json_object_get(vm, "state"));
+
+		if (g_strcmp0(json_string_value(json_object_get(vm, "role")), "entry") != 0)
+			continue;
+		memset(e, 0, sizeof(*e));
+		if (!vm_field(vm, "name", e->name, sizeof(e->name)) ||
+		    !vm_field(vm, "dc", e->dc, sizeof(e->dc)) ||
+		    !vm_field(vm, "http", e->http, sizeof(e->http)) ||
+		    !vm_field(vm, "rpc", e->rpc, sizeof(e->rpc)))
+			continue;
+		e->state = g_strcmp0(state, "leaving") == 0 ? MEMBER_LEAVING : MEMBER_LIVE;
+		n++;
+	}
+	member_table_seed(ms->table, list, n, clock_now_ms());
+	g_free(list);
+	if (!ms->has_joined) {
+		ms->has_joined = true;
+		members_ask(ms);
+	}
+}
+
+static void entry_collect(const struct member_entry *entry, void *data)
+{
+	g_array_append_vals(data, entry, 1);
+}
+
+static json_t *entries_json(struct membership *ms)
+{
+	GArray *members = g_array_new(FALSE, FALSE, sizeof(struct member_entry));
+	json_t *entries = json_array();
+	const struct entrylist_item *items;
+	struct entrylist *list;
+	unsigned int n;
+
+	member_table_foreach(ms->table, clock_now_ms(), entry_collect, members);
+	list = entrylist_create((struct member_entry *)members->data, members->len, ms->self.dc,
+				clock_now_ms(), kernel_rand(ms->service.kernel));
+	items = entrylist_items(list, &n);
+	for (unsigned int i = 0; i < n; i++)
+		json_array_append_new(entries,
+				      json_pack("{s:s, s:s, s:s, s:s}", "vm", items[i].name, "dc",
+						items[i].dc, "http", items[i].http, "id_prefix",
+						items[i].id_prefix));
+	entrylist_destroy(list);
+	g_array_free(members, TRUE);
+	return json_pack("{s:i, s:o}", "ttl_ms", ENTRYLIST_TTL_MS, "entries", entries);
+}
+
+static void member_json_add(const struct member_entry *entry, void *data)
+{
+	json_array_append_new(data, json_pack("{s:s, s:s, s:s, s:I}", "vm", entry->name, "dc",
+					      entry->dc, "state", member_state_name(entry->state),
+					      "config_version", (json_int_t)entry->config_version));
+}
+
+static json_t *members_json(struct membership *ms)
+{
+	json_t *members = json_array();
+
+	member_table_foreach(ms->table, clock_now_ms(), member_json_add, members);
+	return json_pack("{s:{s:s, s:s, s:I, s:o}}", "membership", "vm", ms->self.name, "dc",
+			 ms->self.dc, "uptime_ms", (json_int_t)(clock_now_ms() - ms->started_ms),
+			 "members", members);
+}
+
+static void status_answer(struct membership *ms, const struct status_request *request)
+{
+	json_t *body = strcmp(request->about, "entries") == 0 ? entries_json(ms) : members_json(ms);
+	struct status_reply *reply = status_reply_create(request->tag, body);
+
+	kernel_message_send(ms->service.kernel, request->reply_to, &reply->message);
+}
+
+static void peer_call_receive(struct membership *ms, struct peer_call *call)
+{
+	if (call->procedure == APR_MEMBER_MESSAGE)
+		message_receive(ms, call->args);
+	else if (call->procedure == APR_MEMBERS)
+		members_answer(ms, call);
+}
+
+static void peer_reply_receive(struct membership *ms, const struct peer_reply *reply)
+{
+	if (reply->procedure != APR_MEMBERS || reply->status != PEER_STATUS_DONE)
+		return;
+	members_merge(ms, reply->result);
+	/* The tag is the time of asking. */
+	knowledge_renewed_broadcast(ms->service.kernel, reply->tag);
+}
+
+static void membership_receive(struct service *s, struct message *m)
+{
+	struct membership *ms = (struct membership *)s;
+
+	pause_check(ms);
+	switch ((enum message_kind)m->kind) {
+	case MESSAGE_PEER_CALL:
+		peer_call_receive(ms, (struct peer_call *)m);
+		break;
+	case MESSAGE_PEER_REPLY:
+		peer_reply_receive(ms, (struct peer_reply *)m);
+		break;
+	case MESSAGE_VMS_READ:
+		vms_receive(ms, ((struct vms_read *)m)->vms);
+		break;
+	case MESSAGE_CONFIG_APPLIED:
+		member_table_set_config_version(ms->table,
+						((struct config_applied *)m)->manifest->version);
+		break;
+	case MESSAGE_RENEWAL_WANTED:
+		members_ask(ms);
+		break;
+	case MESSAGE_STOP_ANNOUNCED:
+		ms->stop_sent = true;
+		member_table_leave(ms->table);
+		break;
+	case MESSAGE_STATUS_REQUEST:
+		status_answer(ms, (struct status_request *)m);
+		break;
+	default:
+		break;
+	}
+	message_destroy(m);
+	roster_publish(ms);
+}
+
+static gboolean membership_start(struct service *s, GError **error)
+{
+	static const struct timeval period = {0, TICK_MS * 1000L};
+	struct membership *ms = (struct membership *)s;
+
+	ms->peer = kernel_service_find(s->kernel, "peer");
+	event_add(ms->tick, &period);
+	roster_publish(ms);
+	for (char **peer = ms->peers; peer && *peer; peer++)
+		if (strcmp(*peer, ms->self.rpc) != 0)
+			member_list_ask(ms, *peer);
+	return TRUE;
+}
+
+static void membership_destroy(struct service *s)
+{
+	struct membership *ms = (struct membership *)s;
+
+	event_free(ms->tick);
+	member_table_destroy(ms->table);
+	wake_destroy(ms->wake);
+	g_strfreev(ms->peers);
+	g_free(ms);
+}
+
+struct service *membership_create(struct kernel *k, const struct membership_settings *settings)
+{
+	static const struct service_ops ops = {
+		.name = "membership",
+		.start = membership_start,
+		.receive = membership_receive,
+		.destroy = membership_destroy,
+	};
+	struct membership *ms = g_new0(struct membership, 1);
+
+	ms->service.ops = &ops;
+	ms->transport.ops = &transport_ops;
+	g_strlcpy(ms->self.name, settings->name, sizeof(ms->self.name));
+	g_strlcpy(ms->self.dc, settings->dc, sizeof(ms->self.dc));
+	g_strlcpy(ms->self.http, settings->http_address, sizeof(ms->self.http));
+	g_strlcpy(ms->self.rpc, settings->rpc_address, sizeof(ms->self.rpc));
+	ms->self.incarnation = settings->incarnation;
+	ms->self.started_ms = clock_wall_ms();
+	ms->started_ms = settings->started_ms;
+
+	ms->peers = settings->peers ? g_strsplit(settings->peers, ",", -1) : NULL;
+	ms->wake = wake_create(settings->lease_ms);
+	ms->table = member_table_create(&ms->self, &ms->transport, settings->started_ms);
+	ms->tick = event_new(kernel_base(k), -1, EV_PERSIST, membership_tick, ms);
+	return &ms->service;
+}
--- /dev/null
+++ b/src/message.c
@@ -0,0 +1,260 @@
+#include "message.h"
+
+#include "procedure.h"
+
+static const struct procedure_types {
+	uint32_t number;
+	xdrproc_t args_xdr;
+	size_t args_bytes;
+	xdrproc_t result_xdr;
+	size_t result_bytes;
+} procedure_types[] = {
+#define X(number, args, result, service, by_datagram) \
+	{number, (xdrproc_t)xdr_##args, sizeof(args), (xdrproc_t)xdr_##result, sizeof(result)},
+	PROCEDURE_LIST(X)
+#undef X
+};
+
+static const struct procedure_types *types_find(uint32_t number)
+{
+	for (size_t i = 0; i < G_N_ELEMENTS(procedure_types); i++)
+		if (procedure_types[i].number == number)
+			return &procedure_types[i];
+	g_assert_not_reached();
+}
+
+void *peer_args_create(uint32_t procedure)
+{
+	return g_malloc0(types_find(procedure)->args_bytes);
+}
+
+void peer_args_destroy(uint32_t procedure, void *args)
+{
+	if (!args)
+		return;
+	xdr_free(types_find(procedure)->args_xdr, args);
+	g_free(args);
+}
+
+void *peer_result_create(uint32_t procedure)
+{
+	return g_malloc0(types_find(procedure)->result_bytes);
+}
+
+void peer_result_destroy(uint32_t procedure, void *result)
+{
+	if (!result)
+		return;
+	xdr_free(types_find(procedure)->result_xdr, result);
+	g_free(result);
+}
+
+static void caller_request_destroy(struct message *m)
+{
+	struct caller_request *r = (struct caller_request *)m;
+
+	g_free(r->service);
+	g_free(r->klass);
+	g_free(r->caller);
+	g_free(r->body);
+	g_free(r->id);
+	g_free(r->key);
+	g_free(r);
+}
+
+struct caller_request *caller_request_create(void)
+{
+	struct caller_request *r = g_new0(struct caller_request, 1);
+
+	r->message.kind = MESSAGE_CALLER_REQUEST;
+	r->message.destroy = caller_request_destroy;
+	return r;
+}
+
+static void caller_answer_destroy(struct message *m)
+{
+	struct caller_answer *a = (struct caller_answer *)m;
+
+	json_decref(a->body);
+	g_free(a->service);
+	g_free(a->klass);
+	g_free(a);
+}
+
+struct caller_answer *caller_answer_create(const struct caller_request *request, enum result result,
+					   json_t *body)
+{
+	struct caller_answer *a = g_new0(struct caller_answer, 1);
+
+	a->message.kind = MESSAGE_CALLER_ANSWER;
+	a->message.destroy = caller_answer_destroy;
+	a->tag = request->tag;
+	a->result = result;
+	a->body = body;
+	a->arrived_us = request->arrived_us;
+	return a;
+}
+
+static void peer_call_destroy(struct message *m)
+{
+	struct peer_call *c = (struct peer_call *)m;
+
+	peer_args_destroy(c->procedure, c->args);
+	g_free(c->address);
+	g_free(c);
+}
+
+struct peer_call *peer_call_create(uint32_t procedure, const char *address, void *args,
+				   uint64_t timeout_us)
+{
+	struct peer_call *c = g_new0(struct peer_call, 1);
+
+	c->message.kind = MESSAGE_PEER_CALL;
+	c->message.destroy = peer_call_destroy;
+	c->procedure = procedure;
+	c->address = g_strdup(address);
+	c->args = args;
+	c->timeout_us = timeout_us;
+	return c;
+}
+
+static void peer_reply_destroy(struct message *m)
+{
+	struct peer_reply *r = (struct peer_reply *)m;
+
+	peer_result_destroy(r->procedure, r->result);
+	g_free(r);
+}
+
+struct peer_reply *peer_reply_create(uint64_t tag, uint32_t procedure, enum peer_status status,
+				     void *result)
+{
+	struct peer_reply *r = g_new0(struct peer_reply, 1);
+
+	r->message.kind = MESSAGE_PEER_REPLY;
+	r->message.destroy = peer_reply_destroy;
+	r->tag = tag;
+	r->procedure = procedure;
+	r->status = status;
+	r->result = result;
+	return r;
+}
+
+static void config_applied_destroy(struct message *m)
+{
+	manifest_put(((struct config_applied *)m)->manifest);
+	g_free(m);
+}
+
+struct config_applied *config_applied_create(struct manifest *manifest)
+{
+	struct config_applied *c = g_new0(struct config_applied, 1);
+
+	c->message.kind = MESSAGE_CONFIG_APPLIED;
+	c->message.destroy = config_applied_destroy;
+	c->manifest = manifest_get(manifest);
+	return c;
+}
+
+static void roster_changed_destroy(struct message *m)
+{
+	roster_put(((struct roster_changed *)m)->roster);
+	g_free(m);
+}
+
+struct roster_changed *roster_changed_create(struct roster *roster)
+{
+	struct roster_changed *r = g_new0(struct roster_changed, 1);
+
+	r->message.kind = MESSAGE_ROSTER_CHANGED;
+	r->message.destroy = roster_changed_destroy;
+	r->roster = roster_get(roster);
+	return r;
+}
+
+static void status_request_destroy(struct message *m)
+{
+	g_free(((struct status_request *)m)->about);
+	g_free(m);
+}
+
+struct status_request *status_request_create(struct service *reply_to, uint64_t tag,
+					     const char *about)
+{
+	struct status_request *r = g_new0(struct status_request, 1);
+
+	r->message.kind = MESSAGE_STATUS_REQUEST;
+	r->message.destroy = status_request_destroy;
+	r->reply_to = reply_to;
+	r->tag = tag;
+	r->about = g_strdup(about);
+	return r;
+}
+
+static void status_reply_destroy(struct message *m)
+{
+	json_decref(((struct status_reply *)m)->body);
+	g_free(m);
+}
+
+struct status_reply *status_reply_create(uint64_t tag, json_t *body)
+{
+	struct status_reply *r = g_new0(struct status_reply, 1);
+
+	r->message.kind = MESSAGE_STATUS_REPLY;
+	r->message.destroy = status_reply_destroy;
+	r->tag = tag;
+	r->body = body;
+	return r;
+}
+
+static void vms_read_destroy(struct message *m)
+{
+	json_decref(((struct vms_read *)m)->vms);
+	g_free(m);
+}
+
+struct vms_read *vms_read_create(json_t *vms)
+{
+	struct vms_read *r = g_new0(struct vms_read, 1);
+
+	r->message.kind = MESSAGE_VMS_READ;
+	r->message.destroy = vms_read_destroy;
+	r->vms = json_incref(vms);
+	return r;
+}
+
+static struct knowledge_renewed *knowledge_renewed_create(uint64_t asked_ms)
+{
+	struct knowledge_renewed *r = g_new0(struct knowledge_renewed, 1);
+
+	r->message.kind = MESSAGE_KNOWLEDGE_RENEWED;
+	r->asked_ms = asked_ms;
+	return r;
+}
+
+void renewal_want(struct kernel *k)
+{
+	static const char *const services[] = {"membership", "configurer"};
+
+	for (size_t i = 0; i < G_N_ELEMENTS(services); i++)
+		kernel_message_send(k, kernel_service_find(k, services[i]),
+				    message_create(MESSAGE_RENEWAL_WANTED));
+}
+
+void knowledge_renewed_broadcast(struct kernel *k, uint64_t asked_ms)
+{
+	static const char *const services[] = {"commander", "holder"};
+
+	for (size_t i = 0; i < G_N_ELEMENTS(services); i++)
+		kernel_message_send(k, kernel_service_find(k, services[i]),
+				    &knowledge_renewed_create(asked_ms)->message);
+}
+
+struct message *message_create(enum message_kind kind)
+{
+	struct message *m = g_new0(struct message, 1);
+
+	m->kind = kind;
+	return m;
+}
--- /dev/null
+++ b/src/message.h
@@ -0,0 +1,144 @@
+/*
+ * Messages between services. A message owns what its fields point to, unless a comment says
+ * otherwise; message_destroy frees it. A receiver keeps a field by taking it and clearing it.
+ */
+#ifndef APRICOT_MESSAGE_H
+#define APRICOT_MESSAGE_H
+
+#include "kernel.h"
+#include "manifest.h"
+#include "result.h"
+#include "roster.h"
+
+#include <jansson.h>
+
+G_BEGIN_DECLS
+
+enum message_kind {
+	MESSAGE_CALLER_REQUEST,
+	MESSAGE_CALLER_ANSWER,
+	MESSAGE_PEER_CALL,
+	MESSAGE_PEER_REPLY,
+	MESSAGE_CONFIG_APPLIED,
+	MESSAGE_ROSTER_CHANGED,
+	MESSAGE_STATUS_REQUEST,
+	MESSAGE_STATUS_REPLY,
+	MESSAGE_STOP_ANNOUNCED,
+	MESSAGE_RENEWAL_WANTED,
+	MESSAGE_KNOWLEDGE_RENEWED,
+	MESSAGE_VMS_READ,
+};
+
+/* A search or command of a caller, checked for form but not against the manifest. */
+struct caller_request {
+	struct message message;
+	struct service *reply_to; /* borrowed */
+	uint64_t tag; /* repeated in the answer */
+	char *service;
+	char *klass; /* "" for the first class of the service */
+	char *caller;
+	char *body; /* JSON text of the query or command */
+	char *id; /* command only */
+	char *key; /* command only: decides the shard */
+	uint64_t arrived_us;
+	uint32_t deadline_ms; /* 0: the service's */
+};
+
+struct caller_answer {
+	struct message message;
+	uint64_t tag;
+	enum result result;
+	json_t *body;
+	char *service; /* for the latency histogram; NULL when the service is unknown */
+	char *klass;
+	uint64_t arrived_us;
+};
+
+/* One RPC: from a service to a VM, or from a VM to the service that serves the procedure. */
+struct peer_call {
+	struct message message;
+	struct service *reply_to; /* borrowed; NULL when no reply is wanted */
+	uint64_t tag;
+	uint32_t procedure;
+	char *address; /* NULL on the serving side */
+	void *args; /* an apr_* struct of the procedure */
+	uint64_t timeout_us;
+};
+
+enum peer_status { PEER_STATUS_DONE, PEER_STATUS_NOT_SENT, PEER_STATUS_LOST };
+
+struct peer_reply {
+	struct message message;
+	uint64_t tag;
+	uint32_t procedure;
+	enum peer_status status;
+	void *result; /* NULL unless the status is DONE */
+};
+
+struct config_applied {
+	struct message message;
+	struct manifest *manifest;
+};
+
+struct roster_changed {
+	struct message message;
+	struct roster *roster;
+};
+
+struct status_request {
+	struct message message;
+	struct service *reply_to; /* borrowed */
+	uint64_t tag;
+	char *about; /* what is asked for; service-specific */
+};
+
+struct status_reply {
+	struct message message;
+	uint64_t tag;
+	json_t *body;
+};
+
+/* The platform or a peer answered a request that was sent at asked_ms. */
+struct knowledge_renewed {
+	struct message message;
+	uint64_t asked_ms;
+};
+
+/* The platform's VM list, as read. */
+struct vms_read {
+	struct message message;
+	json_t *vms;
+};
+
+struct caller_request *caller_request_create(void);
+struct caller_answer *caller_answer_create(const struct caller_request *request, enum result result,
+					   json_t *body);
+struct peer_call *peer_call_create(uint32_t procedure, const char *address, void *args,
+				   uint64_t timeout_us);
+struct peer_reply *peer_reply_create(uint64_t tag, uint32_t procedure, enum peer_status status,
+				     void *result);
+struct config_applied *config_applied_create(struct manifest *m);
+struct roster_changed *roster_changed_create(struct roster *r);
+struct status_request *status_request_create(struct service *reply_to, uint64_t tag,
+					     const char *about);
+struct status_reply *status_reply_create(uint64_t tag, json_t *body);
+struct vms_read *vms_read_create(json_t *vms);
+/* Asks the services that hear from others for news, after a pause of this process. */
+void renewal_want(struct kernel *k);
+/* Tells the services that dispatch commands. */
+void knowledge_renewed_broadcast(struct kernel *k, uint64_t asked_ms);
+/* A message without fields. */
+struct message *message_create(enum message_kind kind);
+
+/*
+ * Allocates arguments or a result of an RPC procedure, and frees them with all they point to.
+ * NULL has no effect on free. The procedures are those of apricot.x.
+ */
+void *peer_args_create(uint32_t procedure);
+void peer_args_destroy(uint32_t procedure, void *args);
+void *peer_result_create(uint32_t procedure);
+void peer_result_destroy(uint32_t procedure, void *result);
+
+G_END_DECLS
+
+#endif
--- /dev/null
+++ b/src/settings.c
@@ -0,0 +1,153 @@
+#include "settings.h"
+
+#include "log.h"
+#include "manifest.h"
+#include "result.h"
+
+#include <string.h>
+
+#define NAME_BYTES_MAX 63
+
+static bool text_check(const char *flag, const char *env, bool is_required, char **text,
+		       GError **error)
+{
+	if (!*text)
+		*text = g_strdup(g_getenv(env));
+	if (is_required && (!*text || !**text)) {
+		g_set_error(error, RESULT_ERROR, RESULT_BAD_SETTING, "--%s (or %s) is required",
+			    flag, env);
+		return false;
+	}
+	return true;
+}
+
+static bool number_check(const char *flag, const char *env, const char *text, uint64_t fallback,
+			 uint64_t min, uint64_t max, uint64_t *out, GError **error)
+{
+	if (!text)
+		text = g_getenv(env);
+	*out = fallback;
+	if (text && !g_ascii_string_to_unsigned(text, 10, min, max, out, NULL)) {
+		g_set_error(error, RESULT_ERROR, RESULT_BAD_SETTING,
+			    "--%s (or %s): '%s' is not a whole number from %" G_GUINT64_FORMAT
+			    " to %" G_GUINT64_FORMAT,
+			    flag, env, text, min, max);
+		return false;
+	}
+	return true;
+}
+
+static bool address_check(const char *flag, const char *text, GError **error)
+{
+	if (manifest_address_is_valid(text))
+		return true;
+	g_set_error(error, RESULT_ERROR, RESULT_BAD_SETTING,
+		    "--%s: '%s' is not an address of the form IP:PORT", flag, text);
+	return false;
+}
+
+static bool addresses_check(const char *flag, const char *text, GError **error)
+{
+	g_auto(GStrv) addresses = g_strsplit(text, ",", -1);
+
+	for (char **address = addresses; *address; address++)
+		if (!address_check(flag, *address, error))
+			return false;
+	return true;
+}
+
+static bool name_check(const char *flag, const char *text, GError **error)
+{
+	for (const char *c = text; *c; c++) {
+		if (!g_ascii_isalnum(*c) && !strchr("-_.", *c)) {
+			g_set_error(error, RESULT_ERROR, RESULT_BAD_SETTING,
+				    "--%s: '%s' has a character besides letters, digits, '-', "
+				    "'_' and '.'",
+				    flag, text);
+			return false;
+		}
+	}
+	if (strlen(text) <= NAME_BYTES_MAX)
+		return true;
+	g_set_error(error, RESULT_ERROR, RESULT_BAD_SETTING, "--%s: longer than %d bytes", flag,
+		    NAME_BYTES_MAX);
+	return false;
+}
+
+static bool settings_check(struct settings *s, GError **error)
+{
+	enum log_level level;
+
+	if (!name_check("name", s->name, error) || !name_check("dc", s->dc, error) ||
+	    !address_check("http", s->http, error) || !address_check("rpc", s->rpc, error) ||
+	    !address_check("platform", s->platform, error))
+		return false;
+	if (s->peers && !addresses_check("peers", s->peers, error))
+		return false;
+	if (s->log_level && !log_level_parse(s->log_level, &level)) {
+		g_set_error(error, RESULT_ERROR, RESULT_BAD_SETTING,
+			    "--log-level: '%s' is not error, warning or info", s->log_level);
+		return false;
+	}
+	return true;
+}
+
+struct settings *settings_create(int argc, char **argv, GError **error)
+{
+	struct settings *s = g_new0(struct settings, 1);
+#define X(field, flag, env, fallback, min, max, help) char *field##_text = NULL;
+	SETTINGS_NUMBER_LIST(X)
+#undef X
+	const GOptionEntry entries[] = {
+#define X(field, flag, env, required, help) \
+	{flag, 0, 0, G_OPTION_ARG_STRING, &s->field, help " [" env "]", "TEXT"},
+		SETTINGS_TEXT_LIST(X)
+#undef X
+#define X(field, flag, env, fallback, min, max, help)                                              \
+	{flag, 0, 0, G_OPTION_ARG_STRING, &field##_text, help " [" env ", default " #fallback "]", \
+	 "N"},
+			SETTINGS_NUMBER_LIST(X)
+#undef X
+				G_OPTION_ENTRY_NULL};
+	GOptionContext *context =
+		g_option_context_new("- query tier daemon, one for each entry VM");
+	GError *parse_error = NULL;
+	bool ok = true;
+
+	g_option_context_add_main_entries(context, entries, NULL);
+	if (!g_option_context_parse(context, &argc, &argv, &parse_error)) {
+		g_set_error(error, RESULT_ERROR, RESULT_BAD_SETTING, "%s", parse_error->message);
+		g_error_free(parse_error);
+		ok = false;
+	} else if (argc > 1) {
+		g_set_error(error, RESULT_ERROR, RESULT_BAD_SETTING, "unexpected argument '%s'",
+			    argv[1]);
+		ok = false;
+	}
+#define X(field, flag, env, required, help) \
+	ok = ok && text_check(flag, env, required, &s->field, error);
+	SETTINGS_TEXT_LIST(X)
+#undef X
+#define X(field, flag, env, fallback, min, max, help) \
+	ok = ok && number_check(flag, env, field##_text, fallback, min, max, &s->field, error);
+	SETTINGS_NUMBER_LIST(X)
+#undef X
+#define X(field, flag, env, fallback, min, max, help) g_free(field##_text);
+	SETTINGS_NUMBER_LIST(X)
+#undef X
+	g_option_context_free(context);
+	if (ok && settings_check(s, error))
+		return s;
+	settings_destroy(s);
+	return NULL;
+}
+
+void settings_destroy(struct settings *s)
+{
+	if (!s)
+		return;
+#define X(field, flag, env, required, help) g_free(s->field);
+	SETTINGS_TEXT_LIST(X)
+#undef X
+	g_free(s);
+}
--- /dev/null
+++ b/src/settings.h
@@ -0,0 +1,54 @@
+/*
+ * Settings of apricotd, from flags and, where a flag is absent, from environment variables. The
+ * lists drive the parser, --help and the checks.
+ */
+#ifndef APRICOT_SETTINGS_H
+#define APRICOT_SETTINGS_H
+
+#include <glib.h>
+#include <stdint.h>
+
+G_BEGIN_DECLS
+
+/* X(field, flag, environment variable, is required, help) */
+#define SETTINGS_TEXT_LIST(X)                                                                  \
+	X(name, "name", "APRICOT_NAME", 1, "name of this VM, unique in the deployment")        \
+	X(dc, "dc", "APRICOT_DC", 1, "data centre of this VM")                                 \
+	X(http, "http", "APRICOT_HTTP", 1, "IP:PORT for callers and operators")                \
+	X(rpc, "rpc", "APRICOT_RPC", 1, "IP:PORT for other VMs, TCP and UDP")                  \
+	X(platform, "platform", "APRICOT_PLATFORM", 1, "IP:PORT of the configuration service") \
+	X(peers, "peers", "APRICOT_PEERS", 0, "RPC addresses of other VMs, IP:PORT,IP:PORT")   \
+	X(log_level, "log-level", "APRICOT_LOG_LEVEL", 0, "error, warning or info (default info)")
+
+/* X(field, flag, environment variable, default, minimum, maximum, help) */
+#define SETTINGS_NUMBER_LIST(X)                                                              \
+	X(lease_ms, "lease-ms", "APRICOT_LEASE_MS", 2000, 100, 60000,                        \
+	  "pause after which knowledge is renewed, ms")                                      \
+	X(id_lifetime_ms, "id-lifetime-ms", "APRICOT_ID_LIFETIME_MS", 120000, 1000, 3600000, \
+	  "how long a command id may be used, ms")                                           \
+	X(max_ids, "max-ids", "APRICOT_MAX_IDS", 200000, 1, 10000000,                        \
+	  "command ids remembered at most")                                                  \
+	X(stop_ms, "stop-ms", "APRICOT_STOP_MS", 60000, 100, 600000,                         \
+	  "bound on a planned stop, ms")                                                     \
+	X(watch_ms, "watch-ms", "APRICOT_WATCH_MS", 5000, 100, 60000,                        \
+	  "longest wait of a watch of the platform, ms")
+
+struct settings {
+#define X(field, flag, env, required, help) char *field;
+	SETTINGS_TEXT_LIST(X)
+#undef X
+#define X(field, flag, env, fallback, min, max, help) uint64_t field;
+	SETTINGS_NUMBER_LIST(X)
+#undef X
+};
+
+/*
+ * Parses argv and the environment. NULL with RESULT_BAD_SETTING and a message that names the
+ * setting when one is unknown, missing, malformed or out of range. --help prints and exits.
+ */
+struct settings *settings_create(int argc, char **argv, GError **error);
+void settings_destroy(struct settings *s);
+
+G_END_DECLS
+
+#endif
--- a/src/stop.c
+++ b/src/stop.c
@@ -3,6 +3,7 @@
 struct stop {
 	enum stop_state state;
 	uint64_t lists_ms;
+	uint64_t limit_ms;
 	uint64_t requested_ms;
 	const char *reason;
 	unsigned int cut;
@@ -20,11 +21,12 @@
 	return "?";
 }
 
-struct stop *stop_create(uint64_t lists_ms)
+struct stop *stop_create(uint64_t lists_ms, uint64_t limit_ms)
 {
 	struct stop *s = g_new0(struct stop, 1);
 
 	s->lists_ms = lists_ms;
+	s->limit_ms = limit_ms;
 	return s;
 }
 
@@ -56,7 +58,7 @@
 	if (s->state == STOP_DRAINING && in_flight == 0)
 		stop_finish(s, "all requests finished", 0);
 	if ((s->state == STOP_ANNOUNCED || s->state == STOP_DRAINING) &&
-	    now_ms >= s->requested_ms + STOP_LIMIT_MS)
+	    now_ms >= s->requested_ms + s->limit_ms)
 		stop_finish(s,
 			    in_flight ? "time limit, requests in flight"
 				      : "time limit, lists not expired",
--- a/src/stop.h
+++ b/src/stop.h
@@ -11,7 +11,7 @@
 
 G_BEGIN_DECLS
 
-#define STOP_LIMIT_MS 60000
+#define STOP_LIMIT_MS 60000 /* default of the limit */
 
 /* X(symbol, name) */
 #define STOP_STATE_LIST(X)        \
@@ -31,9 +31,9 @@
 /*
  * lists_ms: time from the announcement until the last list that names this VM has expired, that is,
  * the time to live of the list plus the time in which the other VMs learn of the announcement.
- * Destroy accepts NULL.
+ * limit_ms: the stop is done then, whatever is unfinished. Destroy accepts NULL.
  */
-struct stop *stop_create(uint64_t lists_ms);
+struct stop *stop_create(uint64_t lists_ms, uint64_t limit_ms);
 void stop_destroy(struct stop *s);
 
 /* Starts the stop: the caller announces it to the members. Returns false if it had started before.
--- /dev/null
+++ b/src/stopper.c
@@ -0,0 +1,142 @@
+#include "stopper.h"
+
+#include "clock.h"
+#include "entrylist.h"
+#include "log.h"
+#include "message.h"
+#include "stop.h"
+
+#define POLL_MS 50
+/* Time in which the other VMs learn of the announcement and leave this one out of their lists. */
+#define SPREAD_MS 2000
+
+struct stopper {
+	struct service service;
+	struct stop *stop;
+	struct event *poll;
+	unsigned int in_flight; /* sum of the last complete round of replies */
+	unsigned int round_sum;
+	unsigned int replies_missing;
+	bool has_round;
+};
+
+static const char *const working_services[] = {"front", "holder", "commander"};
+
+static void work_ask(struct stopper *st)
+{
+	st->round_sum = 0;
+	st->replies_missing = G_N_ELEMENTS(working_services);
+	for (size_t i = 0; i < G_N_ELEMENTS(working_services); i++) {
+		struct service *to = kernel_service_find(st->service.kernel, working_services[i]);
+
+		kernel_message_send(st->service.kernel, to,
+				    &status_request_create(&st->service, 0, "work")->message);
+	}
+}
+
+static unsigned int work_count(const json_t *body)
+{
+	const json_t *front = json_object_get(body, "front");
+	const json_t *holder = json_object_get(body, "holder");
+	const json_t *commander = json_object_get(body, "commander");
+
+	return (unsigned int)(json_integer_value(json_object_get(front, "requests")) +
+			      json_integer_value(json_object_get(holder, "jobs")) +
+			      json_integer_value(json_object_get(commander, "in_progress")));
+}
+
+static void status_receive(struct stopper *st, const struct status_reply *reply)
+{
+	if (st->replies_missing == 0)
+		return;
+	st->round_sum += work_count(reply->body);
+	if (--st->replies_missing > 0)
+		return;
+	st->in_flight = st->round_sum;
+	st->has_round = true;
+}
+
+static void stopper_poll(evutil_socket_t fd, short what, void *arg)
+{
+	struct stopper *st = arg;
+	/* Answers that are still in output buffers are written before the next round ends. */
+	unsigned int in_flight = st->has_round ? st->in_flight : 1;
+
+	if (stop_tick(st->stop, in_flight, clock_now_ms()) != STOP_DONE) {
+		st->has_round = false;
+		work_ask(st);
+		return;
+	}
+	if (stop_cut_count(st->stop) > 0)
+		log_event(LOG_LEVEL_WARNING, "stop_bound_reached", "reason=\"%s\" cut=%u",
+			  stop_reason(st->stop), stop_cut_count(st->stop));
+	else
+		log_event(LOG_LEVEL_INFO, "stop_done", "reason=\"%s\"", stop_reason(st->stop));
+	event_base_loopexit(kernel_base(st->service.kernel), NULL);
+}
+
+static void stop_start(struct stopper *st)
+{
+	static const struct timeval period = {0, POLL_MS * 1000L};
+	struct kernel *k = st->service.kernel;
+
+	if (!stop_request(st->stop, clock_now_ms()))
+		return;
+	log_event(LOG_LEVEL_INFO, "stop_announced", "lists_ms=%d", ENTRYLIST_TTL_MS + SPREAD_MS);
+	kernel_message_send(k, kernel_service_find(k, "membership"),
+			    message_create(MESSAGE_STOP_ANNOUNCED));
+	event_add(st->poll, &period);
+}
+
+static void status_answer(struct stopper *st, const struct status_request *request)
+{
+	json_t *body =
+		json_pack("{s:{s:s}}", "stop", "state", stop_state_name(stop_state(st->stop)));
+	struct status_reply *reply = status_reply_create(request->tag, body);
+
+	kernel_message_send(st->service.kernel, request->reply_to, &reply->message);
+}
+
+static void stopper_receive(struct service *s, struct message *m)
+{
+	struct stopper *st = (struct stopper *)s;
+
+	switch ((enum message_kind)m->kind) {
+	case MESSAGE_STOP_ANNOUNCED:
+		stop_start(st);
+		break;
+	case MESSAGE_STATUS_REPLY:
+		status_receive(st, (struct status_reply *)m);
+		break;
+	case MESSAGE_STATUS_REQUEST:
+		status_answer(st, (struct status_request *)m);
+		break;
+	default:
+		break;
+	}
+	message_destroy(m);
+}
+
+static void stopper_destroy(struct service *s)
+{
+	struct stopper *st = (struct stopper *)s;
+
+	event_free(st->poll);
+	stop_destroy(st->stop);
+	g_free(st);
+}
+
+struct service *stopper_create(struct kernel *k, uint64_t bound_ms)
+{
+	static const struct service_ops ops = {
+		.name = "stopper",
+		.receive = stopper_receive,
+		.destroy = stopper_destroy,
+	};
+	struct stopper *st = g_new0(struct stopper, 1);
+
+	st->service.ops = &ops;
+	st->stop = stop_create(ENTRYLIST_TTL_MS + SPREAD_MS, bound_ms);
+	st->poll = event_new(kernel_base(k), -1, EV_PERSIST, stopper_poll, st);
+	return &st->service;
+}
--- a/tests/stop_test.cc
+++ b/tests/stop_test.cc
@@ -26,7 +26,7 @@
 	}
 
       private:
-	stop *s = stop_create(13000);
+	stop *s = stop_create(13000, STOP_LIMIT_MS);
 };
 
 bool registered =
--- /dev/null
+++ b/tests/system_test.cc
@@ -0,0 +1,548 @@
+/*
+ * Scripted tests of whole deployments: apricotd, apricotctl's interface and the stand-ins as
+ * separate processes on loopback. tests/system.test holds the cases.
+ */
+#include <gtest/gtest.h>
+#include <jansson.h>
+#include <signal.h>
+#include <stdlib.h>
+
+#include <algorithm>
+#include <filesystem>
+#include <fstream>
+#include <map>
+#include <memory>
+#include <set>
+#include <sstream>
+
+#include "process.h"
+#include "script.h"
+
+namespace
+{
+struct json_ref {
+	json_t *json;
+
+	explicit json_ref(const std::string &text) : json(json_loads(text.c_str(), 0, nullptr))
+	{
+	}
+	~json_ref()
+	{
+		json_decref(json);
+	}
+	json_ref(const json_ref &) = delete;
+	json_ref &operator=(const json_ref &) = delete;
+};
+
+std::string text_of(const json_t *object, const char *key)
+{
+	const char *text = json_string_value(json_object_get(object, key));
+
+	return text ? text : "";
+}
+
+json_int_t number_of(const json_t *object, const char *key)
+{
+	return json_integer_value(json_object_get(object, key));
+}
+
+struct program {
+	std::vector<std::string> args;
+	std::unique_ptr<process> running;
+	uint16_t port = 0; /* HTTP */
+	uint16_t control_port = 0; /* backend servers only */
+};
+
+class deployment : public script_interpreter
+{
+      public:
+	~deployment() override
+	{
+		programs.clear();
+		if (!dir.empty())
+			std::filesystem::remove_all(dir);
+	}
+
+	std::string run(const std::vector<std::string> &words) override
+	{
+		using step = std::string (deployment::*)(const std::vector<std::string> &);
+		static const std::map<std::string, step> steps = {
+			{"deploy", &deployment::deploy},   {"ask", &deployment::ask},
+			{"command", &deployment::command}, {"repeat", &deployment::repeat},
+			{"entries", &deployment::entries}, {"signal", &deployment::signal_step},
+			{"start", &deployment::start},	   {"exit", &deployment::exit_step},
+			{"control", &deployment::control}, {"platform", &deployment::platform},
+			{"publish", &deployment::publish}, {"version", &deployment::version},
+			{"runs", &deployment::runs},	   {"quiet", &deployment::quiet},
+			{"members", &deployment::members}, {"list", &deployment::list},
+			{"post", &deployment::post},	   {"wait", &deployment::wait_step},
+			{"load", &deployment::load},	   {"loaded", &deployment::loaded},
+		};
+		auto found = steps.find(words[0]);
+
+		if (found == steps.end())
+			return "unknown step " + words[0] + "\n";
+		return (this->*found->second)(words);
+	}
+
+      private:
+	/* deploy KIND [without NAME...]: generates and starts everything but the named programs. */
+	std::string deploy(const std::vector<std::string> &words)
+	{
+		char name[] = "/tmp/apricot-system-XXXXXX";
+		std::set<std::string> held(words.begin() + 2, words.end());
+		std::string line;
+
+		if (!mkdtemp(name))
+			return "no directory\n";
+		dir = name;
+		base = ports_reserve();
+		if (process({TEST_DIR "/../scripts/gen-deployment", "--base", std::to_string(base),
+			     words[1], dir})
+			    .exit_wait(20000) != 0)
+			return "not generated\n";
+		std::ifstream in(dir + "/processes");
+		while (std::getline(in, line))
+			program_add(line);
+		for (auto &entry : programs)
+			if (!held.count(entry.first) && !is_daemon(entry.first))
+				launch(entry.first);
+		for (auto &entry : programs)
+			if (!held.count(entry.first) && is_daemon(entry.first))
+				launch(entry.first);
+		for (auto &entry : programs)
+			if (!held.count(entry.first) && is_daemon(entry.first) &&
+			    !ready_wait(entry.first))
+				return entry.first + " is not ready\n";
+		if (!wait_until([&] { return lists_are_whole(held); }))
+			return "lists are not whole\n";
+		return "ready\n";
+	}
+
+	/* Each daemon has heard from all others, so that its list names them. */
+	bool lists_are_whole(const std::set<std::string> &held)
+	{
+		size_t daemons = 0;
+
+		for (auto &entry : programs)
+			daemons += is_daemon(entry.first) && !held.count(entry.first);
+		for (auto &entry : programs) {
+			if (!is_daemon(entry.first) || held.count(entry.first))
+				continue;
+			json_ref body(http_get(entry.second.port, "/entries").body);
+
+			if (json_array_size(json_object_get(body.json, "entries")) != daemons)
+				return false;
+		}
+		return true;
+	}
+
+	void program_add(const std::string &line)
+	{
+		std::istringstream in(line);
+		std::string name, ports, word;
+		program p;
+
+		std::getline(in, name, '\t');
+		std::getline(in, ports, '\t');
+		while (in >> word)
+			p.args.push_back(word);
+		p.port = std::stoi(ports.substr(ports.find(':') + 1));
+		for (size_t i = 0; i + 1 < p.args.size(); i++)
+			if (p.args[i] == "--control-port")
+				p.control_port = std::stoi(p.args[i + 1]);
+		programs[name] = std::move(p);
+	}
+
+	static bool is_daemon(const std::string &name)
+	{
+		return name.rfind("entry-", 0) == 0;
+	}
+
+	void launch(const std::string &name)
+	{
+		program &p = programs.at(name);
+		uint16_t port = p.control_port ? p.control_port : p.port;
+
+		p.running = std::make_unique<process>(p.args);
+		wait_until([&] { return http_connection(port).is_open(); });
+	}
+
+	bool ready_wait(const std::string &name)
+	{
+		return wait_until([&] {
+			json_ref status(http_get(programs.at(name).port, "/status").body);
+
+			return json_is_true(
+				json_object_get(json_object_get(status.json, "config"), "ready"));
+		});
+	}
+
+	static std::string shards_text(const json_t *missing)
+	{
+		std::string out;
+		size_t i;
+		json_t *shard;
+
+		json_array_foreach(missing, i, shard)
+		{
+			out += (i ? "," : "") + std::to_string(number_of(shard, "shard"));
+		}
+		return out.empty() ? "none" : out;
+	}
+
+	/* ask ENTRY SERVICE: result, coverage and whether every hit fits snapshot and coverage. */
+	std::string ask(const std::vector<std::string> &words)
+	{
+		http_answer answer =
+			http_post(programs.at(words[1]).port, "/search",
+				  "{\"service\": \"" + words[2] + "\", \"query\": \"q\"}");
+		json_ref body(answer.body);
+		const json_t *coverage = json_object_get(body.json, "coverage");
+		const json_t *snapshot = json_object_get(body.json, "snapshot");
+		std::set<json_int_t> included;
+		std::ostringstream out;
+		size_t i;
+		json_t *item;
+		bool fits = true;
+
+		if (!coverage)
+			return text_of(body.json, "reason") + "\n";
+		json_array_foreach(json_object_get(coverage, "included"), i, item)
+		{
+			included.insert(json_integer_value(item));
+		}
+		json_array_foreach(json_object_get(body.json, "hits"), i, item)
+		{
+			std::string mark =
+				"-v" + std::to_string(number_of(snapshot, "index_version")) + "-";
+
+			fits = fits && included.count(number_of(item, "shard")) &&
+			       text_of(item, "id").find(mark) != std::string::npos;
+		}
+		out << text_of(body.json, "reason") << " index "
+		    << number_of(snapshot, "index_version") << " included " << included.size()
+		    << " of " << number_of(coverage, "shards") << " missing "
+		    << shards_text(json_object_get(coverage, "missing"))
+		    << (fits ? "" : " with foreign hits") << "\n";
+		return out.str();
+	}
+
+	std::string command_send(const std::string &entry, const std::string &service,
+				 const std::string &id)
+	{
+		http_answer answer = http_post(programs.at(entry).port, "/command",
+					       "{\"service\": \"" + service + "\", \"id\": \"" +
+						       id + "\", \"key\": \"k\", \"body\": 1}");
+		json_ref body(answer.body);
+
+		if (answer.status == 0)
+			return "no answer\n";
+		return text_of(body.json, "outcome") + " " + text_of(body.json, "reason") + "\n";
+	}
+
+	std::string id_create(const std::string &entry)
+	{
+		json_ref body(http_get(programs.at(entry).port, "/entries").body);
+		size_t i;
+		json_t *item;
+
+		json_array_foreach(json_object_get(body.json, "entries"), i, item)
+		{
+			if (text_of(item, "vm") == entry)
+				return text_of(item, "id_prefix") + ".test" +
+				       std::to_string(10000 + ids++);
+		}
+		return "none";
+	}
+
+	/* command ENTRY SERVICE: with a new id of that entry. */
+	std::string command(const std::vector<std::string> &words)
+	{
+		last_id = id_create(words[1]);
+		return command_send(words[1], words[2], last_id);
+	}
+
+	/* repeat ENTRY SERVICE: the last id once more. */
+	std::string repeat(const std::vector<std::string> &words)
+	{
+		return command_send(words[1], words[2], last_id);
+	}
+
+	/* entries ENTRY: the VMs of its list, sorted. */
+	std::string entries(const std::vector<std::string> &words)
+	{
+		json_ref body(http_get(programs.at(words[1]).port, "/entries").body);
+		std::set<std::string> names;
+		std::string out;
+		size_t i;
+		json_t *item;
+
+		json_array_foreach(json_object_get(body.json, "entries"), i, item)
+		{
+			names.insert(text_of(item, "vm"));
+		}
+		for (const auto &name : names)
+			out += (out.empty() ? "" : " ") + name;
+		return out + "\n";
+	}
+
+	/* signal NAME... SIGNAL */
+	std::string signal_step(const std::vector<std::string> &words)
+	{
+		static const std::map<std::string, int> signals = {
+			{"KILL", SIGKILL}, {"STOP", SIGSTOP}, {"CONT", SIGCONT}, {"TERM", SIGTERM}};
+
+		for (size_t i = 1; i + 1 < words.size(); i++) {
+			process &p = *programs.at(words[i]).running;
+
+			p.signal_send(signals.at(words.back()));
+			if (words.back() == "KILL")
+				p.exit_wait();
+		}
+		return "";
+	}
+
+	/* start NAME [argument...]: also again, as a new process. */
+	std::string start(const std::vector<std::string> &words)
+	{
+		program &p = programs.at(words[1]);
+
+		p.args.insert(p.args.end(), words.begin() + 2, words.end());
+		for (auto &arg : p.args) {
+			size_t at = arg.find("RPC-OF-");
+
+			/* RPC-OF-entry-0: the address of that daemon. */
+			if (at != std::string::npos)
+				arg = rpc_of(arg.substr(at + 7));
+		}
+		launch(words[1]);
+		return is_daemon(words[1]) && !ready_wait(words[1]) ? "not ready\n" : "";
+	}
+
+	std::string rpc_of(const std::string &name)
+	{
+		const auto &args = programs.at(name).args;
+		auto at = std::find(args.begin(), args.end(), "--rpc");
+
+		return at == args.end() ? "" : *(at + 1);
+	}
+
+	/* exit NAME SECONDS: exit status, within the time. */
+	std::string exit_step(const std::vector<std::string> &words)
+	{
+		int status = programs.at(words[1]).running->exit_wait(std::stoi(words[2]) * 1000);
+
+		return "status " + std::to_string(status) + "\n";
+	}
+
+	/* control NAME KEY VALUE */
+	std::string control(const std::vector<std::string> &words)
+	{
+		http_answer answer = http_post(programs.at(words[1]).control_port,
+					       "/control?key=" + words[2] + "&value=" + words[3]);
+
+		return answer.status == 200 ? "" : answer.body + "\n";
+	}
+
+	std::string platform(const std::vector<std::string> &words)
+	{
+		http_post(programs.at("platform").port, "/control?key=mode&value=" + words[1]);
+		return "";
+	}
+
+	/* publish SERVICE KEY NUMBER: changes a number of a service in the manifest. */
+	std::string publish(const std::vector<std::string> &words)
+	{
+		json_t *whole = json_load_file((dir + "/manifest.json").c_str(), 0, nullptr);
+		size_t i;
+		json_t *service;
+		char *text;
+
+		json_array_foreach(json_object_get(whole, "services"), i, service)
+		{
+			if (text_of(service, "name") == words[1])
+				json_object_set_new(service, words[2].c_str(),
+						    json_integer(std::stoi(words[3])));
+		}
+		json_dump_file(whole, (dir + "/manifest.json").c_str(), 0);
+		text = json_dumps(whole, 0);
+		http_put(programs.at("platform").port, "/v1/manifest", text);
+		free(text);
+		json_decref(whole);
+		return "";
+	}
+
+	json_int_t version_of(const std::string &entry)
+	{
+		json_ref status(http_get(programs.at(entry).port, "/status").body);
+
+		return number_of(json_object_get(status.json, "config"), "version");
+	}
+
+	/* version NUMBER MS ENTRY...: whether all have it in force within the time. */
+	std::string version(const std::vector<std::string> &words)
+	{
+		json_int_t wanted = std::stoi(words[1]);
+		std::string out;
+
+		wait_until(
+			[&] {
+				for (size_t i = 3; i < words.size(); i++)
+					if (version_of(words[i]) != wanted)
+						return false;
+				return true;
+			},
+			std::stoi(words[2]));
+		for (size_t i = 3; i < words.size(); i++)
+			out += words[i] + " " + std::to_string(version_of(words[i])) + "\n";
+		return out;
+	}
+
+	/* runs BACKEND...: command ids that ran, and how often at most, by their own record. */
+	std::string runs(const std::vector<std::string> &words)
+	{
+		size_t ran = 0;
+		json_int_t most = 0;
+
+		for (size_t i = 1; i < words.size(); i++) {
+			json_ref record(
+				http_get(programs.at(words[i]).control_port, "/record").body);
+			const char *id;
+			json_t *times;
+
+			json_object_foreach(json_object_get(record.json, "commands"), id, times)
+			{
+				ran++;
+				most = std::max(most, json_integer_value(times));
+			}
+		}
+		return "ids " + std::to_string(ran) + " at most " + std::to_string(most) + "\n";
+	}
+
+	/* quiet BACKEND MS: no new work from MS after now on, while searches go on for a second. */
+	std::string quiet(const std::vector<std::string> &words)
+	{
+		uint16_t port = programs.at(words[1]).control_port;
+		json_int_t before, after;
+
+		for (int64_t end = clock_ms() + std::stoi(words[2]); clock_ms() < end;)
+			ask({"ask", "entry-0", "catalogue"});
+		before = number_of(json_ref(http_get(port, "/record").body).json, "received");
+		for (int64_t end = clock_ms() + 1000; clock_ms() < end;)
+			ask({"ask", "entry-0", "catalogue"});
+		after = number_of(json_ref(http_get(port, "/record").body).json, "received");
+		return after == before ? "quiet\n"
+				       : "received " + std::to_string(after - before) + "\n";
+	}
+
+	/* members ENTRY MS STATE NAME...: whether it sees them so within the time. */
+	std::string members(const std::vector<std::string> &words)
+	{
+		auto sees = [&] {
+			json_ref status(http_get(programs.at(words[1]).port, "/status").body);
+			std::map<std::string, std::string> states;
+			size_t i;
+			json_t *member;
+
+			json_array_foreach(
+				json_object_get(json_object_get(status.json, "membership"),
+						"members"),
+				i, member)
+			{
+				states[text_of(member, "vm")] = text_of(member, "state");
+			}
+			for (size_t j = 4; j < words.size(); j++) {
+				auto state = states.find(words[j]);
+
+				if (words[3] != (state == states.end() ? "absent" : state->second))
+					return false;
+			}
+			return true;
+		};
+
+		return wait_until(sees, std::stoi(words[2])) ? "yes\n" : "no\n";
+	}
+
+	/* list NAME STATE: marks a machine in the platform's list. */
+	std::string list(const std::vector<std::string> &words)
+	{
+		json_t *vms = json_load_file((dir + "/vms.json").c_str(), 0, nullptr);
+		size_t i;
+		json_t *vm;
+		char *text;
+
+		json_array_foreach(json_object_get(vms, "vms"), i, vm)
+		{
+			if (text_of(vm, "name") == words[1])
+				json_object_set_new(vm, "state", json_string(words[2].c_str()));
+		}
+		json_dump_file(vms, (dir + "/vms.json").c_str(), 0);
+		text = json_dumps(vms, 0);
+		http_put(programs.at("platform").port, "/v1/vms", text);
+		free(text);
+		json_decref(vms);
+		return "";
+	}
+
+	/* post ENTRY PATH BODY: status and result, for malformed requests. */
+	std::string post(const std::vector<std::string> &words)
+	{
+		std::string text;
+
+		for (size_t i = 3; i < words.size(); i++)
+			text += (i > 3 ? " " : "") + words[i];
+		http_answer answer = http_post(programs.at(words[1]).port, words[2], text);
+		json_ref body(answer.body);
+
+		return std::to_string(answer.status) + " " + text_of(body.json, "reason") + "\n";
+	}
+
+	std::string wait_step(const std::vector<std::string> &words)
+	{
+		wait_until([] { return false; }, std::stoi(words[1]));
+		return "";
+	}
+
+	/* load ENTRY SERVICE COUNT: sends searches on open connections without reading the answers.
+	 */
+	std::string load(const std::vector<std::string> &words)
+	{
+		for (int i = 0; i < std::stoi(words[3]); i++) {
+			open.push_back(
+				std::make_unique<http_connection>(programs.at(words[1]).port));
+			open.back()->request_send("POST", "/search", {},
+						  "{\"service\": \"" + words[2] +
+							  "\", \"query\": \"q\"}");
+		}
+		return "";
+	}
+
+	/* loaded: how many of them got a complete answer. */
+	std::string loaded(const std::vector<std::string> &)
+	{
+		size_t n = 0;
+
+		for (auto &connection : open) {
+			json_ref body(connection->answer_read().body);
+
+			n += json_is_true(json_object_get(json_object_get(body.json, "coverage"),
+							  "complete"));
+		}
+		std::string out =
+			std::to_string(n) + " of " + std::to_string(open.size()) + " complete\n";
+		open.clear();
+		return out;
+	}
+
+	std::string dir;
+	uint16_t base = 0;
+	std::map<std::string, program> programs;
+	std::vector<std::unique_ptr<http_connection>> open;
+	std::string last_id;
+	int ids = 0;
+};
+
+const bool registered =
+	script_register("system", "system.test", [] { return std::make_unique<deployment>(); });
+} // namespace
