Keep refusing a command id after a refusal for lack of memory

A model variant (at_most_once, NO_REFUSED_REMEMBERED) shows this order: two attempts of a caller with one id are under way, the first is refused because the memory is full and the caller is told `not_run`, an entry expires, and the second attempt runs.

command_log notes refused ids in two Bloom filters of 64 Kibit, one of the current and one of the previous lifetime. A refused id still takes no entry; memory stays bounded, and a false positive refuses a new id, which is safe.

--- a/src/command.c
+++ b/src/command.c
@@ -7,6 +7,13 @@
 /* GHashTable keeps 1.1 to 2.7 slots of a key, a value and a hash (20 bytes) for each element. */
 #define HASH_BYTES_PER_ID 40
 
+/*
+ * Bits of one generation of refused ids, and bits set for an id. With 5000 refusals in a lifetime
+ * 1% of the new ids are refused as well; a filter that fills up refuses more, which is safe.
+ */
+#define REFUSED_BITS 65536
+#define REFUSED_BITS_PER_ID 4
+
 struct command_entry {
 	struct list_head node; /* in command_log.by_expiry or command_log.overdue */
 	uint64_t expires_ms;
@@ -33,6 +40,13 @@
 	 */
 	struct list_head overdue;
 	GHashTable *by_id; /* borrows the entries; the lists own them */
+	/*
+	 * Bloom filters of the ids refused for lack of memory, of this and the previous lifetime.
+	 * Without them a repeat could run after its caller was told `not_run`
+	 * (model/at_most_once.pml, NO_REFUSED_REMEMBERED).
+	 */
+	uint64_t refused[2][REFUSED_BITS / 64];
+	uint64_t refused_rotate_ms; /* when the older generation is cleared */
 };
 
 void command_prefix_format(char prefix[COMMAND_PREFIX_BYTES], uint64_t incarnation,
@@ -85,6 +99,7 @@
 	l->incarnation = incarnation;
 	l->lifetime_ms = lifetime_ms;
 	l->max_ids = max_ids;
+	l->refused_rotate_ms = lifetime_ms;
 	list_init(&l->by_expiry);
 	list_init(&l->overdue);
 	l->by_id = g_hash_table_new(g_str_hash, g_str_equal);
@@ -141,12 +156,64 @@
 	return a > UINT64_MAX - b ? UINT64_MAX : a + b;
 }
 
+/* The bits of an id by double hashing of its 64-bit FNV-1a hash. */
+static void refused_bits(const char *id, uint32_t bits[REFUSED_BITS_PER_ID])
+{
+	uint64_t hash = 0xcbf29ce484222325;
+
+	for (const char *p = id; *p; p++)
+		hash = (hash ^ (unsigned char)*p) * 0x100000001b3;
+	for (uint32_t i = 0; i < REFUSED_BITS_PER_ID; i++)
+		bits[i] = ((uint32_t)hash + i * ((uint32_t)(hash >> 32) | 1)) % REFUSED_BITS;
+}
+
+static void refused_add(struct command_log *l, const char *id)
+{
+	uint32_t bits[REFUSED_BITS_PER_ID];
+
+	refused_bits(id, bits);
+	for (int i = 0; i < REFUSED_BITS_PER_ID; i++)
+		l->refused[0][bits[i] / 64] |= (uint64_t)1 << bits[i] % 64;
+}
+
+static bool refused_has(const struct command_log *l, const char *id)
+{
+	uint32_t bits[REFUSED_BITS_PER_ID];
+
+	refused_bits(id, bits);
+	for (int generation = 0; generation < 2; generation++) {
+		bool has = true;
+
+		for (int i = 0; i < REFUSED_BITS_PER_ID; i++)
+			has &= l->refused[generation][bits[i] / 64] >> bits[i] % 64 & 1;
+		if (has)
+			return true;
+	}
+	return false;
+}
+
+/* Each generation takes ids for one lifetime and is kept for a second one. */
+static void refused_rotate(struct command_log *l)
+{
+	bool both = l->now_ms >= add_saturated(l->refused_rotate_ms, l->lifetime_ms);
+
+	if (l->now_ms < l->refused_rotate_ms)
+		return;
+	if (both)
+		memset(l->refused[1], 0, sizeof(l->refused[1]));
+	else
+		memcpy(l->refused[1], l->refused[0], sizeof(l->refused[1]));
+	memset(l->refused[0], 0, sizeof(l->refused[0]));
+	l->refused_rotate_ms = add_saturated(l->now_ms, l->lifetime_ms);
+}
+
 void command_log_expire(struct command_log *l, uint64_t now_ms)
 {
 	struct list_head *node, *next;
 
 	if (now_ms > l->now_ms)
 		l->now_ms = now_ms;
+	refused_rotate(l);
 	list_for_each_safe (node, next, &l->by_expiry) {
 		struct command_entry *e = list_entry(node, struct command_entry, node);
 
@@ -199,7 +266,8 @@
 	*reason = id_check(l, &parsed);
 	if (*reason != RESULT_OK)
 		return COMMAND_REFUSE;
-	if (g_hash_table_size(l->by_id) >= l->max_ids) {
+	if (g_hash_table_size(l->by_id) >= l->max_ids || refused_has(l, id)) {
+		refused_add(l, id);
 		*reason = RESULT_OVERLOADED;
 		return COMMAND_REFUSE;
 	}
--- a/src/command.h
+++ b/src/command.h
@@ -68,7 +68,12 @@
  * Decides about one arrival of an id. now_ms is the uptime that ISSUED_MS refers to; a value below
  * an earlier one counts as the earlier one. *known is set for COMMAND_KNOWN and stays valid until
  * the next call with this log; otherwise it is NULL. *reason is set for COMMAND_REFUSE (BAD_ID,
- * FOREIGN_ID, EXPIRED_ID or OVERLOADED) and is otherwise RESULT_OK. A refused id is not remembered.
+ * FOREIGN_ID, EXPIRED_ID or OVERLOADED) and is otherwise RESULT_OK.
+ *
+ * A refused id takes no entry. After OVERLOADED its repeats get OVERLOADED again, also when there
+ * is room, because its caller was told `not_run`; a few other new ids can be refused with it. For
+ * the same reason a refusal by the caller of this function (stale, deadline, no holder) must come
+ * after COMMAND_DISPATCH and be stored with command_log_finish().
  */
 enum command_verdict command_log_begin(struct command_log *l, const char *id, uint64_t now_ms,
 				       const struct command_result **known, enum result *reason);
@@ -85,7 +90,7 @@
 
 unsigned int command_log_count(const struct command_log *l);
 
-/* Bytes held, with an estimate for the hash table's slots. */
+/* Bytes held, 16 KiB of them fixed, with an estimate for the hash table's slots. */
 size_t command_log_bytes(const struct command_log *l);
 
 /*
