Count the heap's overhead in command_log_bytes

With 100,000 finished ids of 54 characters and a body of 15 bytes malloc held 186.6 bytes an id, while command_log_bytes() said 168.2.

--- a/src/command.c
+++ b/src/command.c
@@ -7,6 +7,9 @@
 /* GHashTable keeps 1.1 to 2.7 slots of a key, a value and a hash (20 bytes) for each element. */
 #define HASH_BYTES_PER_ID 40
 
+/* The allocator's header of 8 bytes and the rounding to 16 bytes. */
+#define HEAP_BYTES_PER_BLOCK 12
+
 /*
  * Bits of one generation of refused ids, and bits set for an id. With 5000 refusals in a lifetime
  * 1% of the new ids are refused as well; a filter that fills up refuses more, which is safe.
@@ -119,8 +122,11 @@
 
 static size_t entry_bytes(const struct command_entry *e)
 {
-	return sizeof(*e) + strlen(e->id) + 1 + (e->result.body ? strlen(e->result.body) + 1 : 0) +
-	       HASH_BYTES_PER_ID;
+	size_t bytes = sizeof(*e) + strlen(e->id) + 1 + HEAP_BYTES_PER_BLOCK + HASH_BYTES_PER_ID;
+
+	if (e->result.body)
+		bytes += strlen(e->result.body) + 1 + HEAP_BYTES_PER_BLOCK;
+	return bytes;
 }
 
 /* Frees an entry that is in neither list any more. */
--- a/src/command.h
+++ b/src/command.h
@@ -90,7 +90,7 @@
 
 unsigned int command_log_count(const struct command_log *l);
 
-/* Bytes held, 16 KiB of them fixed, with an estimate for the hash table's slots. */
+/* Bytes held, 16 KiB of them fixed, with estimates for the hash table and the heap. */
 size_t command_log_bytes(const struct command_log *l);
 
 /*
