Pass no null pointer to qsort for an empty entry list

Cause: g_new0 of no elements returns NULL, which qsort must not get; UBSan reported it in the case entrylist.nobody_live. Change: one more element is allocated. Measured: 54 unit tests pass under AddressSanitizer and UBSan with -fno-sanitize-recover.

--- a/src/entrylist.c
+++ b/src/entrylist.c
@@ -30,7 +30,7 @@
 				   const char *own_dc, uint64_t now_ms, GRand *rand)
 {
 	struct entrylist *l = g_new0(struct entrylist, 1);
-	struct place *places = g_new0(struct place, n);
+	struct place *places = g_new0(struct place, n + 1); /* qsort takes no NULL */
 
 	l->expiry_ms = now_ms + ENTRYLIST_TTL_MS;
 	for (unsigned int i = 0; i < n; i++) {
