Bound the urgent pushes of the membership and measure its cost

Cause: with 10% packet loss suspicions and refutations increase with the number of members, and each caused pushes from every table, so that the membership itself would exceed 20 KB/s per node. Change: a push costs credit, earned once a second up to 12; bench/members.c measures traffic, CPU time, time of a change and memory at 50 to 400 members.

--- /dev/null
+++ b/bench/members.c
@@ -0,0 +1,149 @@
+/*
+ * Cost of the membership by the number of members: N tables in one process over virtual time.
+ * Usage: bench-members [LOSS_PERCENT]. CPU time includes the virtual network.
+ */
+#include "member.h"
+
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include <time.h>
+
+#define MEMBERS_MAX 400
+#define STEADY_MS 60000
+#define CHANGES 10
+#define DELAY_MS 6 /* messages take 1 to DELAY_MS - 1 */
+
+static struct member_entry selves[MEMBERS_MAX];
+static struct member_table *tables[MEMBERS_MAX];
+static unsigned int node_count;
+static GPtrArray *wire[DELAY_MS]; /* pairs of table and message */
+static uint64_t now_ms = 1000000, sent_messages, sent_bytes;
+static int loss_pct;
+static GRand *rng;
+
+static size_t xdr_string(const char *s)
+{
+	return 4 + (strlen(s) + 3) / 4 * 4;
+}
+
+/* Strings, then incarnation, started, sequence, state, configuration version, uptime. */
+static size_t xdr_entry(const struct member_entry *e)
+{
+	return xdr_string(e->name) + xdr_string(e->dc) + xdr_string(e->http) + xdr_string(e->rpc) +
+	       8 + 8 + 4 + 4 + 8 + 8;
+}
+
+/* IP and UDP headers 28, RPC call header without credentials 40, kind 4, nonce 8, count 4. */
+static size_t xdr_message(const struct member_message *m)
+{
+	size_t bytes = 28 + 40 + 4 + 8 + 4 + xdr_entry(&m->sender) + xdr_string(m->subject) +
+		       xdr_string(m->subject_rpc);
+
+	for (unsigned int i = 0; i < m->update_count; i++)
+		bytes += xdr_entry(&m->updates[i]);
+	return bytes;
+}
+
+static void node_send(struct member_transport *transport, const char *rpc,
+		      const struct member_message *message)
+{
+	size_t bytes = offsetof(struct member_message, updates) +
+		       message->update_count * sizeof(message->updates[0]);
+	GPtrArray *slot = wire[(now_ms + (uint64_t)g_rand_int_range(rng, 1, DELAY_MS)) % DELAY_MS];
+
+	sent_messages++;
+	sent_bytes += xdr_message(message);
+	if (g_rand_int_range(rng, 0, 100) < loss_pct)
+		return;
+	g_ptr_array_add(slot, tables[strtoul(strchr(rpc, ':') + 1, NULL, 10) - 10000]);
+	g_ptr_array_add(slot, g_memdup2(message, bytes));
+}
+
+static void node_changed(struct member_transport *transport, const struct member_entry *entry)
+{
+}
+
+static void run(uint64_t ms)
+{
+	for (uint64_t end_ms = now_ms + ms; now_ms < end_ms; now_ms++) {
+		GPtrArray *slot = wire[now_ms % DELAY_MS];
+
+		for (unsigned int i = 0; i < slot->len; i += 2) {
+			member_table_receive(slot->pdata[i], slot->pdata[i + 1], now_ms, rng);
+			g_free(slot->pdata[i + 1]);
+		}
+		g_ptr_array_set_size(slot, 0);
+		for (unsigned int i = now_ms % 100; i < node_count; i += 100)
+			member_table_tick(tables[i], now_ms, rng);
+	}
+}
+
+/* Every table starts with the full list, as after MEMBERS. */
+static void start(unsigned int n)
+{
+	static const struct member_transport_ops ops = {node_send, node_changed};
+	static struct member_transport transport = {&ops};
+	struct member_entry *e = selves;
+
+	node_count = n;
+	for (unsigned int i = 0; i < n; i++, e++) {
+		g_snprintf(e->name, sizeof(e->name), "entry-norte-%c-%04u", 'a' + (char)(i % 3), i);
+		g_snprintf(e->dc, sizeof(e->dc), "norte-%c", 'a' + (char)(i % 3));
+		g_snprintf(e->http, sizeof(e->http), "10.10.%u.%u:8080", i / 250, i % 250);
+		g_snprintf(e->rpc, sizeof(e->rpc), "10.10.%u.%u:%u", i / 250, i % 250, 10000 + i);
+		e->incarnation = i + 1;
+		tables[i] = member_table_create(e, &transport, now_ms);
+	}
+	for (unsigned int i = 0; i < n; i++)
+		member_table_merge(tables[i], selves, n, now_ms);
+}
+
+static bool all_know_leaver(const char *name)
+{
+	struct member_entry e;
+
+	for (unsigned int i = 0; i < node_count; i++)
+		if (!member_table_find(tables[i], name, now_ms, &e) || e.state != MEMBER_LEAVING)
+			return false;
+	return true;
+}
+
+static void measure(unsigned int n)
+{
+	double per = n * (STEADY_MS / 1000.0), max_ms = 0, cpu;
+
+	start(n);
+	sent_bytes = sent_messages = 0;
+	cpu = (double)clock();
+	run(STEADY_MS);
+	cpu = (double)clock() - cpu;
+	printf("%7u  %7.0f  %10.2f  %8.1f", n, (double)sent_bytes / per,
+	       (double)sent_messages / per, cpu * 1e6 / CLOCKS_PER_SEC / per);
+	for (unsigned int i = 0; i < CHANGES; i++) {
+		uint64_t start_ms = now_ms;
+
+		for (member_table_leave(tables[i]); !all_know_leaver(selves[i].name);)
+			run(10);
+		max_ms = MAX(max_ms, (double)(now_ms - start_ms));
+		run(5000);
+	}
+	printf("  %13.0f  %12zu\n", max_ms, member_table_bytes(tables[0]) / n);
+}
+
+int main(int argc, char **argv)
+{
+	rng = g_rand_new_with_seed(1);
+	for (int i = 0; i < DELAY_MS; i++)
+		wire[i] = g_ptr_array_new();
+	puts("members  bytes/s  messages/s  cpu_us/s  change_max_ms  bytes/member");
+	for (unsigned int n = 50; n <= 400; n *= 2) {
+		loss_pct = argc > 1 ? (int)strtol(argv[1], NULL, 10) : 0;
+		measure(n);
+		loss_pct = 100; /* delivers what is on the wire and drops the answers */
+		run(DELAY_MS);
+		for (unsigned int i = 0; i < n; i++)
+			member_table_destroy(tables[i]);
+	}
+	return 0;
+}
--- a/src/member.c
+++ b/src/member.c
@@ -11,13 +11,16 @@
 /*
  * Urgent updates are pushed 3 times to 3 members between the periods, which leaves about e^-9 of
  * the members to the heartbeats. By heartbeats alone the news that a member leaves takes longer
- * than 3 s among 40 members, and a refutation can arrive after the removal. One push in 200 ms
- * bounds the traffic when a whole data centre is lost. Urgent updates go first in every message:
- * behind the updates of 40 joining members some were delayed by more than 3 s.
+ * than 3 s among 40 members, and a refutation can arrive after the removal. Urgent updates go first
+ * in every message: behind the updates of 40 joining members some were delayed by more than 3 s.
+ * One push a second on average, with a burst for a few changes at once, bounds the traffic of heavy
+ * packet loss, where suspicions and refutations increase with the number of members.
  */
 #define PUSH_FANOUT 3
 #define PUSH_ROUNDS 3
 #define PUSH_INTERVAL_MS 200
+#define PUSH_EARN_MS 1000
+#define PUSH_CREDIT_MAX_MS 12000
 
 /* Uptimes are extrapolated 1/4096 too slowly: clocks of two VMs drift apart by less (244 ppm). */
 #define UPTIME_DRIFT_SHIFT 12
@@ -72,6 +75,7 @@
 	unsigned int relay_next;
 	unsigned int push_rounds; /* still wanted */
 	uint64_t push_after_ms;
+	uint64_t push_credit_ms; /* a push costs PUSH_EARN_MS */
 	unsigned int list_generation;
 	uint64_t version;
 	bool asked_to_leave;
@@ -413,6 +417,7 @@
 		gap = MEMBER_PERIOD_MS;
 	}
 	t->time_ms += gap;
+	t->push_credit_ms = MIN(t->push_credit_ms + gap, PUSH_CREDIT_MAX_MS);
 	t->last_ms = MAX(t->last_ms, now_ms);
 }
 
@@ -512,6 +517,7 @@
 
 	t->push_rounds--;
 	t->push_after_ms = t->time_ms + PUSH_INTERVAL_MS;
+	t->push_credit_ms -= PUSH_EARN_MS;
 	for (unsigned int i = 0; i < MIN(n, PUSH_FANOUT); i++)
 		member_ping(t,
 			    order_at(&t->present, (unsigned int)g_rand_int_range(rand, 0, (int)n)),
@@ -534,7 +540,8 @@
 		   t->time_ms >= t->probe.sent_ms + MEMBER_INDIRECT_MS) {
 		probe_ask_proxies(t, now_ms, rand);
 	}
-	if (t->push_rounds > 0 && t->time_ms >= t->push_after_ms)
+	if (t->push_rounds > 0 && t->time_ms >= t->push_after_ms &&
+	    t->push_credit_ms >= PUSH_EARN_MS)
 		push_urgent(t, now_ms, rand);
 }
 
@@ -606,6 +613,7 @@
 	member_init(&t->self);
 	t->created_ms = now_ms;
 	t->last_ms = now_ms;
+	t->push_credit_ms = PUSH_CREDIT_MAX_MS;
 	t->by_name = g_hash_table_new(g_str_hash, g_str_equal);
 	t->present.members = g_ptr_array_new();
 	t->removed.members = g_ptr_array_new();
--- a/src/member.h
+++ b/src/member.h
@@ -103,6 +103,7 @@
 
 /* Call about every 100 ms. Work per call does not depend on the number of members. */
 void member_table_tick(struct member_table *t, uint64_t now_ms, GRand *rand);
+/* The strings of a message must be terminated; no other property of it is relied on. */
 void member_table_receive(struct member_table *t, const struct member_message *message,
 			  uint64_t now_ms, GRand *rand);
 
--- a/tests/member_test.cc
+++ b/tests/member_test.cc
@@ -64,6 +64,12 @@
 			for (auto &v : net->nodes)
 				n += v->table ? member_table_stats(v->table)->suspected : 0;
 			return n ? "some\n" : "none\n";
+		} else if (w[0] == "traffic") { /* traffic MS MAX: messages a VM and second */
+			uint64_t before = net->messages, n;
+
+			net->run(num(1));
+			n = (net->messages - before) * 1000 / num(1) / net->nodes.size();
+			return n > (uint64_t)num(2) ? std::to_string(n) + "\n" : "bounded\n";
 		} else if (w[0] == "hear") { /* hear I INCARNATION STARTED SEQUENCE STATE */
 			return hear(w);
 		} else if (w[0] == "list") { /* list I STATE: the platform's list names VM I so */
