Keep the promises under change: leaving marks, pauses, planned stops, paused holders

Cause: system tests for change and failure, written first, and the variants of the models. Five of nineteen cases failed before: - a drained backend server that restarted got no work for ever: GET /load did not name the incarnation, and a marked leaf gets no work that could; every answer names it now - a mark of the VM list stayed when the list named the backend server as live again: such a mark is lifted now, lists are ordered by their version, and a late answer of an earlier incarnation changes nothing - a paused holder cost 14 of 40 shards: half-way to the answer the entry asks silent holders whether they run, and fails over to the standby - a command id issued in the future was told "not run" although it can run later: unknown now - the test itself read a record field that does not exist, so it could not fail; it sums the leaves now and first requires that the backend server gets work Also from the models: nothing is dispatched for 50 ms after a pause, until waiting messages were read; new requests are refused as not run when the limit of a planned stop would cut them; commands are refused until the platform or a peer answered a request sent after the pause. Ruled out: failing over when half of the time is used without a probe, since slow leaves would then double the load.

--- a/fakes/fake_leaf.c
+++ b/fakes/fake_leaf.c
@@ -299,13 +299,20 @@
 	httpd_header_set(req, name, text);
 }
 
+static void identity_headers_set(const struct leaf *leaf, struct evhttp_request *req)
+{
+	char *versions = httpd_list_format(leaf->versions);
+
+	httpd_header_set(req, "X-Incarnation", leaf->server->incarnation);
+	httpd_header_set(req, "X-Versions", versions);
+	g_free(versions);
+}
+
 static void answer_headers_set(const struct call *call)
 {
 	const struct leaf *leaf = call->leaf;
-	char *versions = httpd_list_format(leaf->versions);
 
-	httpd_header_set(call->req, "X-Incarnation", leaf->server->incarnation);
-	httpd_header_set(call->req, "X-Versions", versions);
+	identity_headers_set(leaf, call->req);
 	if (leaf->settings.draining)
 		httpd_header_set(call->req, "X-Draining", "1");
 	if (call->refusal)
@@ -318,7 +325,6 @@
 		number_header_set(call->req, "X-Map-Version", call->map_version);
 		number_header_set(call->req, "X-Shard", call->shard);
 	}
-	g_free(versions);
 }
 
 static void call_send(struct call *call)
@@ -585,6 +591,8 @@
 {
 	bool lie = leaf->settings.lie_load;
 
+	identity_headers_set(leaf, req);
+
 	httpd_reply_json(req, 200,
 			 json_pack("{s:i, s:i, s:I, s:b}", "running", lie ? 0 : (int)leaf->running,
 				   "queued", lie ? 0 : (int)leaf->queued, "slots",
--- a/src/commander.c
+++ b/src/commander.c
@@ -194,6 +194,7 @@
 	const struct command_result *known;
 	enum result reason = RESULT_OK;
 	struct command_run *run;
+	struct command_id parsed;
 
 	counter_increment(kernel_counters(c->service.kernel), COUNTER_COMMANDS);
 	pause_check(c);
@@ -211,9 +212,9 @@
 		request_answer(c, request, known->outcome, known->result, known->body);
 		return;
 	case COMMAND_REFUSE:
-		/* A malformed id cannot have been dispatched. */
+		/* A malformed id can never run; one issued in the future may run later. */
 		request_answer(c, request,
-			       result_is_not_run(reason) || reason == RESULT_BAD_ID
+			       result_is_not_run(reason) || !command_id_parse(request->id, &parsed)
 				       ? OUTCOME_NOT_RUN
 				       : OUTCOME_UNKNOWN,
 			       reason, "");
--- a/src/configurer.c
+++ b/src/configurer.c
@@ -92,7 +92,8 @@
 
 static void config_broadcast(struct configurer *c)
 {
-	static const char *const services[] = {"searcher", "commander", "holder", "membership"};
+	static const char *const services[] = {"searcher", "commander", "holder", "membership",
+					       "stopper"};
 
 	broadcast(c, services, G_N_ELEMENTS(services), config_message);
 }
@@ -387,7 +388,7 @@
 		for (size_t i = 0; i < G_N_ELEMENTS(services); i++)
 			kernel_message_send(c->service.kernel,
 					    kernel_service_find(c->service.kernel, services[i]),
-					    &vms_read_create(vms)->message);
+					    &vms_read_create(vms, answer->version)->message);
 		json_decref(vms);
 	}
 	timer_set(c->vms_retry, answer->status == 200 || answer->status == 304 ? 0 : RETRY_MS);
--- a/src/front.c
+++ b/src/front.c
@@ -22,6 +22,7 @@
 	GHashTable *pending; /* tag -> struct pending */
 	GHashTable *latency; /* "service/class" -> struct hist */
 	uint64_t next_tag;
+	bool refuses_new; /* a planned stop is near its limit */
 };
 
 enum pending_kind { PENDING_REQUEST, PENDING_STATUS, PENDING_ENTRIES };
@@ -176,6 +177,12 @@
 	const char *problem = json_error.text;
 	const char *to = is_command ? "commander" : "searcher";
 
+	if (f->refuses_new) {
+		error_send(f, req, RESULT_LEAVING, "this VM stops");
+		json_decref(body);
+		message_destroy(&r->message);
+		return;
+	}
 	r->arrived_us = clock_now_us();
 	if (!body || !request_parse(r, body, is_command, &problem)) {
 		error_send(f, req, RESULT_BAD_REQUEST, problem);
@@ -332,6 +339,9 @@
 	case MESSAGE_CALLER_ANSWER:
 		answer_receive(f, (struct caller_answer *)m);
 		break;
+	case MESSAGE_NEW_REQUESTS_REFUSED:
+		f->refuses_new = true;
+		break;
 	case MESSAGE_STATUS_REPLY:
 		status_receive(f, (struct status_reply *)m);
 		break;
--- a/src/holder.c
+++ b/src/holder.c
@@ -19,6 +19,11 @@
 #define GROUP_IDLE_MS 60000
 /* The same for a description that is no longer in force: its slots are also the new one's. */
 #define GROUP_REPLACED_MS 2000
+/*
+ * After a pause nothing is dispatched until the messages that waited in the sockets were read: they
+ * may tell that a backend server is leaving.
+ */
+#define RESUME_HOLD_MS 50
 #define MARK_TIMEOUT_US 1000000
 /* Twice the backend servers of the design size. */
 #define BACKENDS_MAX 32768
@@ -33,7 +38,10 @@
 	GHashTable *groups; /* digest -> struct held_group */
 	struct leaving *leaving;
 	struct command_log *commands;
+	uint64_t list_version; /* of the newest VM list that a mark came from */
 	struct wake *wake;
+	struct event *resume;
+	bool is_held;
 	struct event *tick;
 	struct event *housekeeping;
 	uint64_t next_call;
@@ -436,8 +444,32 @@
 
 static void pause_check(struct holder *h)
 {
-	if (wake_tick(h->wake, clock_now_ms()))
-		renewal_want(h->service.kernel);
+	static const struct timeval hold = {0, RESUME_HOLD_MS * 1000L};
+
+	if (wake_tick(h->wake, clock_now_ms()) == 0)
+		return;
+	renewal_want(h->service.kernel);
+	h->is_held = true;
+	evtimer_add(h->resume, &hold);
+}
+
+/* Called at each dispatch to a leaf. */
+static enum leafgroup_permit dispatch_permit(void *arg)
+{
+	struct holder *h = arg;
+
+	pause_check(h);
+	if (h->is_held)
+		return LEAFGROUP_PERMIT_NOTHING;
+	return wake_is_stale(h->wake) ? LEAFGROUP_PERMIT_SEARCHES : LEAFGROUP_PERMIT_ALL;
+}
+
+static void holder_resume(evutil_socket_t fd, short what, void *arg)
+{
+	struct holder *h = arg;
+
+	h->is_held = false;
+	tick_arm(h);
 }
 
 static void command_receive(struct holder *h, struct peer_call *request)
@@ -477,8 +509,9 @@
 }
 
 /* Tells the other holders of the backend server's groups, so that they need not find out. */
-static void mark_share(struct holder *h, const char *backend, uint64_t incarnation)
+static void mark_share(struct holder *h, const apr_mark *mark)
 {
+	const char *backend = mark->backend;
 	struct service *peer = kernel_service_find(h->service.kernel, "peer");
 	g_autoptr(GHashTable) told = g_hash_table_new(g_str_hash, g_str_equal);
 
@@ -499,8 +532,8 @@
 			args = peer_args_create(APR_MARK);
 			args->marks.marks_val = g_new0(apr_mark, 1);
 			args->marks.marks_len = 1;
+			args->marks.marks_val[0] = *mark;
 			args->marks.marks_val[0].backend = g_strdup(backend);
-			args->marks.marks_val[0].incarnation = incarnation;
 			call = peer_call_create(APR_MARK, addresses[j], args, MARK_TIMEOUT_US);
 			kernel_message_send(h->service.kernel, peer, &call->message);
 		}
@@ -523,21 +556,42 @@
 {
 	struct holder *h = arg;
 
+	apr_mark mark = {.backend = (char *)backend, .incarnation = incarnation};
+
 	if (mark_apply(h, backend, incarnation, LEAVING_DRAIN))
-		mark_share(h, backend, incarnation);
+		mark_share(h, &mark);
+}
+
+/* A state of the VM list; false when it is known already or of an older list. */
+static bool list_mark_apply(struct holder *h, const apr_mark *mark)
+{
+	if (mark->list_version < h->list_version)
+		return false;
+	h->list_version = mark->list_version;
+	if (!mark->is_listed_live)
+		return mark_apply(h, mark->backend, 0, LEAVING_VM_LIST);
+	if (!leaving_unlist(h->leaving, mark->backend))
+		return false;
+	log_event(LOG_LEVEL_INFO, "backend_live", "backend=%s sign=vm_list", mark->backend);
+	return true;
 }
 
 static void marks_receive(struct holder *h, struct peer_call *request)
 {
 	const apr_mark_args *args = request->args;
 
-	for (unsigned int i = 0; i < args->marks.marks_len; i++)
-		mark_apply(h, args->marks.marks_val[i].backend,
-			   args->marks.marks_val[i].incarnation, LEAVING_PEER);
+	for (unsigned int i = 0; i < args->marks.marks_len; i++) {
+		const apr_mark *mark = &args->marks.marks_val[i];
+
+		if (mark->list_version > 0)
+			list_mark_apply(h, mark);
+		else
+			mark_apply(h, mark->backend, mark->incarnation, LEAVING_PEER);
+	}
 	reply_send(h, request, peer_result_create(APR_MARK));
 }
 
-static void vms_receive(struct holder *h, const json_t *vms)
+static void vms_receive(struct holder *h, const json_t *vms, uint64_t version)
 {
 	size_t i;
 	json_t *vm;
@@ -548,12 +602,16 @@
 		const char *role = json_string_value(json_object_get(vm, "role"));
 		const char *state = json_string_value(json_object_get(vm, "state"));
 
-		if (!name || g_strcmp0(role, "backend") != 0)
+		apr_mark mark = {
+			.backend = (char *)name,
+			.list_version = version,
+			.is_listed_live = g_strcmp0(state, "leaving") != 0,
+		};
+
+		if (!name || strlen(name) >= APR_NAME_MAX || g_strcmp0(role, "backend") != 0)
 			continue;
-		if (g_strcmp0(state, "leaving") != 0)
-			leaving_unlist(h->leaving, name);
-		else if (mark_apply(h, name, 0, LEAVING_VM_LIST))
-			mark_share(h, name, 0);
+		if (list_mark_apply(h, &mark))
+			mark_share(h, &mark);
 	}
 }
 
@@ -673,6 +731,9 @@
 	case APR_MARK:
 		marks_receive(h, request);
 		break;
+	case APR_NULL:
+		reply_send(h, request, peer_result_create(APR_NULL));
+		break;
 	default:
 		message_destroy(&request->message);
 	}
@@ -695,7 +756,7 @@
 		groups_warm(h);
 		break;
 	case MESSAGE_VMS_READ:
-		vms_receive(h, ((struct vms_read *)m)->vms);
+		vms_receive(h, ((struct vms_read *)m)->vms, ((struct vms_read *)m)->version);
 		break;
 	case MESSAGE_KNOWLEDGE_RENEWED:
 		wake_tick(h->wake, clock_now_ms());
@@ -723,6 +784,7 @@
 {
 	struct holder *h = (struct holder *)s;
 
+	event_free(h->resume);
 	event_free(h->tick);
 	event_free(h->housekeeping);
 	g_hash_table_destroy(h->groups);
@@ -760,8 +822,10 @@
 		.incarnation = settings->incarnation,
 		.next_call = &h->next_call,
 		.drain_seen = drain_seen,
+		.permit = dispatch_permit,
 		.arg = h,
 	};
+	h->resume = evtimer_new(kernel_base(k), holder_resume, h);
 	h->tick = evtimer_new(kernel_base(k), holder_tick, h);
 	h->housekeeping = event_new(kernel_base(k), -1, EV_PERSIST, holder_housekeep, h);
 	return &h->service;
--- a/src/leafgroup.c
+++ b/src/leafgroup.c
@@ -29,6 +29,7 @@
 	struct leafpool *pool;
 	struct limiter *limiter;
 	struct leafpool_sight sight;
+	uint64_t past_incarnation; /* replaced by the one in sight; 0: none */
 };
 
 struct leafgroup_attempt {
@@ -362,6 +363,10 @@
 	}
 	if (now_us < call->not_before_us)
 		return false;
+	if (call->kind == LEAFCALL_COMMAND && lg->env.permit(lg->env.arg) != LEAFGROUP_PERMIT_ALL) {
+		call_finish(lg, call, RESULT_STALE, "", 0, now_us);
+		return true;
+	}
 	index = leaf_pick(lg, call, now_us);
 	if (index >= 0) {
 		call_start(lg, call, index, now_us);
@@ -434,7 +439,7 @@
 	struct classq_item *item;
 
 	/* done functions may submit again; the outer loop sees what they queued. */
-	if (lg->is_pumping)
+	if (lg->is_pumping || lg->env.permit(lg->env.arg) == LEAFGROUP_PERMIT_NOTHING)
 		return;
 	lg->is_pumping = true;
 	waiting_place(lg, now_us);
@@ -469,8 +474,11 @@
 	struct leafgroup *lg = leaf->group;
 	uint64_t known = leaf->sight.incarnation;
 
-	if (sight->incarnation == 0)
+	/* A late answer of the process before must not bring back its state. */
+	if (sight->incarnation == 0 || sight->incarnation == leaf->past_incarnation)
 		return;
+	if (known != sight->incarnation)
+		leaf->past_incarnation = known;
 	leaf->sight = *sight;
 	if (known != sight->incarnation) {
 		leafstat_restart(lg->stats[leaf - lg->leaves], clock_now_us());
@@ -604,6 +612,8 @@
 {
 	struct list_head *node;
 
+	if (lg->env.permit(lg->env.arg) == LEAFGROUP_PERMIT_NOTHING)
+		return;
 	list_for_each (node, &lg->inflight) {
 		struct leafgroup_call *call = list_entry(node, struct leafgroup_call, inflight);
 
--- a/src/leafgroup.h
+++ b/src/leafgroup.h
@@ -52,6 +52,13 @@
 	enum result last_failure;
 };
 
+/* What may be dispatched to leaves now. */
+enum leafgroup_permit {
+	LEAFGROUP_PERMIT_NOTHING,
+	LEAFGROUP_PERMIT_SEARCHES, /* commands end as not run */
+	LEAFGROUP_PERMIT_ALL,
+};
+
 struct leafgroup_env {
 	struct event_base *base;
 	struct counters *counters;
@@ -61,6 +68,7 @@
 	uint64_t *next_call;
 	/* Called when a leaf answered that its backend server drains; may be NULL. */
 	void (*drain_seen)(void *arg, const char *backend, uint64_t incarnation);
+	enum leafgroup_permit (*permit)(void *arg);
 	void *arg;
 };
 
--- a/src/leaving.c
+++ b/src/leaving.c
@@ -115,8 +115,16 @@
 
 static bool backend_mark(struct backend *b, uint64_t incarnation, enum leaving_sign sign)
 {
-	if (backend_has_mark(b, incarnation))
+	for (unsigned int i = 0; i < MARKS_MAX; i++) {
+		struct mark *known = &b->marks[i];
+
+		if (known->incarnation != incarnation)
+			continue;
+		/* What the backend server itself says outlasts a list that names it as live. */
+		if (known->sign == LEAVING_VM_LIST)
+			known->sign = sign;
 		return false;
+	}
 	b->marks[b->marks_next++ % MARKS_MAX] = (struct mark){incarnation, sign};
 	return true;
 }
@@ -152,12 +160,22 @@
 	return is_new;
 }
 
-void leaving_unlist(struct leaving *l, const char *backend)
+bool leaving_unlist(struct leaving *l, const char *backend)
 {
 	struct backend *b = g_hash_table_lookup(l->by_name, backend);
+	bool was_listed;
 
-	if (b)
-		b->listed = false;
+	if (!b)
+		return false;
+	was_listed = b->listed;
+	b->listed = false;
+	if (b->unbound_sign == LEAVING_VM_LIST)
+		b->unbound = false;
+	for (unsigned int i = 0; i < MARKS_MAX; i++)
+		if (b->marks[i].sign == LEAVING_VM_LIST)
+			b->marks[i].incarnation = 0;
+	backend_touch(l, b);
+	return was_listed;
 }
 
 void leaving_observe(struct leaving *l, const char *backend, uint64_t incarnation)
--- a/src/leaving.h
+++ b/src/leaving.h
@@ -48,8 +48,12 @@
 bool leaving_mark(struct leaving *l, const char *backend, uint64_t incarnation,
 		  enum leaving_sign sign);
 
-/* The VM list names the backend as live, or no longer names it. Lifts no mark. */
-void leaving_unlist(struct leaving *l, const char *backend);
+/*
+ * The VM list names the backend as live, or no longer names it: lifts the marks that only the list
+ * has set, since the list names no incarnation and a lagging one may have marked the wrong process.
+ * Returns whether the list had marked it.
+ */
+bool leaving_unlist(struct leaving *l, const char *backend);
 
 /*
  * An answer of this incarnation arrived. An incarnation that was replaced before (a late answer)
--- a/src/message.c
+++ b/src/message.c
@@ -214,13 +214,14 @@
 	g_free(m);
 }
 
-struct vms_read *vms_read_create(json_t *vms)
+struct vms_read *vms_read_create(json_t *vms, uint64_t version)
 {
 	struct vms_read *r = g_new0(struct vms_read, 1);
 
 	r->message.kind = MESSAGE_VMS_READ;
 	r->message.destroy = vms_read_destroy;
 	r->vms = json_incref(vms);
+	r->version = version;
 	return r;
 }
 
--- a/src/message.h
+++ b/src/message.h
@@ -24,6 +24,7 @@
 	MESSAGE_STATUS_REQUEST,
 	MESSAGE_STATUS_REPLY,
 	MESSAGE_STOP_ANNOUNCED,
+	MESSAGE_NEW_REQUESTS_REFUSED,
 	MESSAGE_RENEWAL_WANTED,
 	MESSAGE_KNOWLEDGE_RENEWED,
 	MESSAGE_VMS_READ,
@@ -107,6 +108,7 @@
 /* The platform's VM list, as read. */
 struct vms_read {
 	struct message message;
+	uint64_t version; /* of the platform; a lower one is older */
 	json_t *vms;
 };
 
@@ -122,7 +124,7 @@
 struct status_request *status_request_create(struct service *reply_to, uint64_t tag,
 					     const char *about);
 struct status_reply *status_reply_create(uint64_t tag, json_t *body);
-struct vms_read *vms_read_create(json_t *vms);
+struct vms_read *vms_read_create(json_t *vms, uint64_t version);
 /* Asks the services that hear from others for news, after a pause of this process. */
 void renewal_want(struct kernel *k);
 /* Tells the services that dispatch commands. */
--- a/src/procedure.h
+++ b/src/procedure.h
@@ -6,6 +6,7 @@
 
 /* X(number, arguments, result, serving service, by datagram); "void" has no content */
 #define PROCEDURE_LIST(X)                                                     \
+	X(APR_NULL, apr_empty, apr_empty, "holder", 0)                        \
 	X(APR_SEARCH, apr_search_args, apr_search_reply, "holder", 0)         \
 	X(APR_COMMAND, apr_command_args, apr_command_reply, "holder", 0)      \
 	X(APR_CONFIG_GET, apr_config_args, apr_config_reply, "configurer", 0) \
--- a/src/proto/apricot.h
+++ b/src/proto/apricot.h
@@ -150,6 +150,8 @@
 struct apr_mark {
 	char *backend;
 	u_quad_t incarnation;
+	u_quad_t list_version;
+	bool_t is_listed_live;
 };
 typedef struct apr_mark apr_mark;
 
@@ -207,8 +209,8 @@
 
 #if defined(__STDC__) || defined(__cplusplus)
 #define APR_NULL 0
-extern  void * apr_null_1(void *, CLIENT *);
-extern  void * apr_null_1_svc(void *, struct svc_req *);
+extern  apr_empty * apr_null_1(apr_empty *, CLIENT *);
+extern  apr_empty * apr_null_1_svc(apr_empty *, struct svc_req *);
 #define APR_SEARCH 1
 extern  apr_search_reply * apr_search_1(apr_search_args *, CLIENT *);
 extern  apr_search_reply * apr_search_1_svc(apr_search_args *, struct svc_req *);
@@ -234,8 +236,8 @@
 
 #else /* K&R C */
 #define APR_NULL 0
-extern  void * apr_null_1();
-extern  void * apr_null_1_svc();
+extern  apr_empty * apr_null_1();
+extern  apr_empty * apr_null_1_svc();
 #define APR_SEARCH 1
 extern  apr_search_reply * apr_search_1();
 extern  apr_search_reply * apr_search_1_svc();
--- a/src/proto/apricot.x
+++ b/src/proto/apricot.x
@@ -103,6 +103,8 @@
 struct apr_mark {
 	string backend<APR_NAME_MAX>;
 	unsigned hyper incarnation;
+	unsigned hyper list_version;
+	bool is_listed_live;
 };
 
 struct apr_mark_args {
@@ -142,7 +144,7 @@
 
 program APRICOT_PROGRAM {
 	version APRICOT_VERSION {
-		void APR_NULL(void) = 0;
+		apr_empty APR_NULL(apr_empty) = 0;
 		apr_search_reply APR_SEARCH(apr_search_args) = 1;
 		apr_command_reply APR_COMMAND(apr_command_args) = 2;
 		apr_config_reply APR_CONFIG_GET(apr_config_args) = 3;
--- a/src/proto/apricot_xdr.c
+++ b/src/proto/apricot_xdr.c
@@ -223,6 +223,10 @@
 		 return FALSE;
 	 if (!xdr_u_quad_t (xdrs, &objp->incarnation))
 		 return FALSE;
+	 if (!xdr_u_quad_t (xdrs, &objp->list_version))
+		 return FALSE;
+	 if (!xdr_bool (xdrs, &objp->is_listed_live))
+		 return FALSE;
 	return TRUE;
 }
 
--- a/src/searcher.c
+++ b/src/searcher.c
@@ -22,6 +22,7 @@
 	struct snapshot_book *book;
 	struct hop_table *hops;
 	GHashTable *calls; /* tag -> struct holder_call */
+	GHashTable *probes; /* tag of a probe -> tag of its call */
 	uint64_t next_tag;
 	struct list_head searches;
 	unsigned int n_searches;
@@ -36,6 +37,7 @@
 	struct gather *gather;
 	struct list_head calls;
 	struct event *timer;
+	struct event *probe_timer;
 	unsigned int restarts;
 };
 
@@ -47,7 +49,7 @@
 	uint64_t sent_us;
 	char *address;
 	GPtrArray *groups; /* struct manifest_group of the search's manifest */
-	bool is_failover;
+	bool is_failover; /* or was failed over: at most once */
 };
 
 static void answer_send(struct searcher *s, struct caller_request *request, enum result result,
@@ -95,6 +97,7 @@
 	list_del(&search->node);
 	search->searcher->n_searches--;
 	event_free(search->timer);
+	event_free(search->probe_timer);
 	gather_destroy(search->gather);
 	manifest_put(search->manifest);
 	message_destroy(&search->request->message);
@@ -336,7 +339,8 @@
 
 static void search_advance(struct search *search)
 {
-	if (!list_is_empty(&search->calls))
+	if (!list_is_empty(&search->calls) &&
+	    !coverage_is_complete(gather_coverage(search->gather)))
 		return;
 	if (search_restart(search) && !list_is_empty(&search->calls))
 		return;
@@ -348,14 +352,46 @@
 	search_answer(arg);
 }
 
-static void search_timer_set(struct search *search)
+/*
+ * Half-way through, holders that have not replied are asked whether they still run: a paused or cut
+ * off VM would otherwise cost its shards although the standby can serve them.
+ */
+static void search_probe(evutil_socket_t fd, short what, void *arg)
+{
+	struct search *search = arg;
+	struct searcher *s = search->searcher;
+	uint64_t time_us = gather_remaining_us(search->gather, clock_now_us(), 0) / 4;
+	struct list_head *node;
+
+	list_for_each (node, &search->calls) {
+		struct holder_call *call = list_entry(node, struct holder_call, node);
+		struct peer_call *probe;
+
+		if (call->is_failover)
+			continue;
+		probe = peer_call_create(APR_NULL, call->address, peer_args_create(APR_NULL),
+					 MAX(time_us, hop_estimate_us(s->hops, call->address)));
+		probe->reply_to = &s->service;
+		probe->tag = ++s->next_tag;
+		g_hash_table_insert(s->probes, (gpointer)(guintptr)probe->tag,
+				    (gpointer)(guintptr)call->tag);
+		kernel_message_send(s->service.kernel, s->peer, &probe->message);
+	}
+}
+
+static void timer_set(struct event *timer, uint64_t wait_us)
 {
-	uint64_t now_us = clock_now_us();
-	uint64_t end_us = gather_answer_us(search->gather);
-	uint64_t wait_us = end_us > now_us ? end_us - now_us : 0;
 	struct timeval timeout = {(time_t)(wait_us / 1000000), (suseconds_t)(wait_us % 1000000)};
 
-	evtimer_add(search->timer, &timeout);
+	evtimer_add(timer, &timeout);
+}
+
+static void search_timers_set(struct search *search)
+{
+	uint64_t wait_us = gather_remaining_us(search->gather, clock_now_us(), 0);
+
+	timer_set(search->timer, wait_us);
+	timer_set(search->probe_timer, wait_us / 2);
 }
 
 static void request_receive(struct searcher *s, struct caller_request *request)
@@ -386,8 +422,9 @@
 	list_add_tail(&search->node, &s->searches);
 	s->n_searches++;
 	search->timer = evtimer_new(kernel_base(s->service.kernel), search_expire, search);
+	search->probe_timer = evtimer_new(kernel_base(s->service.kernel), search_probe, search);
 	search_pin(search);
-	search_timer_set(search);
+	search_timers_set(search);
 	search_scatter(search);
 	search_advance(search);
 }
@@ -443,6 +480,7 @@
 
 	if (call->is_failover)
 		return false;
+	call->is_failover = true;
 	for (guint i = 0; i < call->groups->len; i++) {
 		struct manifest_group *g = g_ptr_array_index(call->groups, i);
 		struct route route = routing_find(s->routing, g);
@@ -482,6 +520,18 @@
 	search_advance(search);
 }
 
+/* The call itself stays open: its reply counts when it comes after all. */
+static void probe_receive(struct searcher *s, const struct peer_reply *message)
+{
+	gpointer probe = (gpointer)(guintptr)message->tag;
+	gpointer tag = g_hash_table_lookup(s->probes, probe);
+	struct holder_call *call = g_hash_table_lookup(s->calls, tag);
+
+	g_hash_table_remove(s->probes, probe);
+	if (call && message->status != PEER_STATUS_DONE)
+		holder_call_fail_over(s, call);
+}
+
 static void searcher_receive(struct service *service, struct message *m)
 {
 	struct searcher *s = (struct searcher *)service;
@@ -491,7 +541,10 @@
 		request_receive(s, (struct caller_request *)m);
 		return;
 	case MESSAGE_PEER_REPLY:
-		reply_receive(s, (struct peer_reply *)m);
+		if (((struct peer_reply *)m)->procedure == APR_NULL)
+			probe_receive(s, (struct peer_reply *)m);
+		else
+			reply_receive(s, (struct peer_reply *)m);
 		break;
 	case MESSAGE_CONFIG_APPLIED:
 		manifest_put(s->manifest);
@@ -523,6 +576,7 @@
 	while ((node = list_pop_head(&s->searches)))
 		search_free(list_entry(node, struct search, node));
 	g_hash_table_destroy(s->calls);
+	g_hash_table_destroy(s->probes);
 	routing_destroy(s->routing);
 	snapshot_book_destroy(s->book);
 	hop_table_destroy(s->hops);
@@ -545,6 +599,7 @@
 	s->book = snapshot_book_create();
 	s->hops = hop_table_create();
 	s->calls = g_hash_table_new(NULL, NULL);
+	s->probes = g_hash_table_new(NULL, NULL);
 	list_init(&s->searches);
 	return &s->service;
 }
--- a/src/stop.c
+++ b/src/stop.c
@@ -71,6 +71,13 @@
 	return s->state;
 }
 
+bool stop_accepts(const struct stop *s, uint64_t longest_ms, uint64_t now_ms)
+{
+	if (s->state == STOP_RUNNING)
+		return true;
+	return s->state != STOP_DONE && now_ms + longest_ms < s->requested_ms + s->limit_ms;
+}
+
 const char *stop_reason(const struct stop *s)
 {
 	return s->reason;
--- a/src/stop.h
+++ b/src/stop.h
@@ -47,6 +47,11 @@
 enum stop_state stop_tick(struct stop *s, unsigned int in_flight, uint64_t now_ms);
 
 enum stop_state stop_state(const struct stop *s);
+/*
+ * False from the time on at which a request that takes longest_ms would be cut by the limit: new
+ * requests are then refused as not run.
+ */
+bool stop_accepts(const struct stop *s, uint64_t longest_ms, uint64_t now_ms);
 
 /* Why the stop is done, for the log, or NULL before that. */
 const char *stop_reason(const struct stop *s);
--- a/src/stopper.c
+++ b/src/stopper.c
@@ -14,6 +14,8 @@
 	struct service service;
 	struct stop *stop;
 	struct event *poll;
+	uint64_t longest_ms; /* deadline of the manifest's services */
+	bool refuses;
 	unsigned int in_flight; /* sum of the last complete round of replies */
 	unsigned int round_sum;
 	unsigned int replies_missing;
@@ -56,12 +58,35 @@
 	st->has_round = true;
 }
 
+/* Close to the limit a new request could be cut; it is refused as not run instead. */
+static void refuse_if_late(struct stopper *st)
+{
+	struct kernel *k = st->service.kernel;
+
+	if (st->refuses || stop_accepts(st->stop, st->longest_ms, clock_now_ms()))
+		return;
+	st->refuses = true;
+	kernel_message_send(k, kernel_service_find(k, "front"),
+			    message_create(MESSAGE_NEW_REQUESTS_REFUSED));
+}
+
+static void deadlines_take(struct stopper *st, const struct manifest *m)
+{
+	st->longest_ms = 0;
+	for (guint i = 0; i < m->services->len; i++) {
+		const struct manifest_service *s = g_ptr_array_index(m->services, i);
+
+		st->longest_ms = MAX(st->longest_ms, s->deadline_ms);
+	}
+}
+
 static void stopper_poll(evutil_socket_t fd, short what, void *arg)
 {
 	struct stopper *st = arg;
 	/* Answers that are still in output buffers are written before the next round ends. */
 	unsigned int in_flight = st->has_round ? st->in_flight : 1;
 
+	refuse_if_late(st);
 	if (stop_tick(st->stop, in_flight, clock_now_ms()) != STOP_DONE) {
 		st->has_round = false;
 		work_ask(st);
@@ -105,6 +130,9 @@
 	case MESSAGE_STOP_ANNOUNCED:
 		stop_start(st);
 		break;
+	case MESSAGE_CONFIG_APPLIED:
+		deadlines_take(st, ((struct config_applied *)m)->manifest);
+		break;
 	case MESSAGE_STATUS_REPLY:
 		status_receive(st, (struct status_reply *)m);
 		break;
--- a/tests/stop_test.cc
+++ b/tests/stop_test.cc
@@ -15,6 +15,9 @@
 	{
 		if (w[0] == "request") /* request NOW_MS */
 			return stop_request(s, std::stoull(w[1])) ? "started\n" : "known\n";
+		if (w[0] == "accepts") /* accepts LONGEST_MS NOW_MS */
+			return stop_accepts(s, std::stoull(w[1]), std::stoull(w[2])) ? "yes\n"
+										     : "no\n";
 		/* tick IN_FLIGHT NOW_MS */
 		std::string out = stop_state_name(
 			stop_tick(s, (unsigned int)std::stoul(w[1]), std::stoull(w[2])));
--- a/tests/system_test.cc
+++ b/tests/system_test.cc
@@ -67,16 +67,18 @@
 	{
 		using step = std::string (deployment::*)(const std::vector<std::string> &);
 		static const std::map<std::string, step> steps = {
-			{"deploy", &deployment::deploy},   {"ask", &deployment::ask},
-			{"command", &deployment::command}, {"repeat", &deployment::repeat},
-			{"entries", &deployment::entries}, {"signal", &deployment::signal_step},
-			{"start", &deployment::start},	   {"exit", &deployment::exit_step},
-			{"control", &deployment::control}, {"platform", &deployment::platform},
-			{"publish", &deployment::publish}, {"version", &deployment::version},
-			{"runs", &deployment::runs},	   {"quiet", &deployment::quiet},
-			{"members", &deployment::members}, {"list", &deployment::list},
-			{"post", &deployment::post},	   {"wait", &deployment::wait_step},
-			{"load", &deployment::load},	   {"loaded", &deployment::loaded},
+			{"deploy", &deployment::deploy},     {"ask", &deployment::ask},
+			{"command", &deployment::command},   {"repeat", &deployment::repeat},
+			{"entries", &deployment::entries},   {"signal", &deployment::signal_step},
+			{"start", &deployment::start},	     {"exit", &deployment::exit_step},
+			{"control", &deployment::control},   {"platform", &deployment::platform},
+			{"publish", &deployment::publish},   {"version", &deployment::version},
+			{"runs", &deployment::runs},	     {"quiet", &deployment::quiet},
+			{"members", &deployment::members},   {"busy", &deployment::busy},
+			{"complete", &deployment::complete}, {"ready", &deployment::ready},
+			{"list", &deployment::list},	     {"post", &deployment::post},
+			{"wait", &deployment::wait_step},    {"load", &deployment::load},
+			{"loaded", &deployment::loaded},
 		};
 		auto found = steps.find(words[0]);
 
@@ -228,6 +230,34 @@
 		return out.str();
 	}
 
+	/* complete ENTRY SERVICE MS: searches for that time; how many were not complete or mixed.
+	 */
+	std::string complete(const std::vector<std::string> &words)
+	{
+		std::set<std::string> others;
+		size_t n = 0;
+
+		for (int64_t end = clock_ms() + std::stoi(words[3]); clock_ms() < end; n++) {
+			std::string answer = ask(words);
+
+			if (answer.rfind("ok ", 0) != 0 ||
+			    answer.find("foreign") != std::string::npos)
+				others.insert(answer);
+		}
+		if (others.empty())
+			return n > 0 ? "all\n" : "none sent\n";
+		return std::to_string(others.size()) + " kinds, one: " + *others.begin();
+	}
+
+	/* ready ENTRY: whether it says that it has a configuration. */
+	std::string ready(const std::vector<std::string> &words)
+	{
+		json_ref status(http_get(programs.at(words[1]).port, "/status").body);
+		const json_t *config = json_object_get(status.json, "config");
+
+		return json_is_true(json_object_get(config, "ready")) ? "yes\n" : "no\n";
+	}
+
 	std::string command_send(const std::string &entry, const std::string &service,
 				 const std::string &id)
 	{
@@ -238,6 +268,8 @@
 
 		if (answer.status == 0)
 			return "no answer\n";
+		if (text_of(body.json, "reason") == "bad_id")
+			return "bad id " + id + "\n";
 		return text_of(body.json, "outcome") + " " + text_of(body.json, "reason") + "\n";
 	}
 
@@ -260,6 +292,8 @@
 	std::string command(const std::vector<std::string> &words)
 	{
 		last_id = id_create(words[1]);
+		if (last_id == "none")
+			return "no id of that entry\n";
 		return command_send(words[1], words[2], last_id);
 	}
 
@@ -317,7 +351,7 @@
 				arg = rpc_of(arg.substr(at + 7));
 		}
 		launch(words[1]);
-		return is_daemon(words[1]) && !ready_wait(words[1]) ? "not ready\n" : "";
+		return "";
 	}
 
 	std::string rpc_of(const std::string &name)
@@ -336,13 +370,22 @@
 		return "status " + std::to_string(status) + "\n";
 	}
 
-	/* control NAME KEY VALUE */
+	/* control NAME KEY VALUE: NAME may end in '*'. */
 	std::string control(const std::vector<std::string> &words)
 	{
-		http_answer answer = http_post(programs.at(words[1]).control_port,
-					       "/control?key=" + words[2] + "&value=" + words[3]);
+		std::string prefix = words[1].substr(0, words[1].find('*'));
+		bool all = prefix != words[1];
 
-		return answer.status == 200 ? "" : answer.body + "\n";
+		for (auto &entry : programs) {
+			if (all ? entry.first.rfind(prefix, 0) != 0 : entry.first != words[1])
+				continue;
+			http_answer answer =
+				http_post(entry.second.control_port,
+					  "/control?key=" + words[2] + "&value=" + words[3]);
+			if (answer.status != 200)
+				return answer.body + "\n";
+		}
+		return "";
 	}
 
 	std::string platform(const std::vector<std::string> &words)
@@ -420,22 +463,51 @@
 		return "ids " + std::to_string(ran) + " at most " + std::to_string(most) + "\n";
 	}
 
+	/* Calls that reached the leaves of a backend server, by its own record. */
+	json_int_t received(const std::string &backend)
+	{
+		json_ref record(http_get(programs.at(backend).control_port, "/record").body);
+		json_int_t sum = 0;
+		size_t i;
+		json_t *leaf;
+
+		json_array_foreach(json_object_get(record.json, "leaves"), i, leaf)
+		{
+			sum += number_of(leaf, "received");
+		}
+		return sum;
+	}
+
 	/* quiet BACKEND MS: no new work from MS after now on, while searches go on for a second. */
 	std::string quiet(const std::vector<std::string> &words)
 	{
-		uint16_t port = programs.at(words[1]).control_port;
 		json_int_t before, after;
 
 		for (int64_t end = clock_ms() + std::stoi(words[2]); clock_ms() < end;)
 			ask({"ask", "entry-0", "catalogue"});
-		before = number_of(json_ref(http_get(port, "/record").body).json, "received");
+		before = received(words[1]);
 		for (int64_t end = clock_ms() + 1000; clock_ms() < end;)
 			ask({"ask", "entry-0", "catalogue"});
-		after = number_of(json_ref(http_get(port, "/record").body).json, "received");
+		after = received(words[1]);
 		return after == before ? "quiet\n"
 				       : "received " + std::to_string(after - before) + "\n";
 	}
 
+	/* busy BACKEND MS: whether it receives work again within the time. */
+	std::string busy(const std::vector<std::string> &words)
+	{
+		json_int_t before = received(words[1]);
+
+		return wait_until(
+			       [&] {
+				       ask({"ask", "entry-0", "catalogue"});
+				       return received(words[1]) > before;
+			       },
+			       std::stoi(words[2]))
+			       ? "busy\n"
+			       : "no work\n";
+	}
+
 	/* members ENTRY MS STATE NAME...: whether it sees them so within the time. */
 	std::string members(const std::vector<std::string> &words)
 	{
