--- a/src/entrylist.h
+++ b/src/entrylist.h
@@ -16,7 +16,7 @@
 	const char *name;
 	const char *dc;
 	const char *http;
-	/* INCARNATION_HEX.ISSUED_MS: the entry's incarnation and its uptime now, a lower bound */
+	/* INCARNATION.ISSUED_MS of a command id; ISSUED_MS is a lower bound of the uptime now */
 	char id_prefix[ENTRYLIST_PREFIX_MAX];
 };
 
--- a/tests/entrylist_test.cc
+++ b/tests/entrylist_test.cc
@@ -1,6 +1,9 @@
 #include "entrylist.h"
+#include "command.h"
 #include "script.h"
 
+#include <gtest/gtest.h>
+
 #include <map>
 
 namespace
@@ -76,3 +79,27 @@
 bool registered = script_register("entrylist", "entrylist.test",
 				  [] { return std::make_unique<interpreter>(); });
 } // namespace
+
+/* Guards against: a prefix that the command log rejects when the incarnation starts with zeros. */
+TEST(entrylist, prefix_makes_valid_command_ids)
+{
+	GRand *rand = g_rand_new_with_seed(1);
+
+	for (uint64_t incarnation : {UINT64_C(1), UINT64_C(0x00f1e2d3c4b5a697), UINT64_MAX}) {
+		member_entry e{};
+		unsigned int n;
+		command_id id;
+
+		e.incarnation = incarnation;
+		e.uptime_ms = 81234;
+		entrylist *l = entrylist_create(&e, 1, "", 0, rand);
+		const entrylist_item *items = entrylist_items(l, &n);
+		ASSERT_EQ(n, 1u);
+		EXPECT_TRUE(command_id_parse(
+			(std::string(items[0].id_prefix) + ".12345678").c_str(), &id));
+		EXPECT_EQ(id.incarnation, incarnation);
+		EXPECT_EQ(id.issued_ms, 81234u);
+		entrylist_destroy(l);
+	}
+	g_rand_free(rand);
+}
