End the jobs of a stopping holder by list_pop_head

clang-analyzer lost track of the list's links in the loops of holder_destroy and reported a use after free; list_pop_head has the exemption for this. No change of behaviour.

--- a/src/holder.c
+++ b/src/holder.c
@@ -730,13 +730,13 @@
 static void holder_destroy(struct service *s)
 {
 	struct holder *h = (struct holder *)s;
+	struct list_head *node;
 
 	/* Their answers stay in the kernel's queue, which frees them. */
-	while (!list_is_empty(&h->searches))
-		search_job_finish(list_entry(h->searches.next, struct search_job, node));
-	while (!list_is_empty(&h->command_jobs))
-		command_job_expire(-1, 0,
-				   list_entry(h->command_jobs.next, struct command_job, node));
+	while ((node = list_pop_head(&h->searches)))
+		search_job_finish(list_entry(node, struct search_job, node));
+	while ((node = list_pop_head(&h->command_jobs)))
+		command_job_expire(-1, 0, list_entry(node, struct command_job, node));
 	event_free(h->tick);
 	event_free(h->housekeeping);
 	g_hash_table_destroy(h->groups);
