--- a/Makefile
+++ b/Makefile
@@ -29,6 +29,7 @@
 TASK_OBJS = $(TASK_SRCS:%.c=$B/%.o) $(GEN_SRCS:%.c=$B/%.o)
 FAKE_PROGS = $(patsubst fakes/fake_%.c,$B/fake-%,$(wildcard fakes/fake_*.c))
 FAKE_COMMON = $(patsubst %.c,$B/%.o,$(filter-out $(wildcard fakes/fake_*.c),$(wildcard fakes/*.c)))
+BENCH_COMMON = $(patsubst %.c,$B/%.o,$(wildcard bench/common/*.c))
 BENCH_PROGS = $(patsubst bench/%.c,$B/bench-%,$(wildcard bench/*.c))
 EXAMPLES = $(patsubst examples/%.c,$B/example-%,$(wildcard examples/*.c))
 PROGS = $(patsubst %,$B/%,$(if $(wildcard src/main.c),apricotd) $(if $(wildcard src/ctl.c),apricotctl))
@@ -69,7 +70,9 @@
 $B/fake-%: $B/fakes/fake_%.o $(FAKE_COMMON) $B/libtasks.a $B/libapricot.a
 	$(CC) -o $@ $^ $(LDLIBS)
 
-$B/bench-%: $B/bench/%.o $(FAKE_COMMON) $B/libtasks.a $B/libapricot.a
+$B/bench/%.o: CPPFLAGS += -Ifakes
+
+$B/bench-%: $B/bench/%.o $(BENCH_COMMON) $(FAKE_COMMON) $B/libtasks.a $B/libapricot.a
 	$(CC) -o $@ $^ $(LDLIBS)
 
 $B/example-%: $B/examples/%.o $B/libapricot.a
@@ -84,11 +87,14 @@
 	$(MAKE) -j8 build-tests
 	scripts/run-tests
 
+bench: all
+	scripts/bench
+
 demo: deps
 	$(MAKE) -j8 all
 	scripts/demo
 
-FORMATTED = $(wildcard src/*.[ch] fakes/*.[ch] bench/*.[ch] examples/*.c tests/*.cc tests/*.h)
+FORMATTED = $(wildcard src/*.[ch] fakes/*.[ch] bench/*.[ch] bench/common/*.[ch] examples/*.c tests/*.cc tests/*.h)
 
 format:
 	clang-format -i $(FORMATTED)
@@ -96,9 +102,9 @@
 lint:
 	clang-format --dry-run -Werror $(FORMATTED)
 	cppcheck --quiet --std=c11 --enable=warning,performance,portability --inline-suppr \
-		--suppress=missingInclude --suppress=unknownMacro -j 8 --error-exitcode=1 -Isrc \
-		$(wildcard src/*.c fakes/*.c bench/*.c examples/*.c)
-	printf '%s\n' $(wildcard src/*.c fakes/*.c bench/*.c examples/*.c) | \
+		--suppress=missingInclude --suppress=unknownMacro -j 8 --error-exitcode=1 -Isrc -Ifakes \
+		$(wildcard src/*.c fakes/*.c bench/*.c bench/common/*.c examples/*.c)
+	printf '%s\n' $(wildcard src/*.c fakes/*.c bench/*.c bench/common/*.c examples/*.c) | \
 		xargs -P 8 -n 4 sh -c 'clang-tidy --quiet "$$@" -- $(CPPFLAGS) -Ifakes -std=gnu11 2>$B.tidy.$$$$ || \
 		{ cat $B.tidy.$$$$; rm -f $B.tidy.$$$$; exit 255; }; rm -f $B.tidy.$$$$' tidy
 
--- a/fakes/fake_leaf.c
+++ b/fakes/fake_leaf.c
@@ -264,7 +264,10 @@
 	g_free(call);
 }
 
-/* Hits depend on the query, the shard and the index version only. */
+/*
+ * Hits depend on the query, the shard and the index version only. q is the hash of the query, so
+ * that a client can tell whether an answer belongs to its own request.
+ */
 static json_t *hits_create(const struct call *call)
 {
 	json_t *hits = json_array();
@@ -273,9 +276,10 @@
 		char *id = g_strdup_printf("s%u-v%u-%u", call->shard, call->version, i);
 		char *seed = g_strdup_printf("%s %s", id, call->body);
 
-		json_array_append_new(hits, json_pack("{s:s, s:f, s:i}", "id", id, "score",
+		json_array_append_new(hits, json_pack("{s:s, s:f, s:i, s:I}", "id", id, "score",
 						      g_str_hash(seed) / (double)UINT32_MAX,
-						      "shard", (int)call->shard));
+						      "shard", (int)call->shard, "q",
+						      (json_int_t)g_str_hash(call->body)));
 		g_free(seed);
 		g_free(id);
 	}
