--- a/bench/common/stream.c
+++ b/bench/common/stream.c
@@ -3,6 +3,8 @@
 #include <stdlib.h>
 #include <string.h>
 
+#define STREAM_SHARDS_MAX 1024
+
 struct stream *stream_create(json_t *manifest, const char *arg)
 {
 	g_auto(GStrv) part = g_strsplit(arg, ":", 3);
@@ -31,6 +33,7 @@
 		s->deadline_us =
 			(uint64_t)json_integer_value(json_object_get(service, "deadline_ms")) *
 			1000;
+		s->shards = MIN(s->shards, STREAM_SHARDS_MAX);
 		s->latency_us = g_array_new(FALSE, FALSE, sizeof(uint64_t));
 		return s;
 	}
@@ -51,7 +54,7 @@
 static bool coverage_is_true(const struct stream *s, json_t *coverage, bool *included)
 {
 	json_t *missing = json_object_get(coverage, "missing");
-	g_autofree bool *named = g_new0(bool, s->shards);
+	bool named[STREAM_SHARDS_MAX] = {false};
 	json_t *item;
 	size_t i;
 	unsigned int n = 0;
@@ -84,8 +87,8 @@
 	json_t *coverage = json_object_get(body, "coverage");
 	json_int_t version = json_integer_value(
 		json_object_get(json_object_get(body, "snapshot"), "index_version"));
-	g_autofree bool *included = g_new0(bool, s->shards);
-	g_autofree unsigned int *hits = g_new0(unsigned int, s->shards);
+	bool included[STREAM_SHARDS_MAX] = {false};
+	unsigned int hits[STREAM_SHARDS_MAX] = {0};
 	bool is_true = coverage_is_true(s, coverage, included);
 	json_t *hit;
 	size_t i;
--- a/bench/load.c
+++ b/bench/load.c
@@ -15,6 +15,7 @@
 
 #define CALLERS 16
 #define GRACE_US 1500000
+#define RECORD_WAIT_US 200000
 #define ARGS_EXPECTED "an argument is unknown, missing or malformed"
 
 struct entry {
@@ -31,6 +32,7 @@
 };
 
 struct request {
+	struct load *load;
 	struct stream *stream;
 	struct conn *conn;
 	uint64_t intended_us;
@@ -56,6 +58,7 @@
 	uint64_t n_requests;
 	uint64_t n_open;
 	uint64_t max_lag_us;
+	bool is_ending;
 };
 
 static uint64_t now_us_get(void)
@@ -169,8 +172,6 @@
 	return conn;
 }
 
-static struct load *the_load;
-
 static void request_answered(struct evhttp_request *req, void *arg)
 {
 	struct request *r = arg;
@@ -178,7 +179,7 @@
 	int status = req ? evhttp_request_get_response_code(req) : 0;
 	json_t *body = answer_parse(req);
 
-	the_load->n_open--;
+	r->load->n_open--;
 	if (r->measured)
 		stream_answer_count(r->stream, r->text, r->id, status, body,
 				    now_us_get() - r->intended_us);
@@ -217,6 +218,7 @@
 	struct evkeyvalq *headers = evhttp_request_get_output_headers(req);
 	char caller[32];
 
+	r->load = l;
 	r->stream = s;
 	r->intended_us = s->next_us;
 	r->measured = s->next_us >= l->measure_us;
@@ -255,12 +257,19 @@
 		}
 		next_us = MIN(next_us, s->next_us);
 	}
-	if (now_us < l->end_us)
+	if (now_us < l->end_us) {
 		timer_set(l->timer, next_us > now_us ? next_us - now_us : 0);
-	else if (now_us < l->end_us + GRACE_US)
-		timer_set(l->timer, 100000);
-	else
+	} else if (l->is_ending) {
 		event_base_loopbreak(l->base);
+	} else if (l->n_open == 0 || now_us >= l->end_us + GRACE_US) {
+		/* One more reading of the records, after the last leaf call. */
+		l->is_ending = true;
+		if (l->records)
+			records_start(l->records);
+		timer_set(l->timer, RECORD_WAIT_US);
+	} else {
+		timer_set(l->timer, 20000);
+	}
 }
 
 /* Result */
@@ -338,7 +347,6 @@
 		argc > 1 && duration_ms > 0 && warmup_ms >= 0;
 	g_option_context_free(context);
 	l.base = httpd_base_create();
-	the_load = &l;
 	if (valid)
 		manifest = json_load_file(manifest_path, 0, NULL);
 	for (int i = 1; valid && i < argc; i++) {
