Reserve the p95 of the service time for a popped call

Cause: a call popped with the median service time left misses its deadline half of the time, and the leaf's work is lost.

--- a/src/leafgroup.c
+++ b/src/leafgroup.c
@@ -448,9 +448,13 @@
 	return true;
 }
 
+/*
+ * Time that a popped call needs. With the median, half of the calls popped at the last moment under
+ * overload miss their deadline. The bound by the median keeps rare stragglers out of the estimate.
+ */
 static uint64_t group_service_us(const struct leafgroup *lg)
 {
-	return hist_quantile(lg->latency, 0.5);
+	return MIN(hist_quantile(lg->latency, 0.95), 2 * hist_quantile(lg->latency, 0.5));
 }
 
 static void group_pump(struct leafgroup *lg, uint64_t now_us)
