Measure false suspicions and the loss of many members in bench-members

Cause: the cost at the design size is extrapolated from the number of members and the loss, and the bench had one loss for all sizes, at most 400 members and did not count wrong verdicts. Change: arguments for loss, seed, members and members that stop at once; counts of false suspicions and removals; up to 3,200 members.

--- a/bench/members.c
+++ b/bench/members.c
@@ -1,6 +1,9 @@
 /*
  * Cost of the membership by the number of members: N tables in one process over virtual time.
- * Usage: bench-members [LOSS_PERCENT]. CPU time includes the virtual network.
+ * Usage: bench-members [LOSS_PERCENT [SEED [MEMBERS [CRASHED_PERCENT]]]]. CPU time includes the
+ * virtual network. "false" counts live members that a table suspected or removed, for each node
+ * and hour; crash_s is the time until every other table has removed all members that stopped at
+ * once, -1 when that takes longer than 5 minutes.
  */
 #include "member.h"
 
@@ -9,16 +12,18 @@
 #include <string.h>
 #include <time.h>
 
-#define MEMBERS_MAX 400
+#define MEMBERS_MAX 3200
 #define STEADY_MS 60000
 #define CHANGES 10
+#define CRASH_WAIT_MS 300000
 #define DELAY_MS 6 /* messages take 1 to DELAY_MS - 1 */
 
 static struct member_entry selves[MEMBERS_MAX];
 static struct member_table *tables[MEMBERS_MAX];
 static unsigned int node_count;
+static unsigned int crashed_count; /* tables from 0 that no longer run */
 static GPtrArray *wire[DELAY_MS]; /* pairs of table and message */
-static uint64_t now_ms = 1000000, sent_messages, sent_bytes;
+static uint64_t now_ms = 1000000, sent_messages, sent_bytes, suspicions, removals;
 static int loss_pct;
 static GRand *rng;
 
@@ -62,6 +67,16 @@
 
 static void node_changed(struct member_transport *transport, const struct member_entry *entry)
 {
+	suspicions += entry->state == MEMBER_SUSPECT;
+	removals += entry->state == MEMBER_REMOVED;
+}
+
+static bool table_runs(const struct member_table *t)
+{
+	for (unsigned int i = 0; i < crashed_count; i++)
+		if (tables[i] == t)
+			return false;
+	return true;
 }
 
 static void run(uint64_t ms)
@@ -70,12 +85,15 @@
 		GPtrArray *slot = wire[now_ms % DELAY_MS];
 
 		for (unsigned int i = 0; i < slot->len; i += 2) {
-			member_table_receive(slot->pdata[i], slot->pdata[i + 1], now_ms, rng);
+			if (table_runs(slot->pdata[i]))
+				member_table_receive(slot->pdata[i], slot->pdata[i + 1], now_ms,
+						     rng);
 			g_free(slot->pdata[i + 1]);
 		}
 		g_ptr_array_set_size(slot, 0);
 		for (unsigned int i = now_ms % 100; i < node_count; i += 100)
-			member_table_tick(tables[i], now_ms, rng);
+			if (i >= crashed_count)
+				member_table_tick(tables[i], now_ms, rng);
 	}
 }
 
@@ -87,6 +105,7 @@
 	struct member_entry *e = selves;
 
 	node_count = n;
+	crashed_count = 0;
 	for (unsigned int i = 0; i < n; i++, e++) {
 		g_snprintf(e->name, sizeof(e->name), "entry-norte-%c-%04u", 'a' + (char)(i % 3), i);
 		g_snprintf(e->dc, sizeof(e->dc), "norte-%c", 'a' + (char)(i % 3));
@@ -109,37 +128,89 @@
 	return true;
 }
 
-static void measure(unsigned int n)
+static bool all_have_removed(unsigned int crashed)
+{
+	struct member_entry e;
+
+	for (unsigned int i = crashed; i < node_count; i++)
+		for (unsigned int j = 0; j < crashed; j++)
+			if (member_table_find(tables[i], selves[j].name, now_ms, &e) &&
+			    e.state != MEMBER_REMOVED)
+				return false;
+	return true;
+}
+
+/* Stops the first tables at once; returns the seconds until all others have removed them, or -1. */
+static double crash(unsigned int n)
+{
+	uint64_t start_ms = now_ms;
+
+	crashed_count = n;
+	while (!all_have_removed(n) && now_ms < start_ms + CRASH_WAIT_MS)
+		run(100);
+	return now_ms < start_ms + CRASH_WAIT_MS ? (double)(now_ms - start_ms) / 1000 : -1;
+}
+
+static void measure(unsigned int n, unsigned int crashed)
 {
 	double per = n * (STEADY_MS / 1000.0), max_ms = 0, cpu;
 
 	start(n);
-	sent_bytes = sent_messages = 0;
+	sent_bytes = sent_messages = suspicions = removals = 0;
 	cpu = (double)clock();
 	run(STEADY_MS);
 	cpu = (double)clock() - cpu;
-	printf("%7u  %7.0f  %10.2f  %8.1f", n, (double)sent_bytes / per,
-	       (double)sent_messages / per, cpu * 1e6 / CLOCKS_PER_SEC / per);
+	printf("%7u  %7.0f  %10.2f  %8.1f  %15.1f  %15.2f", n, (double)sent_bytes / per,
+	       (double)sent_messages / per, cpu * 1e6 / CLOCKS_PER_SEC / per,
+	       (double)suspicions * 3600 / per, (double)removals * 3600 / per);
 	for (unsigned int i = 0; i < CHANGES; i++) {
 		uint64_t start_ms = now_ms;
 
-		for (member_table_leave(tables[i]); !all_know_leaver(selves[i].name);)
+		for (member_table_leave(tables[i]); !all_know_leaver(selves[i].name);) {
 			run(10);
+			if (now_ms > start_ms + CRASH_WAIT_MS)
+				break;
+		}
 		max_ms = MAX(max_ms, (double)(now_ms - start_ms));
 		run(5000);
 	}
-	printf("  %13.0f  %12zu\n", max_ms, member_table_bytes(tables[0]) / n);
+	printf("  %13.0f  %12zu", max_ms, member_table_bytes(tables[0]) / n);
+	sent_bytes = 0;
+	if (crashed > 0) {
+		uint64_t start_ms = now_ms;
+		double seconds = crash(crashed);
+
+		printf("  %7u  %7.1f  %13.0f", crashed, seconds,
+		       (double)sent_bytes * 1000 / (double)(now_ms - start_ms) / (n - crashed));
+	}
+	puts("");
+	fflush(stdout);
+}
+
+static unsigned int number(int argc, char **argv, int i, unsigned int fallback)
+{
+	return argc > i ? (unsigned int)strtoul(argv[i], NULL, 10) : fallback;
 }
 
 int main(int argc, char **argv)
 {
-	rng = g_rand_new_with_seed(1);
+	unsigned int loss = number(argc, argv, 1, 0), only = number(argc, argv, 3, 0);
+	unsigned int first = only ? only : 50, last = only ? only : 800;
+	unsigned int crashed_pct = number(argc, argv, 4, 0);
+
+	if (last > MEMBERS_MAX || loss > 99 || crashed_pct > 90) {
+		fprintf(stderr, "bench-members: at most %d members, 99%% loss, 90%% crashed\n",
+			MEMBERS_MAX);
+		return 2;
+	}
+	rng = g_rand_new_with_seed(number(argc, argv, 2, 1));
 	for (int i = 0; i < DELAY_MS; i++)
 		wire[i] = g_ptr_array_new();
-	puts("members  bytes/s  messages/s  cpu_us/s  change_max_ms  bytes/member");
-	for (unsigned int n = 50; n <= 400; n *= 2) {
-		loss_pct = argc > 1 ? (int)strtol(argv[1], NULL, 10) : 0;
-		measure(n);
+	puts("members  bytes/s  messages/s  cpu_us/s  false_suspect/h  false_removed/h  "
+	     "change_max_ms  bytes/member  crashed  crash_s  crash_bytes/s");
+	for (unsigned int n = first; n <= last; n *= 2) {
+		loss_pct = (int)loss;
+		measure(n, n * crashed_pct / 100);
 		loss_pct = 100; /* delivers what is on the wire and drops the answers */
 		run(DELAY_MS);
 		for (unsigned int i = 0; i < n; i++)
