Repeat refused searches until their deadline

A planned stop moves the groups while the old holder still has calls in flight; two VMs then share 2 slots of a leaf, the leaf refuses, and 4 retries within 15 ms end before a call of 100 ms frees a slot. Change: a refused search is repeated until its deadline, with a delay that grows to 32 ms; without retry budget it waits the longest delay at once. Commands keep the bound of 4. Ruled out: cut connections (no connection was lost), the deadline (500 ms were not used).

--- a/src/leafgroup.c
+++ b/src/leafgroup.c
@@ -18,7 +18,8 @@
 /* Below this a second call costs more than it saves. */
 #define HEDGE_MIN_US 1000
 #define RETRIES_MAX 4
-#define RETRY_DELAY_US 1000
+#define RETRY_DELAY_US 1000u
+#define REFUSAL_DELAY_MAX_US 32000u
 /* Samples after which the histogram is halved, so that it follows changes of load. */
 #define HIST_SAMPLES_MAX 4096
 
@@ -234,25 +235,41 @@
 }
 
 /*
- * A command is repeated only after a proof that it was not run. A leaf that refused for lack of
- * slots may be asked again when every other leaf was tried.
+ * Wait after a refusal. Without budget it is the longest one: a refused call has cost the leaf
+ * little, and giving up would lose a shard that is only busy.
+ */
+static uint64_t refusal_delay_us(struct leafgroup *lg, const struct leafgroup_call *call)
+{
+	uint64_t delay_us = REFUSAL_DELAY_MAX_US;
+
+	if (budget_spend(lg->retry_budget))
+		delay_us = MIN(REFUSAL_DELAY_MAX_US, RETRY_DELAY_US << MIN(call->retries, 16));
+	return (uint64_t)((double)delay_us * g_rand_double_range(lg->env.rand, 0.5, 1.5));
+}
+
+/*
+ * A command is repeated only after a proof that it was not run. A refused search is repeated until
+ * its deadline: during a change of holders two VMs share the slots of a leaf for a while. A leaf
+ * that refused may be asked again when every other leaf was tried.
  */
 static bool call_retry(struct leafgroup *lg, struct leafgroup_call *call,
 		       enum leafcall_status status, uint64_t now_us)
 {
+	bool is_refused = status == LEAFCALL_REFUSED;
+	bool is_bounded = !is_refused || call->kind == LEAFCALL_COMMAND;
+
 	if (call->kind == LEAFCALL_COMMAND && call->was_sent)
 		return false;
-	if (call->retries >= RETRIES_MAX || now_us >= call->item.deadline_us)
+	if ((is_bounded && call->retries >= RETRIES_MAX) || now_us >= call->item.deadline_us)
 		return false;
-	if (status == LEAFCALL_REFUSED && call_obstacle(lg, call) != RESULT_OK)
+	if (is_refused && call_obstacle(lg, call) != RESULT_OK)
 		call->tried = 0;
-	if (call_obstacle(lg, call) != RESULT_OK || !budget_spend(lg->retry_budget))
+	if (call_obstacle(lg, call) != RESULT_OK)
+		return false;
+	if (!is_refused && !budget_spend(lg->retry_budget))
 		return false;
 	counter_increment(lg->env.counters, COUNTER_LEAF_RETRIES);
-	call->not_before_us = now_us;
-	if (status == LEAFCALL_REFUSED)
-		call->not_before_us += (uint64_t)((double)(RETRY_DELAY_US << call->retries) *
-						  g_rand_double_range(lg->env.rand, 0.5, 1.5));
+	call->not_before_us = now_us + (is_refused ? refusal_delay_us(lg, call) : 0);
 	call->retries++;
 	list_del(&call->inflight);
 	call_wait(lg, call);
--- a/tests/system_test.cc
+++ b/tests/system_test.cc
@@ -599,7 +599,8 @@
 		for (auto &connection : open) {
 			json_ref body(connection->answer_read().body);
 			const json_t *coverage = json_object_get(body.json, "coverage");
-			const json_t *first = json_array_get(json_object_get(coverage, "missing"), 0);
+			const json_t *first =
+				json_array_get(json_object_get(coverage, "missing"), 0);
 
 			n += json_is_true(json_object_get(coverage, "complete"));
 			if (first)
