Write 16 hex digits in the id prefix of an entry list

The prefix had no leading zeros, while command_id_parse takes 16 hex digits only: a daemon whose random incarnation starts with a zero digit (1 of 16) refused every command with bad_id.

entrylist.test expected the short form (ff.4000, 2.0); it now expects 16 digits, and each prefix must make an id that command_id_parse takes.

--- a/src/entrylist.c
+++ b/src/entrylist.c
@@ -55,7 +55,7 @@
 		l->items[i].dc = e->dc;
 		l->items[i].http = e->http;
 		g_snprintf(l->items[i].id_prefix, ENTRYLIST_PREFIX_MAX,
-			   "%" G_GINT64_MODIFIER "x.%" G_GUINT64_FORMAT, e->incarnation,
+			   "%016" G_GINT64_MODIFIER "x.%" G_GUINT64_FORMAT, e->incarnation,
 			   e->uptime_ms);
 	}
 	g_free(places);
--- a/tests/entrylist_test.cc
+++ b/tests/entrylist_test.cc
@@ -1,3 +1,4 @@
+#include "command.h"
 #include "entrylist.h"
 #include "script.h"
 
@@ -47,10 +48,15 @@
 		std::string s;
 		unsigned int n;
 		const entrylist_item *items = entrylist_items(l, &n);
+		struct command_id id;
 
 		for (unsigned int i = 0; i < n; i++)
 			s += std::string(items[i].name) + " " + items[i].dc + " " + items[i].http +
-			     " " + items[i].id_prefix + "\n";
+			     " " + items[i].id_prefix +
+			     (command_id_parse(
+				      (std::string(items[i].id_prefix) + ".abcdefgh").c_str(), &id)
+				      ? "\n"
+				      : " malformed prefix\n");
 		s += "until " + std::to_string(entrylist_expiry(l)) + "\n";
 		entrylist_destroy(l);
 		return s;
