Parse callers' requests in a module of their own

So that the parser can be fuzzed and tested without HTTP, the parsing of /search and /command moves from front.c to request.c. message.c and request.c need the kernel and join the task sources: as part of libapricot they left it with undefined symbols of the XDR code.

--- a/Makefile
+++ b/Makefile
@@ -17,7 +17,7 @@
 LDLIBS = $(SAN) $(shell pkg-config --libs $(PKGS)) -lm
 
 # Files with sockets or clocks; every other file of src/ belongs to libapricot.
-TASKS = kernel log peer rpc clock http front searcher commander holder leafconn configurer membership stopper settings
+TASKS = kernel message request log peer rpc clock http front searcher commander holder leafconn configurer membership stopper settings
 MAINS = main ctl
 
 ALL_SRCS = $(wildcard src/*.c)
@@ -88,7 +88,7 @@
 	$(MAKE) -j8 all
 	scripts/demo
 
-FORMATTED = $(wildcard src/*.[ch] fakes/*.[ch] bench/*.[ch] examples/*.c tests/*.cc tests/*.h)
+FORMATTED = $(wildcard src/*.[ch] fakes/*.[ch] bench/*.[ch] examples/*.c tests/*.cc tests/*.h tests/fuzz/*.[ch])
 
 format:
 	clang-format -i $(FORMATTED)
--- a/src/front.c
+++ b/src/front.c
@@ -3,6 +3,7 @@
 #include "clock.h"
 #include "hist.h"
 #include "message.h"
+#include "request.h"
 
 #include <event2/buffer.h>
 #include <event2/http.h>
@@ -12,8 +13,6 @@
 #define BODY_BYTES_MAX 65536
 #define HEADER_BYTES_MAX 16384
 #define NAME_BYTES_MAX 63
-#define ID_BYTES_MAX 159
-#define DEADLINE_MS_MAX 60000
 
 struct front {
 	struct service service;
@@ -89,70 +88,6 @@
 	g_free(p);
 }
 
-/* A copy of a string field; NULL with an answer sent when it is missing or too long. */
-static bool field_read(const json_t *body, const char *name, size_t max_bytes, bool is_required,
-		       char **out, const char **problem)
-{
-	const json_t *value = json_object_get(body, name);
-	const char *text = json_string_value(value);
-
-	if (!value && !is_required) {
-		*out = g_strdup("");
-		return true;
-	}
-	if (!text || strlen(text) > max_bytes || (is_required && !*text)) {
-		*problem = name;
-		return false;
-	}
-	*out = g_strdup(text);
-	return true;
-}
-
-static bool deadline_read(const json_t *body, uint32_t *deadline_ms, const char **problem)
-{
-	const json_t *value = json_object_get(body, "deadline_ms");
-	json_int_t n = json_integer_value(value);
-
-	if (!value)
-		return true;
-	if (!json_is_integer(value) || n < 1 || n > DEADLINE_MS_MAX) {
-		*problem = "deadline_ms";
-		return false;
-	}
-	*deadline_ms = (uint32_t)n;
-	return true;
-}
-
-static bool payload_read(const json_t *body, const char *name, char **out, const char **problem)
-{
-	const json_t *value = json_object_get(body, name);
-
-	if (!value) {
-		*problem = name;
-		return false;
-	}
-	*out = json_dumps(value, JSON_COMPACT | JSON_ENCODE_ANY);
-	return *out != NULL;
-}
-
-static bool request_parse(struct caller_request *r, const json_t *body, bool is_command,
-			  const char **problem)
-{
-	if (!json_is_object(body)) {
-		*problem = "body: a JSON object is required";
-		return false;
-	}
-	if (!field_read(body, "service", NAME_BYTES_MAX, true, &r->service, problem) ||
-	    !field_read(body, "class", NAME_BYTES_MAX, false, &r->klass, problem) ||
-	    !deadline_read(body, &r->deadline_ms, problem))
-		return false;
-	if (!is_command)
-		return payload_read(body, "query", &r->body, problem);
-	return field_read(body, "id", ID_BYTES_MAX, true, &r->id, problem) &&
-	       field_read(body, "key", BODY_BYTES_MAX, true, &r->key, problem) &&
-	       payload_read(body, "body", &r->body, problem);
-}
-
 /* The name a caller gives itself, else its address; it decides about its share of the queues. */
 static char *caller_name(struct evhttp_request *req)
 {
@@ -170,20 +105,16 @@
 {
 	struct evbuffer *in = evhttp_request_get_input_buffer(req);
 	size_t n = evbuffer_get_length(in);
-	json_error_t json_error;
-	json_t *body = json_loadb(n ? (char *)evbuffer_pullup(in, -1) : "", n, 0, &json_error);
 	struct caller_request *r = caller_request_create();
-	const char *problem = json_error.text;
+	g_autofree char *problem = NULL;
 	const char *to = is_command ? "commander" : "searcher";
 
 	r->arrived_us = clock_now_us();
-	if (!body || !request_parse(r, body, is_command, &problem)) {
+	if (!request_parse(r, n ? (char *)evbuffer_pullup(in, -1) : "", n, is_command, &problem)) {
 		error_send(f, req, RESULT_BAD_REQUEST, problem);
-		json_decref(body);
 		message_destroy(&r->message);
 		return;
 	}
-	json_decref(body);
 	r->caller = caller_name(req);
 	r->reply_to = &f->service;
 	r->tag = pending_add(f, req, PENDING_REQUEST);
