Refuse members whose name no VM can have

A membership message with a name that is not UTF-8 was taken into the table, and /entries and /status then left the member out, since JSON cannot hold it. Found by the fuzz target member; the input is tests/fuzz/corpus/member/name_not_utf8.

--- a/src/membership.c
+++ b/src/membership.c
@@ -49,13 +49,24 @@
 	out->state = e->state;
 }
 
+/* As the settings of the VM itself allow it; other names could not be reported as JSON or logged.
+ */
+static bool name_is_valid(const char *text)
+{
+	for (; *text; text++)
+		if (!g_ascii_isalnum(*text) && !strchr("-_.", *text))
+			return false;
+	return true;
+}
+
 static bool entry_decode(struct member_entry *e, const apr_member *in)
 {
 	memset(e, 0, sizeof(*e));
-	if (!*in->name || strlen(in->name) >= sizeof(e->name) || strlen(in->dc) >= sizeof(e->dc) ||
-	    strlen(in->http) >= sizeof(e->http) || strlen(in->rpc) >= sizeof(e->rpc) ||
-	    !manifest_address_is_valid(in->rpc) || in->state < MEMBER_LIVE ||
-	    in->state > MEMBER_REMOVED || in->sequence > G_MAXUINT32)
+	if (!*in->name || !name_is_valid(in->name) || !name_is_valid(in->dc) ||
+	    !manifest_address_is_valid(in->http) || strlen(in->name) >= sizeof(e->name) ||
+	    strlen(in->dc) >= sizeof(e->dc) || strlen(in->http) >= sizeof(e->http) ||
+	    strlen(in->rpc) >= sizeof(e->rpc) || !manifest_address_is_valid(in->rpc) ||
+	    in->state < MEMBER_LIVE || in->state > MEMBER_REMOVED || in->sequence > G_MAXUINT32)
 		return false;
 	g_strlcpy(e->name, in->name, sizeof(e->name));
 	g_strlcpy(e->dc, in->dc, sizeof(e->dc));
