Read no bytes for an empty RPC fragment

A record that starts with an empty fragment had no memory yet, so that record_read added an offset to a null pointer and passed it on (UBSan). Any peer could send it; the daemon closed the connection as malformed and went on. Found by the fuzz target rpc; the input is tests/fuzz/corpus/rpc/empty_fragment.

--- a/src/rpc.c
+++ b/src/rpc.c
@@ -255,8 +255,11 @@
 		if (evbuffer_get_length(in) < sizeof(mark) + n)
 			return 0;
 		evbuffer_drain(in, sizeof(mark));
-		g_byte_array_set_size(record, old + n);
-		evbuffer_remove(in, record->data + old, n);
+		/* An empty first fragment leaves the record without memory. */
+		if (n > 0) {
+			g_byte_array_set_size(record, old + n);
+			evbuffer_remove(in, record->data + old, n);
+		}
 		if (ntohl(mark) & RPC_RECORD_LAST)
 			return 1;
 	}
