Give the verifier of an RPC reply a buffer

libtirpc allocates the verifier's body when it has no buffer, and nothing freed it: each reply with a verifier leaked up to 400 bytes (LeakSanitizer). Daemons send none, but a peer could. Found by the fuzz target rpc; the input is tests/fuzz/corpus/rpc/reply_verifier.

--- a/src/rpc.c
+++ b/src/rpc.c
@@ -397,6 +397,8 @@
 /* False when the connection must be closed. */
 static bool client_record_handle(struct rpc_client_conn *conn, uint8_t *bytes, size_t n_bytes)
 {
+	/* Where the verifier goes; nothing looks at it, and without a buffer XDR allocates one. */
+	static char verf[MAX_AUTH_BYTES];
 	struct rpc_msg msg = {0};
 	struct rpc_pending *p;
 	xdrproc_t result_xdr;
@@ -418,7 +420,7 @@
 	g_hash_table_remove(conn->sent, GUINT_TO_POINTER(xid));
 	result_xdr = p->result_xdr;
 	result = g_malloc0(MAX(p->result_bytes, 1));
-	msg.acpted_rply.ar_verf = _null_auth;
+	msg.acpted_rply.ar_verf.oa_base = verf;
 	msg.acpted_rply.ar_results.where = result;
 	msg.acpted_rply.ar_results.proc = result_xdr;
 	xdrmem_create(&xdrs, (char *)bytes, n_bytes, XDR_DECODE);
