Test that garbage harms no other request

The system test step garbage sends 200 messages to the RPC port (TCP and UDP) or the HTTP port of a daemon: random bytes, call headers of every procedure with random arguments, records and HTTP bodies that are announced and never end. Their connections stay open while searches and a command follow, which must be complete.

--- a/tests/system_test.cc
+++ b/tests/system_test.cc
@@ -2,20 +2,25 @@
  * Scripted tests of whole deployments: apricotd, apricotctl's interface and the stand-ins as
  * separate processes on loopback. tests/system.test holds the cases.
  */
+#include <arpa/inet.h>
 #include <gtest/gtest.h>
 #include <jansson.h>
 #include <signal.h>
 #include <stdlib.h>
+#include <sys/socket.h>
+#include <unistd.h>
 
 #include <algorithm>
 #include <filesystem>
 #include <fstream>
 #include <map>
 #include <memory>
+#include <random>
 #include <set>
 #include <sstream>
 
 #include "process.h"
+#include "proto/apricot.h"
 #include "script.h"
 
 namespace
@@ -59,6 +64,8 @@
 	~deployment() override
 	{
 		programs.clear();
+		for (int fd : garbage_fds)
+			close(fd);
 		if (!dir.empty())
 			std::filesystem::remove_all(dir);
 	}
@@ -76,6 +83,7 @@
 			{"runs", &deployment::runs},	   {"quiet", &deployment::quiet},
 			{"members", &deployment::members}, {"list", &deployment::list},
 			{"post", &deployment::post},	   {"wait", &deployment::wait_step},
+			{"garbage", &deployment::garbage}, {"tidy", &deployment::tidy},
 			{"load", &deployment::load},	   {"loaded", &deployment::loaded},
 		};
 		auto found = steps.find(words[0]);
@@ -535,8 +543,85 @@
 		return out;
 	}
 
+	/* Random bytes after what makes a receiver read on: the start of an RPC or HTTP message. */
+	static std::string garbage_message(std::mt19937 &random, bool is_http, bool is_datagram)
+	{
+		static const char *const starts[] = {
+			"", "POST /search HTTP/1.1\r\nContent-Length: 100000\r\n\r\n",
+			"POST /command HTTP/1.1\r\nContent-Length: 50\r\n\r\n{\"service\": \"",
+			"POST /search HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\nffff\r\n",
+			"GET /entries HTTP/1.1\r\nX-Caller: "};
+		std::string out;
+		size_t n_bytes = random() % 2000;
+
+		if (is_http) {
+			out = starts[random() % (sizeof(starts) / sizeof(starts[0]))];
+		} else if (random() % 4 != 0) {
+			/* Call header of a procedure of apricot.x, with the mark of a long record.
+			 */
+			uint32_t words[] = {htonl(0x80000000u | (random() % 4 ? 1000 : 20000)),
+					    htonl(random()),
+					    0,
+					    htonl(2),
+					    htonl(APRICOT_PROGRAM),
+					    htonl(APRICOT_VERSION),
+					    htonl(random() % 9),
+					    0,
+					    0,
+					    0,
+					    0};
+
+			out.assign((const char *)words, sizeof(words));
+			out.erase(0, is_datagram ? sizeof(words[0]) : 0);
+		}
+		for (size_t i = 0; i < n_bytes; i++)
+			out += (char)(random() % 3 ? random() : 0);
+		return out;
+	}
+
+	void garbage_send(const std::string &message, uint16_t port, int type)
+	{
+		struct sockaddr_in addr = {};
+		int fd = socket(AF_INET, type | SOCK_CLOEXEC, 0);
+
+		addr.sin_family = AF_INET;
+		addr.sin_port = htons(port);
+		addr.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+		if (connect(fd, (struct sockaddr *)&addr, sizeof(addr)) == 0)
+			send(fd, message.data(), message.size(), MSG_NOSIGNAL | MSG_DONTWAIT);
+		garbage_fds.push_back(fd);
+	}
+
+	/* garbage ENTRY rpc|http SEED: 200 messages; their connections stay open until "tidy". */
+	std::string garbage(const std::vector<std::string> &words)
+	{
+		bool is_http = words[2] == "http";
+		std::mt19937 random((unsigned int)std::stoi(words[3]));
+		std::string rpc = rpc_of(words[1]);
+		uint16_t port = is_http ? programs.at(words[1]).port
+					: (uint16_t)std::stoi(rpc.substr(rpc.find(':') + 1));
+
+		for (int i = 0; i < 200; i++) {
+			bool is_datagram = !is_http && i % 2;
+
+			garbage_send(garbage_message(random, is_http, is_datagram), port,
+				     is_datagram ? SOCK_DGRAM : SOCK_STREAM);
+		}
+		return "";
+	}
+
+	/* tidy: closes the connections of garbage. */
+	std::string tidy(const std::vector<std::string> &)
+	{
+		for (int fd : garbage_fds)
+			close(fd);
+		garbage_fds.clear();
+		return "";
+	}
+
 	std::string dir;
 	uint16_t base = 0;
+	std::vector<int> garbage_fds;
 	std::map<std::string, program> programs;
 	std::vector<std::unique_ptr<http_connection>> open;
 	std::string last_id;
