Answer a request whose error message is cut within a character

For an escape of a multi-byte character ("\é") jansson's message ends in the middle of that character. json_pack refused it, and the caller got a 400 without a body. The message is now made valid UTF-8.

--- a/src/request.c
+++ b/src/request.c
@@ -86,8 +86,10 @@
 	const char *reason = json_error.text;
 	bool ok = body && request_read(r, body, is_command, &reason);
 
+	/* The parser's message can end within a character, and the answer could not hold it then.
+	 */
 	if (!ok)
-		*problem = g_strdup(reason);
+		*problem = g_utf8_make_valid(reason, -1);
 	json_decref(body);
 	return ok;
 }
