Bound the answers of leaves

evhttp clients have no limit by default, so that one faulty backend server could make a holder read an answer of any size until the call's deadline. Bodies are now at most 2 MiB, twice what a reply to the entry holds, and headers 16 KiB; above that the connection is closed and the call fails. The fuzz target leaf answers 3 MiB (corpus leaf/too_long and too_long_chunked) and fails without the bound.

--- a/src/leafpool.c
+++ b/src/leafpool.c
@@ -23,6 +23,12 @@
 /* An abandoned call whose answer does not come within this time costs its connection. */
 #define DRAIN_TIMEOUT_S 2
 #define RETRY_MS 20
+/*
+ * Bounds on what a leaf can make this process read. The body's is twice what fits in a reply to the
+ * entry VM; between the two an answer is reported as too large, above it the connection is closed.
+ */
+#define ANSWER_BODY_BYTES_MAX (2 << 20)
+#define ANSWER_HEADER_BYTES_MAX 16384
 /* Refused attempts in a row after which a leaf without connections counts as down. */
 #define DOWN_ATTEMPTS 2
 
@@ -243,6 +249,8 @@
 	conn->state = CONN_OPENING;
 	conn->evcon = evhttp_connection_base_bufferevent_new(p->base, NULL, NULL, p->ip, p->port);
 	evhttp_connection_set_timeout_tv(conn->evcon, &timeout);
+	evhttp_connection_set_max_body_size(conn->evcon, ANSWER_BODY_BYTES_MAX);
+	evhttp_connection_set_max_headers_size(conn->evcon, ANSWER_HEADER_BYTES_MAX);
 	evhttp_connection_set_closecb(conn->evcon, conn_closed, conn);
 	list_add_tail(&conn->node, &p->used);
 	p->n_connections++;
