--- /dev/null
+++ b/tests/fuzz/fuzz.h
@@ -0,0 +1,18 @@
+/* Shared by the fuzz targets. */
+#ifndef APRICOT_TESTS_FUZZ_H
+#define APRICOT_TESTS_FUZZ_H
+
+#include <stddef.h>
+#include <stdint.h>
+#include <stdlib.h>
+
+/* A property that holds for any input; libFuzzer reports the abort with the input. */
+#define FUZZ_CHECK(condition)     \
+	do {                      \
+		if (!(condition)) \
+			abort();  \
+	} while (0)
+
+int LLVMFuzzerTestOneInput(const uint8_t *data, size_t size);
+
+#endif
