--- a/tests/matrix_test.cc
+++ b/tests/matrix_test.cc
@@ -2,6 +2,7 @@
 
 #include <gtest/gtest.h>
 
+#include <cstdlib>
 #include <cstring>
 #include <random>
 #include <tuple>
@@ -117,10 +118,13 @@
 
 } // namespace
 
-/* Guards against: two faults together break P1 to P8. */
+/* Guards against: two faults together break P1 to P8. MATRIX_PAIRS sets another number of pairs. */
 TEST(matrix_pairs, hold)
 {
-	for (unsigned int i = 0; i < 300; i++) {
+	const char *wanted = getenv("MATRIX_PAIRS");
+	unsigned int n = wanted ? (unsigned int)atoi(wanted) : 300;
+
+	for (unsigned int i = 0; i < n; i++) {
 		bool is_command = i % 2;
 		std::vector<matrix_injection> in = pair_sample(i, is_command);
 		matrix_report r = matrix_run(i, is_command, in);
--- a/tests/matrix_world.cc
+++ b/tests/matrix_world.cc
@@ -192,7 +192,7 @@
 struct leaf_state {
 	uint64_t incarnation = 0;
 	std::set<uint64_t> versions = {1}, maps = {1};
-	uint64_t sign_us = 0; /* when the mark could first be seen; 0: not draining */
+	uint64_t sign_us = 0; /* when a holder first read of the drain; 0: none did */
 	bool is_draining = false, refuses = false;
 };
 
@@ -419,7 +419,8 @@
 			break;
 		case MATRIX_PAUSE:
 			nodes[n].paused_until_us =
-				now + (rnd(2) ? 300 * MS : LEASE_MS * MS + SECOND);
+				now +
+				(rnd(2) ? 300 * MS : LEASE_MS * MS + SECOND + rnd(4 * SECOND));
 			break;
 		case MATRIX_CUT_ONE:
 			(rnd(2) ? cut_until[n][peer] : cut_until[peer][n]) = until;
@@ -490,12 +491,7 @@
 		leaf->is_draining = true;
 		leaf->refuses = rnd(2);
 		if (rnd(2))
-			at(now + rnd(500 * MS), [=] {
-				listed_leaving.insert(name);
-				if (leaf->sign_us == 0 && platform_down_until <= now &&
-				    platform_stale_until <= now)
-					leaf->sign_us = now;
-			});
+			at(now + rnd(500 * MS), [=] { listed_leaving.insert(name); });
 		at(now + 8 * SECOND, [=] {
 			listed_leaving.erase(name);
 			if (leaf->incarnation == incarnation && nodes[LEAF_0 + i].up)
@@ -1499,6 +1495,8 @@
 		if (p->leaf_incarnation[i] != a.incarnation)
 			leaving_observe(p->marks.get(), backend(i).c_str(), a.incarnation);
 		p->leaf_incarnation[i] = a.incarnation;
+		if (a.is_draining && a.incarnation == leaves[i].incarnation)
+			sign_note(i);
 		if (a.is_draining && !is_marked(p, i))
 			mark_apply(p, backend(i), a.incarnation, LEAVING_DRAIN);
 		leaf_answered(n, c, a);
@@ -1536,13 +1534,20 @@
 					mark_apply(vms[to].get(), name, incarnation, LEAVING_PEER);
 				});
 	}
+	void sign_note(int i)
+	{
+		if (leaves[i].is_draining && leaves[i].sign_us == 0)
+			leaves[i].sign_us = now;
+	}
 	void vms_receive(process *p, const std::set<std::string> &list)
 	{
 		for (int i = 0; i < 2; i++)
-			if (!list.count(backend(i)))
+			if (!list.count(backend(i))) {
 				leaving_unlist(p->marks.get(), backend(i).c_str());
-			else
+			} else {
+				sign_note(i);
 				mark_apply(p, backend(i), 0, LEAVING_VM_LIST);
+			}
 	}
 
 	/* Leaves. */
@@ -1580,11 +1585,7 @@
 		else
 			a.status = ANSWERED;
 		auto send = [=](const leaf_reply &answer) {
-			step(MATRIX_AT_LEAF_ANSWER, q.is_target, n, from, [=] {
-				if (leaves[i].is_draining && leaves[i].sign_us == 0)
-					leaves[i].sign_us = now;
-				reply(answer);
-			});
+			step(MATRIX_AT_LEAF_ANSWER, q.is_target, n, from, [=] { reply(answer); });
 		};
 		if (a.status != ANSWERED) {
 			send(a);
