Show that a paused holder calls a marked leaf

A pair of faults breaks P6: a backend server drains while a holder sleeps for more than 3 s. At the wake the holder may read a waiting search before the waiting mark and calls the marked leaf. docs/models.md has the rule NO_MARK_BEFORE_DISPATCH for this; src/holder.c does not apply it.

--- a/tests/matrix_world.h
+++ b/tests/matrix_world.h
@@ -93,6 +93,8 @@
 	bool list_wait = true; /* a planned stop waits until the lists have expired */
 	bool announce_leaving = true; /* a planned stop is announced to the members */
 	bool heartbeat_repair = true; /* heartbeats carry the configuration version */
+	/* Not a rule of holder.c yet: after a pause it reads what waits before it calls a leaf. */
+	bool read_before_dispatch = false;
 	bool highest_wins = true; /* the store survives the arrival of a lower version */
 };
 
