--- a/tests/matrix_world.cc
+++ b/tests/matrix_world.cc
@@ -34,7 +34,7 @@
 constexpr uint64_t LEASE_MS = 2000;
 constexpr uint64_t SPREAD_MS = 2000;
 constexpr uint64_t TARGET_US = 3 * SECOND; /* the request whose steps meet the faults */
-constexpr uint64_t END_US = 20 * SECOND;
+constexpr uint64_t END_US = 18 * SECOND;
 constexpr uint64_t MARK_BOUND_US = 3 * SECOND;
 
 using action = std::function<void()>;
@@ -86,6 +86,7 @@
 	leaf_request request;
 	const manifest_group *group = nullptr;
 	unsigned int tried = 0;
+	int first = -1; /* leaf that is tried first */
 	bool was_sent = false, is_done = false;
 	result last_failure = RESULT_OK;
 	std::function<void(result, bool, std::string)> done;
@@ -192,7 +193,7 @@
 struct leaf_state {
 	uint64_t incarnation = 0;
 	std::set<uint64_t> versions = {1}, maps = {1};
-	uint64_t sign_us = 0; /* when the mark could first be seen; 0: not draining */
+	uint64_t sign_us = 0; /* when a holder first read of the drain; 0: none did */
 	bool is_draining = false, refuses = false;
 };
 
@@ -419,7 +420,8 @@
 			break;
 		case MATRIX_PAUSE:
 			nodes[n].paused_until_us =
-				now + (rnd(2) ? 300 * MS : LEASE_MS * MS + SECOND);
+				now +
+				(rnd(2) ? 300 * MS : LEASE_MS * MS + SECOND + rnd(4 * SECOND));
 			break;
 		case MATRIX_CUT_ONE:
 			(rnd(2) ? cut_until[n][peer] : cut_until[peer][n]) = until;
@@ -490,12 +492,7 @@
 		leaf->is_draining = true;
 		leaf->refuses = rnd(2);
 		if (rnd(2))
-			at(now + rnd(500 * MS), [=] {
-				listed_leaving.insert(name);
-				if (leaf->sign_us == 0 && platform_down_until <= now &&
-				    platform_stale_until <= now)
-					leaf->sign_us = now;
-			});
+			at(now + rnd(500 * MS), [=] { listed_leaving.insert(name); });
 		at(now + 8 * SECOND, [=] {
 			listed_leaving.erase(name);
 			if (leaf->incarnation == incarnation && nodes[LEAF_0 + i].up)
@@ -1395,11 +1392,11 @@
 	/* A leaf, or -1 with the reason. */
 	int leaf_pick(process *p, const leaf_call_ref &c, result *obstacle)
 	{
-		int first = (int)rnd(2);
-
+		if (c->first < 0)
+			c->first = (int)rnd(2);
 		*obstacle = RESULT_NO_REPLICA;
 		for (int k = 0; k < 2; k++) {
-			int i = first ^ k;
+			int i = c->first ^ k;
 			auto &v = p->leaf_versions[i];
 			bool serves = c->request.is_command || v.empty();
 
@@ -1416,10 +1413,15 @@
 		}
 		return -1;
 	}
-	void leaf_place(int n, const leaf_call_ref &c)
+	/* The choice and the call are one turn of the event loop, so the step comes before both. */
+	void leaf_place(int n, const leaf_call_ref &c, bool is_in_step = false)
 	{
 		if (!nodes[n].up)
 			return;
+		if (rules.read_before_dispatch && now < nodes[n].paused_until_us + MS) {
+			timer(n, MS, [=] { leaf_place(n, c, is_in_step); });
+			return;
+		}
 		result obstacle = RESULT_DEADLINE;
 		int i = now < c->request.deadline_us ? leaf_pick(vms[n].get(), c, &obstacle) : -1;
 
@@ -1427,9 +1429,13 @@
 			c->done(c->last_failure ? c->last_failure : obstacle, c->was_sent, "");
 			return;
 		}
+		if (!is_in_step) {
+			step(MATRIX_AT_CALL_LEAF, c->request.is_target, n, LEAF_0 + i,
+			     [=] { leaf_place(n, c, true); });
+			return;
+		}
 		c->tried |= 1u << i;
-		step(MATRIX_AT_CALL_LEAF, c->request.is_target, n, LEAF_0 + i,
-		     [=] { leaf_send(n, i, c); });
+		leaf_send(n, i, c);
 	}
 	void leaf_send(int n, int i, const leaf_call_ref &c)
 	{
@@ -1499,6 +1505,8 @@
 		if (p->leaf_incarnation[i] != a.incarnation)
 			leaving_observe(p->marks.get(), backend(i).c_str(), a.incarnation);
 		p->leaf_incarnation[i] = a.incarnation;
+		if (a.is_draining && a.incarnation == leaves[i].incarnation)
+			sign_note(i);
 		if (a.is_draining && !is_marked(p, i))
 			mark_apply(p, backend(i), a.incarnation, LEAVING_DRAIN);
 		leaf_answered(n, c, a);
@@ -1536,13 +1544,20 @@
 					mark_apply(vms[to].get(), name, incarnation, LEAVING_PEER);
 				});
 	}
+	void sign_note(int i)
+	{
+		if (leaves[i].is_draining && leaves[i].sign_us == 0)
+			leaves[i].sign_us = now;
+	}
 	void vms_receive(process *p, const std::set<std::string> &list)
 	{
 		for (int i = 0; i < 2; i++)
-			if (!list.count(backend(i)))
+			if (!list.count(backend(i))) {
 				leaving_unlist(p->marks.get(), backend(i).c_str());
-			else
+			} else {
+				sign_note(i);
 				mark_apply(p, backend(i), 0, LEAVING_VM_LIST);
+			}
 	}
 
 	/* Leaves. */
@@ -1580,11 +1595,7 @@
 		else
 			a.status = ANSWERED;
 		auto send = [=](const leaf_reply &answer) {
-			step(MATRIX_AT_LEAF_ANSWER, q.is_target, n, from, [=] {
-				if (leaves[i].is_draining && leaves[i].sign_us == 0)
-					leaves[i].sign_us = now;
-				reply(answer);
-			});
+			step(MATRIX_AT_LEAF_ANSWER, q.is_target, n, from, [=] { reply(answer); });
 		};
 		if (a.status != ANSWERED) {
 			send(a);
