Let an idle group take a call whatever its service estimate

Cause: a group whose service estimate came near the target of its service dropped every call as overloaded. Without calls there were no samples, so the estimate stayed and the shards were missing for good after the leaves had recovered. Seen first as two shards of donations missing in every answer after a start on a busy machine (group p95 61 ms, target 60 ms, both leaves idle and up).

Ruled out: connections, leaving marks and the limiter, which showed no obstacle in /status.

--- a/src/leafgroup.c
+++ b/src/leafgroup.c
@@ -454,6 +454,12 @@
  */
 static uint64_t group_service_us(const struct leafgroup *lg)
 {
+	/*
+	 * An estimate above the callers' time would drop every call and never be corrected, so an
+	 * idle group takes one call in any case.
+	 */
+	if (lg->n_attempts == 0)
+		return 0;
 	return MIN(hist_quantile(lg->latency, 0.95), 2 * hist_quantile(lg->latency, 0.5));
 }
 
