Revert "Keep idle leaf connections open"

The reopening of idle connections is at present the only thing that refreshes what a holder knows of the versions of a leaf that gets no calls. Without it, a leaf that was left out as slow during a rollout stays at its old versions, is never called again, and its group runs on one replica.

It needs a probe of the versions of idle leaves first.

--- a/src/leafpool.c
+++ b/src/leafpool.c
@@ -76,17 +76,8 @@
 	struct backoff *backoff;
 };
 
-static void conn_timeout_set(struct leafconn *conn, const struct timeval *timeout)
-{
-	bufferevent_set_timeouts(evhttp_connection_get_bufferevent(conn->evcon), timeout, NULL);
-	conn->has_timeout = timeout != NULL;
-}
-
 static void conn_release(struct leafconn *conn)
 {
-	/* The time-out of opening or draining would close the connection while it is idle. */
-	if (conn->has_timeout)
-		conn_timeout_set(conn, NULL);
 	list_del(&conn->node);
 	conn->state = CONN_IDLE;
 	list_add_tail(&conn->node, &conn->pool->idle);
@@ -120,6 +111,12 @@
 	g_free(call);
 }
 
+static void conn_timeout_set(struct leafconn *conn, const struct timeval *timeout)
+{
+	bufferevent_set_timeouts(evhttp_connection_get_bufferevent(conn->evcon), timeout, NULL);
+	conn->has_timeout = timeout != NULL;
+}
+
 static void pool_reap(evutil_socket_t fd, short what, void *arg)
 {
 	struct leafpool *p = arg;
@@ -246,7 +243,6 @@
 	conn->state = CONN_OPENING;
 	conn->evcon = evhttp_connection_base_bufferevent_new(p->base, NULL, NULL, p->ip, p->port);
 	evhttp_connection_set_timeout_tv(conn->evcon, &timeout);
-	conn->has_timeout = true;
 	evhttp_connection_set_closecb(conn->evcon, conn_closed, conn);
 	list_add_tail(&conn->node, &p->used);
 	p->n_connections++;
