Test that a command with replicas is not sent twice

Cause: without the rule that a command is repeated only after a proof, no test failed: the loan ledger has one replica a shard.

--- a/tests/system_test.cc
+++ b/tests/system_test.cc
@@ -79,7 +79,8 @@
 			{"entries", &deployment::entries},   {"signal", &deployment::signal_step},
 			{"start", &deployment::start},	     {"exit", &deployment::exit_step},
 			{"control", &deployment::control},   {"platform", &deployment::platform},
-			{"publish", &deployment::publish},   {"version", &deployment::version},
+			{"merge", &deployment::merge},	     {"publish", &deployment::publish},
+			{"merge", &deployment::merge},	     {"version", &deployment::version},
 			{"runs", &deployment::runs},	     {"quiet", &deployment::quiet},
 			{"members", &deployment::members},   {"busy", &deployment::busy},
 			{"complete", &deployment::complete}, {"ready", &deployment::ready},
@@ -420,13 +421,53 @@
 		return "";
 	}
 
+	json_t *manifest_load()
+	{
+		return json_load_file((dir + "/manifest.json").c_str(), 0, nullptr);
+	}
+
+	/* Takes over the reference. */
+	void manifest_publish(json_t *whole)
+	{
+		char *text = json_dumps(whole, 0);
+
+		json_dump_file(whole, (dir + "/manifest.json").c_str(), 0);
+		http_put(programs.at("platform").port, "/v1/manifest", text);
+		free(text);
+		json_decref(whole);
+	}
+
+	/* merge SERVICE: makes its groups one, so that each of its leaves is a replica of all
+	 * shards. */
+	std::string merge(const std::vector<std::string> &words)
+	{
+		json_t *whole = manifest_load();
+		json_t *groups = json_object_get(whole, "groups");
+		json_t *first = nullptr;
+
+		for (size_t i = 0; i < json_array_size(groups);) {
+			json_t *group = json_array_get(groups, i);
+
+			if (text_of(group, "service") != words[1] || !first) {
+				first = text_of(group, "service") == words[1] ? group : first;
+				i++;
+				continue;
+			}
+			for (const char *key : {"shards", "leaves"})
+				json_array_extend(json_object_get(first, key),
+						  json_object_get(group, key));
+			json_array_remove(groups, i);
+		}
+		manifest_publish(whole);
+		return "";
+	}
+
 	/* publish SERVICE KEY NUMBER: changes a number of a service in the manifest. */
 	std::string publish(const std::vector<std::string> &words)
 	{
-		json_t *whole = json_load_file((dir + "/manifest.json").c_str(), 0, nullptr);
+		json_t *whole = manifest_load();
 		size_t i;
 		json_t *service;
-		char *text;
 
 		json_array_foreach(json_object_get(whole, "services"), i, service)
 		{
@@ -434,11 +475,7 @@
 				json_object_set_new(service, words[2].c_str(),
 						    json_integer(std::stoi(words[3])));
 		}
-		json_dump_file(whole, (dir + "/manifest.json").c_str(), 0);
-		text = json_dumps(whole, 0);
-		http_put(programs.at("platform").port, "/v1/manifest", text);
-		free(text);
-		json_decref(whole);
+		manifest_publish(whole);
 		return "";
 	}
 
