--- a/tests/system_test.cc
+++ b/tests/system_test.cc
@@ -74,20 +74,19 @@
 	{
 		using step = std::string (deployment::*)(const std::vector<std::string> &);
 		static const std::map<std::string, step> steps = {
-			{"deploy", &deployment::deploy},     {"ask", &deployment::ask},
-			{"command", &deployment::command},   {"repeat", &deployment::repeat},
-			{"entries", &deployment::entries},   {"signal", &deployment::signal_step},
-			{"start", &deployment::start},	     {"exit", &deployment::exit_step},
-			{"control", &deployment::control},   {"platform", &deployment::platform},
-			{"merge", &deployment::merge},	     {"publish", &deployment::publish},
-			{"merge", &deployment::merge},	     {"version", &deployment::version},
-			{"runs", &deployment::runs},	     {"quiet", &deployment::quiet},
-			{"members", &deployment::members},   {"busy", &deployment::busy},
-			{"complete", &deployment::complete}, {"ready", &deployment::ready},
-			{"list", &deployment::list},	     {"post", &deployment::post},
-			{"wait", &deployment::wait_step},    {"load", &deployment::load},
-			{"loaded", &deployment::loaded},     {"garbage", &deployment::garbage},
-			{"tidy", &deployment::tidy},
+			{"deploy", &deployment::deploy},   {"ask", &deployment::ask},
+			{"command", &deployment::command}, {"repeat", &deployment::repeat},
+			{"entries", &deployment::entries}, {"signal", &deployment::signal_step},
+			{"start", &deployment::start},	   {"exit", &deployment::exit_step},
+			{"control", &deployment::control}, {"platform", &deployment::platform},
+			{"merge", &deployment::merge},	   {"publish", &deployment::publish},
+			{"version", &deployment::version}, {"runs", &deployment::runs},
+			{"quiet", &deployment::quiet},	   {"members", &deployment::members},
+			{"busy", &deployment::busy},	   {"complete", &deployment::complete},
+			{"ready", &deployment::ready},	   {"list", &deployment::list},
+			{"post", &deployment::post},	   {"wait", &deployment::wait_step},
+			{"load", &deployment::load},	   {"loaded", &deployment::loaded},
+			{"garbage", &deployment::garbage}, {"tidy", &deployment::tidy},
 		};
 		auto found = steps.find(words[0]);
 
