Keep idle leaf connections open

Cause: the time-out of opening (1 s) stayed set on each connection, so every idle connection was opened anew each second, at 1 to 6 ms a piece. Change: the time-out is cleared when a connection becomes idle; a version list older than 1 s counts as unknown, so such a leaf is asked again. Ruled out: a periodic GET /load, which costs each leaf calls for nothing.

--- a/src/leafgroup.c
+++ b/src/leafgroup.c
@@ -17,6 +17,8 @@
 #define HEDGE_QUANTILE 0.95
 /* Below this a second call costs more than it saves. */
 #define HEDGE_MIN_US 1000
+/* Age up to which a leaf's list of versions is trusted. */
+#define VERSIONS_VALID_US 1000000u
 #define RETRIES_MAX 4
 #define RETRY_DELAY_US 1000u
 #define REFUSAL_DELAY_MAX_US 32000u
@@ -30,6 +32,7 @@
 	struct leafpool *pool;
 	struct limiter *limiter;
 	struct leafpool_sight sight;
+	uint64_t sight_us; /* when it was seen */
 	uint64_t past_incarnation; /* replaced by the one in sight; 0: none */
 };
 
@@ -60,9 +63,14 @@
 
 static void group_pump(struct leafgroup *lg, uint64_t now_us);
 
+/*
+ * A leaf that was not called for a while may have taken up the version since; without this a leaf
+ * left out during a rollout would keep its old list for ever.
+ */
 static bool leaf_serves(const struct leaf *leaf, const struct leafgroup_call *call)
 {
-	if (call->kind == LEAFCALL_COMMAND || leaf->sight.n_versions == 0)
+	if (call->kind == LEAFCALL_COMMAND || leaf->sight.n_versions == 0 ||
+	    clock_now_us() > leaf->sight_us + VERSIONS_VALID_US)
 		return true;
 	for (unsigned int i = 0; i < leaf->sight.n_versions; i++)
 		if (leaf->sight.versions[i] == call->index_version)
@@ -532,6 +540,7 @@
 	if (known != sight->incarnation)
 		leaf->past_incarnation = known;
 	leaf->sight = *sight;
+	leaf->sight_us = clock_now_us();
 	if (known != sight->incarnation) {
 		leafstat_restart(lg->stats[leaf - lg->leaves], clock_now_us());
 		leaving_observe(lg->env.leaving, leaf->desc->backend, sight->incarnation);
--- a/src/leafpool.c
+++ b/src/leafpool.c
@@ -82,8 +82,17 @@
 	struct backoff *backoff;
 };
 
+static void conn_timeout_set(struct leafconn *conn, const struct timeval *timeout)
+{
+	bufferevent_set_timeouts(evhttp_connection_get_bufferevent(conn->evcon), timeout, NULL);
+	conn->has_timeout = timeout != NULL;
+}
+
 static void conn_release(struct leafconn *conn)
 {
+	/* The time-out of opening or draining would close the connection while it is idle. */
+	if (conn->has_timeout)
+		conn_timeout_set(conn, NULL);
 	list_del(&conn->node);
 	conn->state = CONN_IDLE;
 	list_add_tail(&conn->node, &conn->pool->idle);
@@ -117,12 +126,6 @@
 	g_free(call);
 }
 
-static void conn_timeout_set(struct leafconn *conn, const struct timeval *timeout)
-{
-	bufferevent_set_timeouts(evhttp_connection_get_bufferevent(conn->evcon), timeout, NULL);
-	conn->has_timeout = timeout != NULL;
-}
-
 static void pool_reap(evutil_socket_t fd, short what, void *arg)
 {
 	struct leafpool *p = arg;
@@ -251,6 +254,7 @@
 	evhttp_connection_set_timeout_tv(conn->evcon, &timeout);
 	evhttp_connection_set_max_body_size(conn->evcon, ANSWER_BODY_BYTES_MAX);
 	evhttp_connection_set_max_headers_size(conn->evcon, ANSWER_HEADER_BYTES_MAX);
+	conn->has_timeout = true;
 	evhttp_connection_set_closecb(conn->evcon, conn_closed, conn);
 	list_add_tail(&conn->node, &p->used);
 	p->n_connections++;
