Split the exchange of leaving marks from holder.c

Change: marks.c owns the marks and their exchange; leafgroup, leafpool and marks belong to the daemon's sources; headers that need the generated code are not installed. No change of behaviour.

--- a/Makefile
+++ b/Makefile
@@ -17,7 +17,7 @@
 LDLIBS = $(SAN) $(shell pkg-config --libs $(PKGS)) -lm
 
 # Files with sockets or clocks; every other file of src/ belongs to libapricot.
-TASKS = kernel message request log peer rpc clock http front searcher commander holder leafconn configurer membership stopper settings
+TASKS = kernel message request log peer rpc clock http front searcher commander holder leafgroup leafpool marks configurer membership stopper settings
 MAINS = main ctl
 
 ALL_SRCS = $(wildcard src/*.c)
@@ -119,7 +119,7 @@
 	install -d $(PREFIX)/bin $(PREFIX)/lib $(PREFIX)/include/apricot $(PREFIX)/share/man/man1
 	install $B/apricotd $B/apricotctl $(PREFIX)/bin
 	install -m 644 $B/libapricot.a $(PREFIX)/lib
-	install -m 644 $(filter-out $(TASKS:%=src/%.h),$(wildcard src/*.h)) $(PREFIX)/include/apricot
+	install -m 644 $(filter-out $(TASKS:%=src/%.h) src/procedure.h,$(wildcard src/*.h)) $(PREFIX)/include/apricot
 	install -m 644 docs/apricot.1 $(PREFIX)/share/man/man1
 
 clean:
--- a/src/holder.c
+++ b/src/holder.c
@@ -3,14 +3,13 @@
 #include "clock.h"
 #include "command.h"
 #include "leafgroup.h"
-#include "leaving.h"
 #include "log.h"
+#include "marks.h"
 #include "message.h"
 #include "procedure.h"
 #include "routing.h"
 #include "wake.h"
 
-#include <inttypes.h>
 #include <string.h>
 
 #define TICK_US 1000
@@ -24,9 +23,6 @@
  * may tell that a backend server is leaving.
  */
 #define RESUME_HOLD_MS 50
-#define MARK_TIMEOUT_US 1000000
-/* Twice the backend servers of the design size. */
-#define BACKENDS_MAX 32768
 
 struct holder {
 	struct service service;
@@ -36,9 +32,8 @@
 	struct manifest *previous; /* map of requests that started before the last change */
 	struct routing *routing;
 	GHashTable *groups; /* digest -> struct held_group */
-	struct leaving *leaving;
+	struct marks *marks;
 	struct command_log *commands;
-	uint64_t list_version; /* of the newest VM list that a mark came from */
 	struct wake *wake;
 	struct event *resume;
 	bool is_held;
@@ -519,111 +514,11 @@
 	}
 }
 
-/* Tells the other holders of the backend server's groups, so that they need not find out. */
-static void mark_share(struct holder *h, const apr_mark *mark)
-{
-	const char *backend = mark->backend;
-	struct service *peer = kernel_service_find(h->service.kernel, "peer");
-	g_autoptr(GHashTable) told = g_hash_table_new(g_str_hash, g_str_equal);
-
-	for (guint i = 0; h->manifest && i < h->manifest->groups->len; i++) {
-		const struct manifest_group *g = g_ptr_array_index(h->manifest->groups, i);
-		struct route route = routing_find(h->routing, g);
-		const char *addresses[] = {route.first, route.second};
-		bool has_backend = false;
-
-		for (unsigned int j = 0; j < g->n_leaves; j++)
-			has_backend |= strcmp(g->leaves[j].backend, backend) == 0;
-		for (size_t j = 0; has_backend && j < G_N_ELEMENTS(addresses); j++) {
-			apr_mark_args *args;
-			struct peer_call *call;
-
-			if (!addresses[j] || !g_hash_table_add(told, (gpointer)addresses[j]))
-				continue;
-			args = peer_args_create(APR_MARK);
-			args->marks.marks_val = g_new0(apr_mark, 1);
-			args->marks.marks_len = 1;
-			args->marks.marks_val[0] = *mark;
-			args->marks.marks_val[0].backend = g_strdup(backend);
-			call = peer_call_create(APR_MARK, addresses[j], args, MARK_TIMEOUT_US);
-			kernel_message_send(h->service.kernel, peer, &call->message);
-		}
-	}
-}
-
-static bool mark_apply(struct holder *h, const char *backend, uint64_t incarnation,
-		       enum leaving_sign sign)
-{
-	if (!leaving_mark(h->leaving, backend, incarnation, sign))
-		return false;
-	counter_increment(h->env.counters, COUNTER_LEAVING_MARKS);
-	log_event(LOG_LEVEL_INFO, "backend_leaving",
-		  "backend=%s incarnation=%016" PRIx64 " sign=%s", backend, incarnation,
-		  leaving_sign_name(sign));
-	return true;
-}
-
 static void drain_seen(void *arg, const char *backend, uint64_t incarnation)
 {
 	struct holder *h = arg;
 
-	apr_mark mark = {.backend = (char *)backend, .incarnation = incarnation};
-
-	if (mark_apply(h, backend, incarnation, LEAVING_DRAIN))
-		mark_share(h, &mark);
-}
-
-/* A state of the VM list; false when it is known already or of an older list. */
-static bool list_mark_apply(struct holder *h, const apr_mark *mark)
-{
-	if (mark->list_version < h->list_version)
-		return false;
-	h->list_version = mark->list_version;
-	if (!mark->is_listed_live)
-		return mark_apply(h, mark->backend, 0, LEAVING_VM_LIST);
-	if (!leaving_unlist(h->leaving, mark->backend))
-		return false;
-	log_event(LOG_LEVEL_INFO, "backend_live", "backend=%s sign=vm_list", mark->backend);
-	return true;
-}
-
-static void marks_receive(struct holder *h, struct peer_call *request)
-{
-	const apr_mark_args *args = request->args;
-
-	for (unsigned int i = 0; i < args->marks.marks_len; i++) {
-		const apr_mark *mark = &args->marks.marks_val[i];
-
-		if (mark->list_version > 0)
-			list_mark_apply(h, mark);
-		else
-			mark_apply(h, mark->backend, mark->incarnation, LEAVING_PEER);
-	}
-	reply_send(h, request, peer_result_create(APR_MARK));
-}
-
-static void vms_receive(struct holder *h, const json_t *vms, uint64_t version)
-{
-	size_t i;
-	json_t *vm;
-
-	json_array_foreach(json_object_get(vms, "vms"), i, vm)
-	{
-		const char *name = json_string_value(json_object_get(vm, "name"));
-		const char *role = json_string_value(json_object_get(vm, "role"));
-		const char *state = json_string_value(json_object_get(vm, "state"));
-
-		apr_mark mark = {
-			.backend = (char *)name,
-			.list_version = version,
-			.is_listed_live = g_strcmp0(state, "leaving") != 0,
-		};
-
-		if (!name || strlen(name) >= APR_NAME_MAX || g_strcmp0(role, "backend") != 0)
-			continue;
-		if (list_mark_apply(h, &mark))
-			mark_share(h, &mark);
-	}
+	marks_drain_seen(h->marks, backend, incarnation);
 }
 
 static void config_receive(struct holder *h, struct manifest *m)
@@ -635,6 +530,7 @@
 	h->previous = h->manifest;
 	h->manifest = manifest_get(m);
 	routing_manifest_set(h->routing, m);
+	marks_manifest_set(h->marks, m);
 	/* Groups whose description did not change keep their connections and statistics. */
 	g_hash_table_iter_init(&iter, h->groups);
 	while (g_hash_table_iter_next(&iter, NULL, &value)) {
@@ -740,7 +636,8 @@
 		command_receive(h, request);
 		break;
 	case APR_MARK:
-		marks_receive(h, request);
+		marks_receive(h->marks, request->args);
+		reply_send(h, request, peer_result_create(APR_MARK));
 		break;
 	case APR_NULL:
 		reply_send(h, request, peer_result_create(APR_NULL));
@@ -767,7 +664,8 @@
 		groups_warm(h);
 		break;
 	case MESSAGE_VMS_READ:
-		vms_receive(h, ((struct vms_read *)m)->vms, ((struct vms_read *)m)->version);
+		marks_list_read(h->marks, ((struct vms_read *)m)->vms,
+				((struct vms_read *)m)->version);
 		break;
 	case MESSAGE_KNOWLEDGE_RENEWED:
 		wake_tick(h->wake, clock_now_ms());
@@ -808,7 +706,7 @@
 	routing_destroy(h->routing);
 	manifest_put(h->manifest);
 	manifest_put(h->previous);
-	leaving_destroy(h->leaving);
+	marks_destroy(h->marks);
 	command_log_destroy(h->commands);
 	wake_destroy(h->wake);
 	g_free(h);
@@ -830,14 +728,14 @@
 	list_init(&h->searches);
 	list_init(&h->command_jobs);
 	h->routing = routing_create();
-	h->leaving = leaving_create(BACKENDS_MAX);
+	h->marks = marks_create(k, h->routing);
 	h->commands = command_log_create_holder(settings->id_lifetime_ms, settings->max_ids);
 	h->wake = wake_create(settings->lease_ms);
 	h->env = (struct leafgroup_env){
 		.base = kernel_base(k),
 		.counters = kernel_counters(k),
 		.rand = kernel_rand(k),
-		.leaving = h->leaving,
+		.leaving = marks_leaving(h->marks),
 		.incarnation = settings->incarnation,
 		.next_call = &h->next_call,
 		.drain_seen = drain_seen,
--- a/tests/matrix_world.h
+++ b/tests/matrix_world.h
@@ -6,8 +6,8 @@
  * - commander_dispatch, commander_reply, commander_receive: run_dispatch, reply_receive,
  *   request_receive of commander.c
  * - search_pin, search_scatter, search_reply, search_restart, search_answer: searcher.c
- * - holder_command, holder_search, manifest_for, mark_apply, vms_receive: command_receive,
- *   search_receive, manifest_for, mark_apply with mark_share, vms_receive of holder.c
+ * - holder_command, holder_search, manifest_for: command_receive, search_receive, manifest_for of
+ *   holder.c; mark_apply, vms_receive: mark_apply with mark_share, marks_list_read of marks.c
  * - read_before_dispatch: dispatch_permit of holder.c
  * - leaf_pick, leaf_answered: leafgroup.c; answer_confirms: the check of headers in leafpool.c
  * - index_offer: index_offer and fetch_missing of configurer.c
