Leave out a leaf whose address belongs to another one

Ruled out: the budget's own arithmetic (repeats logged were within it). Change: a 421 proves that the leaf is not at its address; only a report of a new process brings it back.

--- a/src/leafset.c
+++ b/src/leafset.c
@@ -246,7 +246,7 @@
 		bool doubted = leaf_is_doubted(l, now_us);
 		double cost_us;
 
-		if (l->state != LEAF_READY || is_tried(l, tried, n_tried))
+		if (l->state != LEAF_READY || l->is_misplaced || is_tried(l, tried, n_tried))
 			continue;
 		cost_us = leaf_cost_us(l, s->own_dc, now_us);
 		if (best &&
@@ -305,8 +305,8 @@
 		l->sampled_us = now_us;
 		break;
 	case LEAF_END_WRONG:
-		l->failures++;
-		l->doubted_until_us = now_us + ((uint64_t)DOUBT_FIRST_US << DOUBT_DOUBLINGS);
+		/* Proof, not a suspicion: only a report of a new process brings the leaf back. */
+		l->is_misplaced = true;
 		break;
 	case LEAF_END_CANCELLED:
 		break;
--- a/src/leafset.h
+++ b/src/leafset.h
@@ -74,6 +74,7 @@
 	uint64_t sampled_us;
 	unsigned int failures; /* in a row */
 	uint64_t doubted_until_us;
+	bool is_misplaced; /* another leaf has answered at its address: this one is not there */
 	void *link; /* of the owner of connections */
 };
 
--- a/tests/matrix_world.cc
+++ b/tests/matrix_world.cc
@@ -869,7 +869,7 @@
 	static bool holds_any(process *entry, int n)
 	{
 		for (guint i = 0; i < entry->m->groups->len; i++) {
-			route r = routing_find(entry->routes.get(),
+			holder_route r = routing_find(entry->routes.get(),
 					       static_cast<manifest_group *>(
 						       g_ptr_array_index(entry->m->groups, i)));
 
@@ -884,7 +884,7 @@
 	result commander_obstacle(process *p, const command_run &run, std::string *holder)
 	{
 		manifest_group *g;
-		route r;
+		holder_route r;
 
 		if (!p->m)
 			return RESULT_NOT_READY;
@@ -1077,7 +1077,7 @@
 		for (guint i = 0; i < s->service->groups->len; i++) {
 			auto *g = static_cast<manifest_group *>(
 				g_ptr_array_index(s->service->groups, i));
-			route r = routing_find(vms[n]->routes.get(), g);
+			holder_route r = routing_find(vms[n]->routes.get(), g);
 
 			if (r.first)
 				calls[atoi(r.first)].push_back(g);
@@ -1159,7 +1159,7 @@
 			shards_take(s, a);
 		}
 		for (auto *g : groups) {
-			route r = routing_find(p->routes.get(), g);
+			holder_route r = routing_find(p->routes.get(), g);
 			const char *standby = r.first && atoi(r.first) == from ? r.second : r.first;
 
 			if (status == CALL_DONE)
