Read the settings again on SIGHUP and when their file changes

Change: service reload; peers, budgets and the time to live of addresses are taken while running; a file that is wrong changes nothing and is logged.

--- a/src/directory.c
+++ b/src/directory.c
@@ -104,6 +104,9 @@
 	case MESSAGE_ROUTES_READ:
 		d->has_routes = true;
 		break;
+	case MESSAGE_SETTINGS_READ:
+		d->settings.ttl_ms = (unsigned int)((struct settings_read *)m)->entry_ttl_ms;
+		break;
 	case MESSAGE_STOP_ANNOUNCED:
 		d->is_stopping = true;
 		break;
--- a/src/gateway.c
+++ b/src/gateway.c
@@ -156,6 +156,14 @@
 	kernel_message_send(g->service.kernel, request->reply_to, &reply->message);
 }
 
+static void settings_take(struct gateway *g, const struct settings_read *settings)
+{
+	struct repeats_limits limits = {settings->repeat_ratio, settings->repeat_slack,
+					settings->repeat_window_ms * CLOCK_US_PER_MS};
+
+	repeats_set_limits(g->env.repeats, &limits);
+}
+
 static void gateway_receive(struct service *s, struct message *m)
 {
 	struct gateway *g = (struct gateway *)s;
@@ -170,6 +178,9 @@
 	case MESSAGE_ROSTER_CHANGED:
 		roster_take(g, ((struct roster_changed *)m)->roster);
 		break;
+	case MESSAGE_SETTINGS_READ:
+		settings_take(g, (struct settings_read *)m);
+		break;
 	case MESSAGE_STOP_ANNOUNCED:
 		http_server_drain(g->server);
 		break;
--- a/src/main.c
+++ b/src/main.c
@@ -13,6 +13,7 @@
 #include "membership.h"
 #include "message.h"
 #include "peer.h"
+#include "reload.h"
 #include "searcher.h"
 #include "settings.h"
 #include "stopper.h"
@@ -149,7 +150,7 @@
 	log_flush();
 }
 
-static int daemon_run(const struct settings *settings)
+static int daemon_run(char **argv, const struct settings *settings)
 {
 	struct event_base *base = event_base_new();
 	struct kernel *k = kernel_create(base);
@@ -164,6 +165,7 @@
 	event_add(terminate, NULL);
 	event_add(interrupt, NULL);
 	event_add(flush, &flush_period);
+	kernel_service_add(k, reload_create(k, argv, settings));
 	if ((settings->gateway ? routed_services_add(k, settings, &error)
 			       : services_add(k, settings, &error)) &&
 	    kernel_services_start(k, &error)) {
@@ -188,6 +190,8 @@
 int main(int argc, char **argv)
 {
 	GError *error = NULL;
+	/* The parser takes out of argv what it has read. */
+	g_auto(GStrv) arguments = g_strdupv(argv);
 	struct settings *settings = settings_create(argc, argv, &error);
 	enum log_level level = LOG_LEVEL_INFO;
 	int code;
@@ -201,7 +205,7 @@
 		log_level_parse(settings->log_level, &level);
 	log_setup(settings->name, level);
 	log_limit((unsigned int)settings->log_lines_s);
-	code = daemon_run(settings);
+	code = daemon_run(arguments, settings);
 	settings_destroy(settings);
 	return code;
 }
--- a/src/membership.c
+++ b/src/membership.c
@@ -407,6 +407,21 @@
 	knowledge_renewed_broadcast(ms->service.kernel, reply->tag);
 }
 
+static void listed_peers_ask(struct membership *ms)
+{
+	for (char **peer = ms->peers; peer && *peer; peer++)
+		if (strcmp(*peer, ms->self.rpc) != 0)
+			member_list_ask(ms, *peer);
+}
+
+/* New peers in the settings may lead to members that no present one knows. */
+static void settings_take(struct membership *ms, const struct settings_read *settings)
+{
+	g_strfreev(ms->peers);
+	ms->peers = settings->peers ? g_strsplit(settings->peers, ",", -1) : NULL;
+	listed_peers_ask(ms);
+}
+
 static void membership_receive(struct service *s, struct message *m)
 {
 	struct membership *ms = (struct membership *)s;
@@ -429,6 +444,9 @@
 	case MESSAGE_ROUTES_READ:
 		member_table_set_config_version(ms->table, ((struct routes_read *)m)->map->version);
 		break;
+	case MESSAGE_SETTINGS_READ:
+		settings_take(ms, (struct settings_read *)m);
+		break;
 	case MESSAGE_RENEWAL_WANTED:
 		members_ask(ms);
 		break;
@@ -454,9 +472,7 @@
 	ms->peer = kernel_service_find(s->kernel, "peer");
 	event_add(ms->tick, &period);
 	roster_publish(ms);
-	for (char **peer = ms->peers; peer && *peer; peer++)
-		if (strcmp(*peer, ms->self.rpc) != 0)
-			member_list_ask(ms, *peer);
+	listed_peers_ask(ms);
 	return TRUE;
 }
 
--- a/src/message.c
+++ b/src/message.c
@@ -310,3 +310,23 @@
 	g_ptr_array_add(news->items, item);
 	return item;
 }
+
+static void settings_read_destroy(struct message *m)
+{
+	g_free(((struct settings_read *)m)->peers);
+	g_free(m);
+}
+
+struct settings_read *settings_read_create(const struct settings *settings)
+{
+	struct settings_read *r = g_new0(struct settings_read, 1);
+
+	r->message.kind = MESSAGE_SETTINGS_READ;
+	r->message.destroy = settings_read_destroy;
+	r->peers = g_strdup(settings->peers);
+	r->repeat_ratio = (double)settings->repeat_pct / 100;
+	r->repeat_slack = (double)settings->repeat_slack;
+	r->repeat_window_ms = settings->repeat_window_ms;
+	r->entry_ttl_ms = settings->entry_ttl_ms;
+	return r;
+}
--- a/src/message.h
+++ b/src/message.h
@@ -11,6 +11,7 @@
 #include "result.h"
 #include "roster.h"
 #include "routemap.h"
+#include "settings.h"
 
 #include <jansson.h>
 
@@ -32,7 +33,7 @@
 	MESSAGE_VMS_READ,
 	MESSAGE_ROUTES_READ,
 	MESSAGE_LEAF_NEWS,
-	MESSAGE_RELOAD,
+	MESSAGE_SETTINGS_READ,
 };
 
 /* A search or command of a caller, checked for form but not against the manifest. */
@@ -149,6 +150,17 @@
 					     const char *about);
 struct status_reply *status_reply_create(uint64_t tag, json_t *body);
 struct vms_read *vms_read_create(json_t *vms, uint64_t version);
+/* Settings were read again. */
+struct settings_read {
+	struct message message;
+	char *peers; /* RPC addresses, comma-separated, or NULL */
+	double repeat_ratio;
+	double repeat_slack;
+	uint64_t repeat_window_ms;
+	uint64_t entry_ttl_ms;
+};
+
+struct settings_read *settings_read_create(const struct settings *settings);
 /* Takes a reference. */
 struct routes_read *routes_read_create(struct routemap *map);
 struct leaf_news *leaf_news_create(void);
--- a/src/repeats.c
+++ b/src/repeats.c
@@ -40,6 +40,13 @@
 	g_free(r);
 }
 
+void repeats_set_limits(struct repeats *r, const struct repeats_limits *limits)
+{
+	if (limits->window_us != r->limits.window_us)
+		g_hash_table_remove_all(r->services);
+	r->limits = *limits;
+}
+
 void repeats_set_vms(struct repeats *r, unsigned int n, uint64_t now_us)
 {
 	if (n < r->n_vms && now_us - r->n_vms_since_us < 2 * r->limits.window_us)
--- a/src/repeats.h
+++ b/src/repeats.h
@@ -26,6 +26,9 @@
 struct repeats *repeats_create(const struct repeats_limits *limits);
 void repeats_destroy(struct repeats *r);
 
+/* Other limits from now on; a changed window starts the counts anew. */
+void repeats_set_limits(struct repeats *r, const struct repeats_limits *limits);
+
 /*
  * VMs that may be spending now. The slack is divided by the largest number within the last two
  * windows, since VMs that cannot be reached go on spending.
