Let connections to a leaf grow from two on need

Change: two at first, one more when a call had to wait for half a second, fewer when the leaf ends a new connection.

--- a/src/upstream.c
+++ b/src/upstream.c
@@ -10,6 +10,12 @@
 #define CONNECTIONS_PART 0.85
 /* Beyond this number more connections only queue at the leaf. */
 #define CONNECTIONS_MAX 12
+/* A VM begins with so many connections to a leaf and adds one when a call had to wait, since after
+ * a start it does not know yet among how many the cap is divided. */
+#define CONNECTIONS_FIRST 2
+#define GROWTH_US 500000
+/* A leaf that ends a new connection is over its cap; so long no other is opened there. */
+#define CAP_PAUSE_US 100000
 /* A peer that does not answer the opening packet is taken as unreachable; two retransmissions of
  * an opening packet do not fit into any goal. */
 #define CONNECT_US 700000
@@ -31,7 +37,10 @@
 	unsigned int n_conns;
 	unsigned int n_connecting;
 	unsigned int n_queued;
-	unsigned int max_connections;
+	unsigned int max_connections; /* of the leaf, all VMs together */
+	unsigned int granted; /* connections that this VM allows itself */
+	uint64_t granted_us; /* last change of it */
+	uint64_t open_after_us;
 };
 
 struct leaf_conn {
@@ -43,6 +52,7 @@
 	uint64_t since_us; /* start of connecting, or last use */
 	uint64_t idle_until_us;
 	bool is_open;
+	bool is_proven; /* it has carried an answer */
 };
 
 struct upstream {
@@ -108,7 +118,24 @@
 	unsigned int share =
 		(unsigned int)(CONNECTIONS_PART * link->max_connections / MAX(1, u->vms));
 
-	return CLAMP(share, 1, CONNECTIONS_MAX);
+	return CLAMP(share, 1, MIN(CONNECTIONS_MAX, link->granted));
+}
+
+/* A call waits although connections are at the limit: allows one more after a quiet time. */
+static void grant_grow(struct leaf_link *link, uint64_t now_us)
+{
+	if (link->granted >= CONNECTIONS_MAX || now_us - link->granted_us < GROWTH_US)
+		return;
+	link->granted++;
+	link->granted_us = now_us;
+}
+
+/* The leaf has ended a connection that never carried an answer. */
+static void grant_shrink(struct leaf_link *link, uint64_t now_us)
+{
+	link->granted = MAX(1, MIN(link->granted, link->n_conns));
+	link->granted_us = now_us;
+	link->open_after_us = now_us + CAP_PAUSE_US;
 }
 
 static void call_send(struct leaf_conn *conn, struct leaf_call *call, uint64_t now_us)
@@ -165,6 +192,7 @@
 	if (!call->ops->matches(call, answer))
 		return false;
 	conn->call = NULL;
+	conn->is_proven = true;
 	conn->since_us = now_us;
 	conn->idle_until_us = now_us + idle_time_us(answer);
 	if (!reusable || link->leaf->state != LEAF_READY) {
@@ -204,8 +232,11 @@
 	struct leaf_link *link = conn->link;
 	struct upstream *u = conn->upstream;
 	struct leaf_call *call = conn->call;
+	bool was_capped = conn->is_open && !conn->is_proven;
 
 	conn_destroy(conn);
+	if (was_capped)
+		grant_shrink(link, clock_now_us());
 	if (why == HTTP_FAILURE_GARBAGE && !call)
 		u->stats.stray++;
 	if (why == HTTP_FAILURE_CONNECT) {
@@ -283,6 +314,8 @@
 	while (link->n_queued > link->n_connecting) {
 		idle_evict(u, link);
 		if (link->n_conns >= conns_allowed(u, link))
+			grant_grow(link, now_us);
+		if (link->n_conns >= conns_allowed(u, link) || now_us < link->open_after_us)
 			return;
 		/* Without a connection the sweep ends the queued calls. */
 		if (!conn_open(u, link, now_us))
@@ -298,6 +331,7 @@
 		return link;
 	link = g_new0(struct leaf_link, 1);
 	link->leaf = leaf_get(leaf);
+	link->granted = CONNECTIONS_FIRST;
 	list_init(&link->idle);
 	list_init(&link->connecting);
 	list_init(&link->busy);
