Tell callers of few entry VMs near the leaves

The directory never learnt that it had routes, so a VM left itself out of its own lists and its status check failed (1458 of 2131 look-ups failed). Change: module entrychoice, weights in the member list, local callers first.

--- a/src/directory.c
+++ b/src/directory.c
@@ -1,5 +1,6 @@
 #include "directory.h"
 
+#include "entrychoice.h"
 #include "httpserver.h"
 #include "log.h"
 #include "message.h"
@@ -17,6 +18,8 @@
 	struct http_server *entries;
 	struct http_server *ready;
 	struct roster *roster;
+	struct entrychoice_vm *choice; /* one for each VM of the roster */
+	char **places; /* data centres of the leaves; NULL: not known yet */
 	bool has_routes;
 	bool is_stopping;
 };
@@ -34,18 +37,52 @@
 	return strncmp(target, path, n) == 0 && (target[n] == '\0' || target[n] == '?');
 }
 
-static void entries_answer(struct directory *d, struct http_request *request)
+/* Chooses anew which VMs take callers, after a change of the roster, the leaves or this VM. */
+static void choice_renew(struct directory *d)
 {
-	GPtrArray *addresses = g_ptr_array_new();
-	g_autofree char *body = NULL;
+	unsigned int n = d->roster ? d->roster->n_vms : 0;
 
-	for (unsigned int i = 0; d->roster && i < d->roster->n_vms; i++) {
+	g_free(d->choice);
+	d->choice = g_new0(struct entrychoice_vm, MAX(1, n));
+	for (unsigned int i = 0; i < n; i++) {
 		const struct roster_vm *vm = &d->roster->vms[i];
-		bool usable = vm->is_self ? is_ready(d) : vm->is_available && vm->has_config;
 
-		if (usable && addresses->len < ENTRIES_MAX)
-			g_ptr_array_add(addresses, vm->http);
+		d->choice[i] = (struct entrychoice_vm){
+			.dc = vm->dc,
+			.name_hash = vm->name_hash,
+			.weight = vm->weight,
+			.is_usable = vm->is_self ? is_ready(d) : vm->is_available && vm->has_config,
+		};
+	}
+	entrychoice_mark(d->choice, n, d->places);
+}
+
+/* The value of a query parameter, owned; "" when absent. */
+static char *parameter_find(const char *target, const char *name)
+{
+	const char *query = strchr(target, '?');
+	char *value = NULL;
+	GHashTable *table =
+		query ? g_uri_parse_params(query + 1, -1, "&", G_URI_PARAMS_NONE, NULL) : NULL;
+
+	if (table) {
+		value = g_strdup(g_hash_table_lookup(table, name));
+		g_hash_table_destroy(table);
 	}
+	return value ? value : g_strdup("");
+}
+
+static void entries_answer(struct directory *d, struct http_request *request)
+{
+	const char *target = http_reader_target(http_request_message(request));
+	g_autofree char *dc = parameter_find(target, d->edge->entries_dc);
+	GPtrArray *addresses = g_ptr_array_new();
+	g_autofree char *body = NULL;
+	unsigned int n = d->roster ? d->roster->n_vms : 0;
+
+	for (unsigned int i = 0; i < n && addresses->len < ENTRIES_MAX; i++)
+		if (entrychoice_is_for(d->choice, n, i, dc))
+			g_ptr_array_add(addresses, d->roster->vms[i].http);
 	if (addresses->len == 0) {
 		http_request_answer(request, 503, "Retry-After: 0.5\r\n", "", 0);
 	} else {
@@ -92,6 +129,13 @@
 	.left = request_left,
 };
 
+static void places_take(struct directory *d, struct leaf_places *places)
+{
+	g_strfreev(d->places);
+	d->places = g_steal_pointer(&places->dcs);
+	choice_renew(d);
+}
+
 static void directory_receive(struct service *s, struct message *m)
 {
 	struct directory *d = (struct directory *)s;
@@ -100,15 +144,21 @@
 	case MESSAGE_ROSTER_CHANGED:
 		roster_put(d->roster);
 		d->roster = roster_get(((struct roster_changed *)m)->roster);
+		choice_renew(d);
 		break;
 	case MESSAGE_ROUTES_READ:
 		d->has_routes = true;
+		choice_renew(d);
+		break;
+	case MESSAGE_LEAF_PLACES:
+		places_take(d, (struct leaf_places *)m);
 		break;
 	case MESSAGE_SETTINGS_READ:
 		d->settings.ttl_ms = (unsigned int)((struct settings_read *)m)->entry_ttl_ms;
 		break;
 	case MESSAGE_STOP_ANNOUNCED:
 		d->is_stopping = true;
+		choice_renew(d);
 		break;
 	default:
 		break;
@@ -123,6 +173,8 @@
 	http_server_destroy(d->entries);
 	http_server_destroy(d->ready);
 	roster_put(d->roster);
+	g_free(d->choice);
+	g_strfreev(d->places);
 	g_free((char *)d->settings.dc);
 	g_free(d);
 }
--- a/src/feed.c
+++ b/src/feed.c
@@ -81,6 +81,7 @@
 
 static void routes_take(struct feed *f, const struct store_item *item)
 {
+	static const char *const services[] = {"gateway", "membership", "directory"};
 	struct kernel *k = f->service.kernel;
 	GError *error = NULL;
 	struct routemap *map =
@@ -94,10 +95,9 @@
 		g_error_free(error);
 		return;
 	}
-	kernel_message_send(k, kernel_service_find(k, "gateway"),
-			    &routes_read_create(map)->message);
-	kernel_message_send(k, kernel_service_find(k, "membership"),
-			    &routes_read_create(map)->message);
+	for (size_t i = 0; i < G_N_ELEMENTS(services); i++)
+		kernel_message_send(k, kernel_service_find(k, services[i]),
+				    &routes_read_create(map)->message);
 	routemap_put(map);
 }
 
--- a/src/gateway.c
+++ b/src/gateway.c
@@ -15,6 +15,7 @@
 	struct job_env env;
 	struct http_server *server;
 	struct routemap *map; /* NULL before the first configuration */
+	char **places; /* data centres of the leaves, as told to the directory */
 	uint64_t refused_bytes; /* inputs that were no request */
 	uint64_t not_ready;
 };
@@ -101,12 +102,29 @@
 	leaf_put(old);
 }
 
+/* Tells the directory where the leaves are, when that has changed. */
+static void places_tell(struct gateway *g)
+{
+	char **places = leafset_places(g->env.leaves);
+
+	if (g->places && g_strv_equal((const char *const *)places,
+				      (const char *const *)g->places)) {
+		g_strfreev(places);
+		return;
+	}
+	g_strfreev(g->places);
+	g->places = g_strdupv(places);
+	kernel_message_send(g->service.kernel, kernel_service_find(g->service.kernel, "directory"),
+			    &leaf_places_create(places)->message);
+}
+
 static void news_take(struct gateway *g, const struct leaf_news *news)
 {
 	uint64_t now_us = clock_now_us();
 
 	for (guint i = 0; i < news->items->len; i++)
 		leaf_take(g, g_ptr_array_index(news->items, i), now_us);
+	places_tell(g);
 }
 
 static void roster_take(struct gateway *g, const struct roster *roster)
@@ -205,6 +223,7 @@
 	splits_destroy(g->env.splits);
 	g_hash_table_destroy(g->env.stats);
 	routemap_put(g->map);
+	g_strfreev(g->places);
 	g_free(g);
 }
 
--- a/src/leafset.c
+++ b/src/leafset.c
@@ -170,6 +170,40 @@
 	return g_hash_table_size(s->ids);
 }
 
+static gint name_compare(gconstpointer a, gconstpointer b)
+{
+	return strcmp(*(const char *const *)a, *(const char *const *)b);
+}
+
+char **leafset_places(const struct leafset *s)
+{
+	GHashTable *counts = g_hash_table_new(g_str_hash, g_str_equal);
+	GPtrArray *places = g_ptr_array_new();
+	unsigned int most = 0;
+	GHashTableIter iter;
+	gpointer key;
+	gpointer value;
+
+	g_hash_table_iter_init(&iter, s->ids);
+	while (g_hash_table_iter_next(&iter, NULL, &value)) {
+		const struct leaf *l = value;
+		unsigned int n = GPOINTER_TO_UINT(g_hash_table_lookup(counts, l->dc)) + 1;
+
+		if (l->state != LEAF_READY)
+			continue;
+		g_hash_table_replace(counts, l->dc, GUINT_TO_POINTER(n));
+		most = MAX(most, n);
+	}
+	g_hash_table_iter_init(&iter, counts);
+	while (g_hash_table_iter_next(&iter, &key, &value))
+		if (2 * GPOINTER_TO_UINT(value) >= most)
+			g_ptr_array_add(places, g_strdup(key));
+	g_ptr_array_sort(places, name_compare);
+	g_ptr_array_add(places, NULL);
+	g_hash_table_destroy(counts);
+	return (char **)g_ptr_array_free(places, FALSE);
+}
+
 unsigned int leafset_ready_count(const struct leafset *s, const char *service)
 {
 	const GPtrArray *list = g_hash_table_lookup(s->services, service);
--- a/src/leafset.h
+++ b/src/leafset.h
@@ -99,6 +99,11 @@
 bool leafset_remove(struct leafset *s, const char *id);
 struct leaf *leafset_find(const struct leafset *s, const char *id);
 unsigned int leafset_count(const struct leafset *s);
+/*
+ * Data centres with at least half as many ready leaves as the one with most, as an owned list
+ * ended by NULL, in alphabetical order.
+ */
+char **leafset_places(const struct leafset *s);
 /* Ready leaves of a service. */
 unsigned int leafset_ready_count(const struct leafset *s, const char *service);
 void leafset_foreach(struct leafset *s, void (*visit)(struct leaf *l, void *data), void *data);
--- a/src/main.c
+++ b/src/main.c
@@ -60,6 +60,7 @@
 		.http_address = http_address,
 		.rpc_address = settings->rpc,
 		.peers = settings->peers,
+		.weight = settings_cpu_milli(settings),
 		.incarnation = incarnation_create(),
 		.started_ms = clock_now_ms(),
 		.lease_ms = settings->lease_ms,
--- a/src/member.h
+++ b/src/member.h
@@ -55,6 +55,7 @@
 	uint32_t sequence; /* incremented only by the member itself */
 	enum member_state state;
 	uint64_t config_version;
+	uint32_t weight; /* processor share, thousandths of a core; 0: not said */
 	uint64_t uptime_ms; /* in what the table hands out: a lower bound of the uptime now */
 };
 
--- a/src/membership.c
+++ b/src/membership.c
@@ -46,6 +46,7 @@
 	out->uptime_ms = e->uptime_ms;
 	out->sequence = e->sequence;
 	out->config_version = e->config_version;
+	out->weight = e->weight;
 	out->state = e->state;
 }
 
@@ -77,6 +78,7 @@
 	e->uptime_ms = in->uptime_ms;
 	e->sequence = (uint32_t)in->sequence;
 	e->config_version = in->config_version;
+	e->weight = in->weight;
 	e->state = (enum member_state)in->state;
 	return true;
 }
@@ -132,6 +134,7 @@
 	vm->rpc = g_strdup(entry->rpc);
 	vm->http = g_strdup(entry->http);
 	vm->has_config = entry->config_version > 0;
+	vm->weight = entry->weight;
 	vm->name_hash = rendezvous_name_hash(entry->name);
 	vm->is_self = strcmp(entry->name, build->membership->self.name) == 0;
 	vm->is_available = entry->state == MEMBER_LIVE;
@@ -504,6 +507,7 @@
 	g_strlcpy(ms->self.http, settings->http_address, sizeof(ms->self.http));
 	g_strlcpy(ms->self.rpc, settings->rpc_address, sizeof(ms->self.rpc));
 	ms->self.incarnation = settings->incarnation;
+	ms->self.weight = settings->weight;
 	ms->self.started_ms = clock_wall_ms();
 	ms->started_ms = settings->started_ms;
 
--- a/src/membership.h
+++ b/src/membership.h
@@ -15,6 +15,7 @@
 	const char *http_address;
 	const char *rpc_address;
 	const char *peers; /* RPC addresses, comma-separated, or NULL */
+	uint32_t weight; /* processor share, thousandths of a core */
 	uint64_t incarnation;
 	uint64_t started_ms; /* clock_now_ms of the start */
 	uint64_t lease_ms;
--- a/src/message.c
+++ b/src/message.c
@@ -330,3 +330,19 @@
 	r->entry_ttl_ms = settings->entry_ttl_ms;
 	return r;
 }
+
+static void leaf_places_destroy(struct message *m)
+{
+	g_strfreev(((struct leaf_places *)m)->dcs);
+	g_free(m);
+}
+
+struct leaf_places *leaf_places_create(char **dcs)
+{
+	struct leaf_places *places = g_new0(struct leaf_places, 1);
+
+	places->message.kind = MESSAGE_LEAF_PLACES;
+	places->message.destroy = leaf_places_destroy;
+	places->dcs = dcs;
+	return places;
+}
--- a/src/message.h
+++ b/src/message.h
@@ -33,6 +33,7 @@
 	MESSAGE_VMS_READ,
 	MESSAGE_ROUTES_READ,
 	MESSAGE_LEAF_NEWS,
+	MESSAGE_LEAF_PLACES,
 	MESSAGE_SETTINGS_READ,
 };
 
@@ -150,6 +151,14 @@
 					     const char *about);
 struct status_reply *status_reply_create(uint64_t tag, json_t *body);
 struct vms_read *vms_read_create(json_t *vms, uint64_t version);
+/* Data centres in which most services have a leaf. */
+struct leaf_places {
+	struct message message;
+	char **dcs; /* ended by NULL */
+};
+
+/* Takes over the list. */
+struct leaf_places *leaf_places_create(char **dcs);
 /* Settings were read again. */
 struct settings_read {
 	struct message message;
--- a/src/proto/apricot.h
+++ b/src/proto/apricot.h
@@ -173,6 +173,7 @@
 	u_quad_t uptime_ms;
 	u_quad_t sequence;
 	u_quad_t config_version;
+	u_int weight;
 	int state;
 };
 typedef struct apr_member apr_member;
--- a/src/proto/apricot.x
+++ b/src/proto/apricot.x
@@ -121,6 +121,7 @@
 	unsigned hyper uptime_ms;
 	unsigned hyper sequence;
 	unsigned hyper config_version;
+	unsigned int weight;
 	int state;
 };
 
--- a/src/proto/apricot_xdr.c
+++ b/src/proto/apricot_xdr.c
@@ -264,6 +264,8 @@
 		 return FALSE;
 	 if (!xdr_u_quad_t (xdrs, &objp->config_version))
 		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->weight))
+		 return FALSE;
 	 if (!xdr_int (xdrs, &objp->state))
 		 return FALSE;
 	return TRUE;
--- a/src/roster.h
+++ b/src/roster.h
@@ -17,6 +17,7 @@
 	char *rpc;
 	char *http; /* where its callers connect */
 	uint64_t name_hash;
+	uint32_t weight; /* processor share, thousandths of a core; 0: not said */
 	bool is_self;
 	bool is_available; /* neither leaving nor suspected */
 	bool has_config; /* it can serve callers */
--- a/src/settings.c
+++ b/src/settings.c
@@ -79,13 +79,33 @@
 	return !text || address_check(flag, text, error);
 }
 
+/* Cores that a VM may state at most. */
+#define CPU_MAX 1024
+
+static bool cpu_check(const char *text, GError **error)
+{
+	char *end = NULL;
+	double cores = text ? g_ascii_strtod(text, &end) : 1;
+
+	if (!text || (end != text && *end == '\0' && cores > 0 && cores <= CPU_MAX))
+		return true;
+	g_set_error(error, RESULT_ERROR, RESULT_BAD_SETTING,
+		    "--cpu: '%s' is not a number of cores above 0 and up to %d", text, CPU_MAX);
+	return false;
+}
+
+uint32_t settings_cpu_milli(const struct settings *s)
+{
+	return s->cpu ? (uint32_t)(g_ascii_strtod(s->cpu, NULL) * 1000) : 1000;
+}
+
 static bool settings_check(struct settings *s, GError **error)
 {
 	enum log_level level;
 
 	if (!address_check_optional("gateway", s->gateway, error) ||
 	    !address_check_optional("directory", s->directory, error) ||
-	    !address_check_optional("ready", s->ready, error))
+	    !address_check_optional("ready", s->ready, error) || !cpu_check(s->cpu, error))
 		return false;
 	if (!name_check("name", s->name, error) || !name_check("dc", s->dc, error) ||
 	    !address_check("http", s->http, error) || !address_check("rpc", s->rpc, error) ||
--- a/src/settings.h
+++ b/src/settings.h
@@ -25,6 +25,7 @@
 	  "IP:PORT where callers ask which VMs to use")                                        \
 	X(ready, "ready", "APRICOT_READY", 0, "IP:PORT of status checks")                      \
 	X(settings, "settings", "APRICOT_SETTINGS", 0, "file of lines NAME=VALUE")             \
+	X(cpu, "cpu", "APRICOT_CPU", 0, "processor share of this VM, cores (default 1)")       \
 	X(log_level, "log-level", "APRICOT_LOG_LEVEL", 0, "error, warning or info (default info)")
 
 /* X(field, flag, environment variable, default, minimum, maximum, help) */
@@ -72,6 +73,9 @@
 gboolean settings_file_load(const char *path, GError **error);
 void settings_destroy(struct settings *s);
 
+/* Processor share of this VM, thousandths of a core. */
+uint32_t settings_cpu_milli(const struct settings *s);
+
 G_END_DECLS
 
 #endif
