Divide a leaf's connections among the VMs that take callers

Cause: the share of a leaf's cap was divided by all VMs (60 / 76 on the grown site: one each), while a few send nearly all calls.

--- a/src/directory.c
+++ b/src/directory.c
@@ -19,6 +19,7 @@
 	struct http_server *ready;
 	struct roster *roster;
 	struct entrychoice_vm *choice; /* one for each VM of the roster */
+	unsigned int n_chosen;
 	char **places; /* data centres of the leaves; NULL: not known yet */
 	bool has_routes;
 	bool is_stopping;
@@ -54,7 +55,14 @@
 			.is_usable = vm->is_self ? is_ready(d) : vm->is_available && vm->has_config,
 		};
 	}
-	entrychoice_mark(d->choice, n, d->places);
+	n = entrychoice_mark(d->choice, n, d->places);
+	if (n == d->n_chosen)
+		return;
+	d->n_chosen = n;
+	log_event(LOG_LEVEL_INFO, "entries_chosen", "entries=%u members=%u", n,
+		  d->roster ? d->roster->n_vms : 0);
+	kernel_message_send(d->service.kernel, kernel_service_find(d->service.kernel, "gateway"),
+			    &entries_chosen_create(n)->message);
 }
 
 /* The value of a query parameter, owned; "" when absent. */
--- a/src/gateway.c
+++ b/src/gateway.c
@@ -107,8 +107,8 @@
 {
 	char **places = leafset_places(g->env.leaves);
 
-	if (g->places && g_strv_equal((const char *const *)places,
-				      (const char *const *)g->places)) {
+	if (g->places &&
+	    g_strv_equal((const char *const *)places, (const char *const *)g->places)) {
 		g_strfreev(places);
 		return;
 	}
@@ -129,15 +129,7 @@
 
 static void roster_take(struct gateway *g, const struct roster *roster)
 {
-	unsigned int n_known = 0;
-	unsigned int n_calling = 0;
-
-	for (unsigned int i = 0; i < roster->n_vms; i++) {
-		n_known++;
-		n_calling += roster->vms[i].is_available || roster->vms[i].is_self;
-	}
-	repeats_set_vms(g->env.repeats, n_known, clock_now_us());
-	upstream_set_vms(g->env.upstream, n_calling);
+	repeats_set_vms(g->env.repeats, roster->n_vms, clock_now_us());
 }
 
 static void outcomes_add(json_t *routes, const char *key, const struct route_stats *stats)
@@ -196,6 +188,9 @@
 	case MESSAGE_ROSTER_CHANGED:
 		roster_take(g, ((struct roster_changed *)m)->roster);
 		break;
+	case MESSAGE_ENTRIES_CHOSEN:
+		upstream_set_vms(g->env.upstream, ((struct entries_chosen *)m)->n);
+		break;
 	case MESSAGE_SETTINGS_READ:
 		settings_take(g, (struct settings_read *)m);
 		break;
--- a/src/message.c
+++ b/src/message.c
@@ -346,3 +346,12 @@
 	places->dcs = dcs;
 	return places;
 }
+
+struct entries_chosen *entries_chosen_create(unsigned int n)
+{
+	struct entries_chosen *chosen = g_new0(struct entries_chosen, 1);
+
+	chosen->message.kind = MESSAGE_ENTRIES_CHOSEN;
+	chosen->n = n;
+	return chosen;
+}
--- a/src/message.h
+++ b/src/message.h
@@ -34,6 +34,7 @@
 	MESSAGE_ROUTES_READ,
 	MESSAGE_LEAF_NEWS,
 	MESSAGE_LEAF_PLACES,
+	MESSAGE_ENTRIES_CHOSEN,
 	MESSAGE_SETTINGS_READ,
 };
 
@@ -159,6 +160,13 @@
 
 /* Takes over the list. */
 struct leaf_places *leaf_places_create(char **dcs);
+/* How many VMs callers are told of now. */
+struct entries_chosen {
+	struct message message;
+	unsigned int n;
+};
+
+struct entries_chosen *entries_chosen_create(unsigned int n);
 /* Settings were read again. */
 struct settings_read {
 	struct message message;
--- a/src/scatter.c
+++ b/src/scatter.c
@@ -2,7 +2,8 @@
 
 /* Calls that a leaf refused unrun do not count as attempts; so many of them are followed up. */
 #define REFUSALS_FOLLOWED 3
-/* Second calls go out after this quantile: 1 call in 9 is repeated, within the 0.2 of the budget. */
+/* Second calls go out after this quantile: 1 call in 9 is repeated, within the 0.2 of the budget.
+ */
 #define HEDGE_QUANTILE 0.89
 #define HEDGE_SAMPLES 32
 /* Bounds of the delay as parts of the goal: early enough for a second call to be in time. */
