Share no slack of repeats right after a start; tests of the decision modules

Ruled out: earlier repeats of the same window (they fit the allowance). Change: 64 VMs are assumed to share it for the first five seconds. A doubt after lost answers begins at its first step (found by leafset.single_losses).

--- a/src/gateway.c
+++ b/src/gateway.c
@@ -242,7 +242,7 @@
 	g->env.edge = edge;
 	g->env.leaves = leafset_create(settings->dc);
 	g->env.upstream = upstream_create(kernel_base(k));
-	g->env.repeats = repeats_create(&settings->repeats);
+	g->env.repeats = repeats_create(&settings->repeats, clock_now_us());
 	g->env.splits = splits_create();
 	g->env.stats = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, route_stats_free);
 	list_init(&g->env.jobs);
--- a/src/leafset.c
+++ b/src/leafset.c
@@ -299,12 +299,12 @@
 		l->waiting_since_us = now_us;
 }
 
-static void leaf_doubt(struct leaf *l, uint64_t now_us)
+/* nth: how many times in a row there was reason to doubt it. */
+static void leaf_doubt(struct leaf *l, unsigned int nth, uint64_t now_us)
 {
-	unsigned int doublings = MIN(l->failures, DOUBT_DOUBLINGS + 1);
+	unsigned int doublings = MIN(nth - 1, DOUBT_DOUBLINGS);
 
-	l->doubted_until_us =
-		now_us + ((uint64_t)DOUBT_FIRST_US << (doublings ? doublings - 1 : 0));
+	l->doubted_until_us = now_us + ((uint64_t)DOUBT_FIRST_US << doublings);
 }
 
 void leaf_call_ended(struct leaf *l, enum leaf_end end, uint64_t latency_us, uint64_t now_us)
@@ -323,14 +323,13 @@
 		break;
 	case LEAF_END_UNREACHABLE:
 	case LEAF_END_SILENT:
-		l->failures++;
-		leaf_doubt(l, now_us);
+		leaf_doubt(l, ++l->failures, now_us);
 		break;
 	case LEAF_END_LOST:
 	case LEAF_END_ERRORED:
 		l->waiting_since_us = now_us;
 		if (++l->failures >= LOST_IN_ROW)
-			leaf_doubt(l, now_us);
+			leaf_doubt(l, l->failures - LOST_IN_ROW + 1, now_us);
 		break;
 	case LEAF_END_REFUSED:
 		/* It lives and is full: as if the call had taken twice the usual time. */
--- a/src/repeats.c
+++ b/src/repeats.c
@@ -8,6 +8,10 @@
 /* Part of the ratio and slack that is spent: arrivals and requests are counted at other moments
  * than here, and a request may be counted a window late. */
 #define SAFETY 0.8
+/* A VM that has just started does not know the others; when all start at once each would take the
+ * whole slack. Members are found within about three seconds. */
+#define FINDING_US 5000000
+#define ASSUMED_VMS 64
 
 struct service_use {
 	uint64_t slot; /* number of the newest slot */
@@ -18,15 +22,17 @@
 struct repeats {
 	struct repeats_limits limits;
 	GHashTable *services;
+	uint64_t started_us;
 	unsigned int n_vms;
 	uint64_t n_vms_since_us;
 };
 
-struct repeats *repeats_create(const struct repeats_limits *limits)
+struct repeats *repeats_create(const struct repeats_limits *limits, uint64_t now_us)
 {
 	struct repeats *r = g_new0(struct repeats, 1);
 
 	r->limits = *limits;
+	r->started_us = now_us;
 	r->n_vms = 1;
 	r->services = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
 	return r;
@@ -81,8 +87,14 @@
 	use->requests[use->slot % (SLOTS + 1)]++;
 }
 
-static double use_left(const struct repeats *r, const struct service_use *use)
+static unsigned int vms_sharing(const struct repeats *r, uint64_t now_us)
 {
+	return now_us - r->started_us < FINDING_US ? MAX(ASSUMED_VMS, r->n_vms) : r->n_vms;
+}
+
+static double use_left(const struct repeats *r, const struct service_use *use, uint64_t now_us)
+{
+	double slack = r->limits.slack / vms_sharing(r, now_us);
 	double requests = 0;
 	double repeats = 0;
 
@@ -91,14 +103,14 @@
 		repeats += use->repeats[i];
 	}
 	requests -= use->requests[(use->slot + 1) % (SLOTS + 1)];
-	return SAFETY * (r->limits.ratio * requests + r->limits.slack / r->n_vms) - repeats;
+	return SAFETY * (r->limits.ratio * requests + slack) - repeats;
 }
 
 bool repeats_spend(struct repeats *r, const char *service, uint64_t now_us)
 {
 	struct service_use *use = use_find(r, service, now_us);
 
-	if (use_left(r, use) < 1)
+	if (use_left(r, use, now_us) < 1)
 		return false;
 	use->repeats[use->slot % (SLOTS + 1)]++;
 	return true;
@@ -106,7 +118,7 @@
 
 unsigned int repeats_left(struct repeats *r, const char *service, uint64_t now_us)
 {
-	double left = use_left(r, use_find(r, service, now_us));
+	double left = use_left(r, use_find(r, service, now_us), now_us);
 
 	return left > 0 ? (unsigned int)left : 0;
 }
--- a/src/repeats.h
+++ b/src/repeats.h
@@ -23,7 +23,11 @@
 
 struct repeats;
 
-struct repeats *repeats_create(const struct repeats_limits *limits);
+/*
+ * After a start many VMs are assumed to share the slack: the number reported is used once the VM
+ * has had the time to find the others.
+ */
+struct repeats *repeats_create(const struct repeats_limits *limits, uint64_t now_us);
 void repeats_destroy(struct repeats *r);
 
 /* Other limits from now on; a changed window starts the counts anew. */
--- /dev/null
+++ b/tests/leafset_test.cc
@@ -0,0 +1,92 @@
+#include "leafset.h"
+#include "script.h"
+
+#include <map>
+
+namespace
+{
+const std::map<std::string, enum leaf_end> ends = {
+#define X(symbol, name) {name, LEAF_END_##symbol},
+	LEAF_END_LIST(X)
+#undef X
+};
+
+/* "@N" in a step sets the time in milliseconds; own data centre is a. */
+struct leafset_script : script_interpreter {
+	struct leafset *s = leafset_create("a");
+	std::vector<struct leaf *> calls;
+	uint64_t now_us = 0;
+
+	~leafset_script() override
+	{
+		for (struct leaf *l : calls) {
+			leaf_call_ended(l, LEAF_END_CANCELLED, 0, now_us);
+			leaf_put(l);
+		}
+		leafset_destroy(s);
+	}
+
+	/* put ID SERVICE ADDRESS DC STATE SLOTS WARMUP_MS BORN */
+	std::string put(const std::vector<std::string> &w)
+	{
+		static const char *const changes[] = {"unchanged", "added", "updated", "restarted"};
+		struct leaf_report report = {};
+
+		report.service = const_cast<char *>(w[2].c_str());
+		report.address = const_cast<char *>(w[3].c_str());
+		report.dc = const_cast<char *>(w[4].c_str());
+		report.state = w[5] == "ready" ? LEAF_READY : LEAF_DRAINING;
+		report.slots = std::stoul(w[6]);
+		report.warmup_ms = std::stoul(w[7]);
+		report.born_ms = std::stoull(w[8]);
+		return std::string(
+			       changes[leafset_put(s, w[1].c_str(), &report, now_us, nullptr)]) +
+		       "\n";
+	}
+
+	std::string run(const std::vector<std::string> &w) override
+	{
+		if (w[0][0] == '@') {
+			now_us = std::stoull(w[0].substr(1)) * 1000;
+			return "";
+		}
+		if (w[0] == "put")
+			return put(w);
+		if (w[0] == "remove")
+			return leafset_remove(s, w[1].c_str()) ? "removed\n" : "unknown\n";
+		if (w[0] == "choose") { /* choose SERVICE [TRIED] */
+			struct leaf *tried = w.size() > 2 ? leafset_find(s, w[2].c_str()) : nullptr;
+			struct leaf *l =
+				leafset_choose(s, w[1].c_str(), &tried, tried ? 1 : 0, now_us);
+
+			return std::string(l ? l->id : "none") + "\n";
+		}
+		if (w[0] == "start") { /* a call that stays open */
+			struct leaf *l = leaf_get(leafset_find(s, w[1].c_str()));
+
+			leaf_call_started(l, now_us);
+			calls.push_back(l);
+			return "";
+		}
+		if (w[0] == "call") { /* call ID END LATENCY_MS, N times */
+			struct leaf *l = leafset_find(s, w[1].c_str());
+
+			for (int i = 0; i < std::stoi(w[4]); i++) {
+				leaf_call_started(l, now_us);
+				leaf_call_ended(l, ends.at(w[2]), std::stoull(w[3]) * 1000, now_us);
+			}
+			return "";
+		}
+		if (w[0] == "places") {
+			g_auto(GStrv) places = leafset_places(s);
+			g_autofree char *text = g_strjoinv(" ", places);
+
+			return std::string(text) + "\n";
+		}
+		return "?\n";
+	}
+};
+
+bool registered = script_register("leafset", "leafset.test",
+				  [] { return std::make_unique<leafset_script>(); });
+} // namespace
--- /dev/null
+++ b/tests/registry_test.cc
@@ -0,0 +1,49 @@
+#include "registry.h"
+#include "script.h"
+
+namespace
+{
+/* Times in milliseconds; "@N" sets the time. */
+struct registry_script : script_interpreter {
+	struct registry *r = registry_create();
+	uint64_t now_ms = 0;
+
+	~registry_script() override
+	{
+		registry_destroy(r);
+	}
+
+	std::string run(const std::vector<std::string> &w) override
+	{
+		if (w[0][0] == '@')
+			now_ms = std::stoull(w[0].substr(1));
+		if (w[0] == "put")
+			return registry_put(r, w[1].c_str(), std::stoull(w[2])) ? "new\n" : "old\n";
+		if (w[0] == "remove")
+			return registry_remove(r, w[1].c_str(), std::stoull(w[2]), w.size() > 3,
+					       now_ms)
+				       ? "noted\n"
+				       : "ignored\n";
+		if (w[0] == "listing")
+			registry_listing_begin(r);
+		if (w[0] == "listed")
+			registry_listing_end(r, std::stoull(w[1]), now_ms);
+		if (w[0] == "returned")
+			registry_store_returned(r, now_ms);
+		if (w[0] == "due") {
+			std::string out;
+			uint64_t revision = 0;
+
+			while (char *key = registry_due(r, now_ms, &revision)) {
+				out += std::string(key) + "\n";
+				g_free(key);
+			}
+			return out.empty() ? "none\n" : out;
+		}
+		return "";
+	}
+};
+
+bool registered = script_register("registry", "registry.test",
+				  [] { return std::make_unique<registry_script>(); });
+} // namespace
--- /dev/null
+++ b/tests/scatter_test.cc
@@ -0,0 +1,85 @@
+#include "scatter.h"
+#include "script.h"
+
+namespace
+{
+/* Times in milliseconds; "@N" sets the time. */
+struct scatter_script : script_interpreter {
+	struct scatter *s = nullptr;
+	uint64_t now_us = 0;
+
+	~scatter_script() override
+	{
+		scatter_destroy(s);
+	}
+
+	/* policy SHARDS MIN_SHARE ATTEMPTS safe|unsafe GOAL DEADLINE HEDGE */
+	void policy(const std::vector<std::string> &w)
+	{
+		struct scatter_policy p = {};
+
+		p.n_shards = std::stoul(w[1]);
+		p.min_share = std::stod(w[2]);
+		p.max_attempts = std::stoul(w[3]);
+		p.is_idempotent = w[4] == "safe";
+		p.goal_at_us = std::stoull(w[5]) * 1000;
+		p.deadline_us = std::stoull(w[6]) * 1000;
+		p.hedge_after_us = std::stoull(w[7]) * 1000;
+		s = scatter_create(&p);
+	}
+
+	std::string verdict()
+	{
+		static const char *const names[] = {"wait", "answer", "failed", "timed_out"};
+		uint64_t wake_us = 0;
+		enum scatter_verdict v = scatter_verdict(s, now_us, &wake_us);
+
+		return std::string(names[v]) +
+		       (v == SCATTER_WAIT ? " " + std::to_string(wake_us / 1000) : "") + "\n";
+	}
+
+	std::string hedges()
+	{
+		std::string out;
+
+		for (unsigned int shard = 0; scatter_hedge_next(s, &shard, now_us); shard++)
+			out += std::to_string(shard) + " ";
+		return (out.empty() ? "none" : out) + "\n";
+	}
+
+	std::string run(const std::vector<std::string> &w) override
+	{
+		unsigned int first = w.size() > 1 && w[0] != "policy" ? std::stoul(w[1]) : 0;
+		unsigned int last = w.size() > 2 && w[0] != "policy" && w[0] != "lost"
+					    ? std::stoul(w[2])
+					    : first;
+
+		if (w[0][0] == '@')
+			now_us = std::stoull(w[0].substr(1)) * 1000;
+		if (w[0] == "policy")
+			policy(w);
+		if (w[0] == "call")
+			for (unsigned int i = first; i <= last; i++)
+				scatter_call_started(s, i, now_us);
+		if (w[0] == "in")
+			for (unsigned int i = first; i <= last; i++)
+				scatter_call_answered(s, i);
+		if (w[0] == "lost")
+			scatter_call_lost(s, first,
+					  w[2] == "unrun" ? SCATTER_LOSS_NOT_RUN
+							  : SCATTER_LOSS_MAY_HAVE_RUN);
+		if (w[0] == "exhausted")
+			scatter_calls_exhausted(s, first);
+		if (w[0] == "may")
+			return scatter_may_call(s, first) ? "yes\n" : "no\n";
+		if (w[0] == "verdict")
+			return verdict();
+		if (w[0] == "hedges")
+			return hedges();
+		return "";
+	}
+};
+
+bool registered = script_register("scatter", "scatter.test",
+				  [] { return std::make_unique<scatter_script>(); });
+} // namespace
