Ask listed peers again until one of them lives

Ruled out: the relay (configurations were there in 80 ms). Change: peers that are not known to live are asked every 0.4 s while alone, every 5 s otherwise.

--- a/src/membership.c
+++ b/src/membership.c
@@ -14,6 +14,10 @@
 #define TICK_MS 100
 #define JOIN_PEERS 3
 #define JOIN_TIMEOUT_US 1000000
+/* Listed peers are asked again this often while no member is known ... */
+#define JOIN_RETRY_MS 400
+/* ... and this often while one of them is not known to live. */
+#define REJOIN_MS 5000
 
 struct membership {
 	struct service service;
@@ -27,6 +31,8 @@
 	uint64_t roster_version; /* of the table, last sent */
 	bool has_joined;
 	char **peers; /* listed in the settings; NULL for none */
+	uint64_t peers_ask_ms; /* next time to ask them */
+	struct roster *roster; /* last published */
 	bool stop_sent;
 };
 
@@ -168,7 +174,8 @@
 		kernel_message_send(ms->service.kernel,
 				    kernel_service_find(ms->service.kernel, services[i]),
 				    &roster_changed_create(build.roster)->message);
-	roster_put(build.roster);
+	roster_put(ms->roster);
+	ms->roster = build.roster;
 }
 
 struct peer_pick {
@@ -221,12 +228,45 @@
 	log_event(LOG_LEVEL_WARNING, "pause_detected", "gap_ms=%" G_GUINT64_FORMAT, gap_ms);
 }
 
+static bool peer_is_live(struct membership *ms, const char *rpc)
+{
+	for (unsigned int i = 0; ms->roster && i < ms->roster->n_vms; i++)
+		if (strcmp(ms->roster->vms[i].rpc, rpc) == 0)
+			return ms->roster->vms[i].is_available;
+	return false;
+}
+
+/* Asks the listed peers that are not known to live for their members. */
+static void listed_peers_ask(struct membership *ms)
+{
+	for (char **peer = ms->peers; peer && *peer; peer++)
+		if (strcmp(*peer, ms->self.rpc) != 0 && !peer_is_live(ms, *peer))
+			member_list_ask(ms, *peer);
+}
+
+/*
+ * Listed peers may start after this VM, or come back from a partition that has left this VM on the
+ * other side: they are asked again, seldom once some member is known.
+ */
+static void listed_peers_retry(struct membership *ms, uint64_t now_ms)
+{
+	bool is_alone = member_table_count(ms->table) < 2;
+
+	if (now_ms < ms->peers_ask_ms)
+		return;
+	ms->peers_ask_ms = now_ms + (is_alone ? JOIN_RETRY_MS : REJOIN_MS) / 2 +
+			   (uint64_t)g_rand_int_range(kernel_rand(ms->service.kernel), 0,
+						      (is_alone ? JOIN_RETRY_MS : REJOIN_MS) / 2);
+	listed_peers_ask(ms);
+}
+
 static void membership_tick(evutil_socket_t fd, short what, void *arg)
 {
 	struct membership *ms = arg;
 
 	pause_check(ms);
 	member_table_tick(ms->table, clock_now_ms(), kernel_rand(ms->service.kernel));
+	listed_peers_retry(ms, clock_now_ms());
 	roster_publish(ms);
 }
 
@@ -411,13 +451,6 @@
 	knowledge_renewed_broadcast(ms->service.kernel, reply->tag);
 }
 
-static void listed_peers_ask(struct membership *ms)
-{
-	for (char **peer = ms->peers; peer && *peer; peer++)
-		if (strcmp(*peer, ms->self.rpc) != 0)
-			member_list_ask(ms, *peer);
-}
-
 /* New peers in the settings may lead to members that no present one knows. */
 static void settings_take(struct membership *ms, const struct settings_read *settings)
 {
@@ -488,6 +521,7 @@
 	member_table_destroy(ms->table);
 	wake_destroy(ms->wake);
 	g_strfreev(ms->peers);
+	roster_put(ms->roster);
 	g_free(ms);
 }
 
--- a/src/upstream.c
+++ b/src/upstream.c
@@ -8,8 +8,8 @@
 /* Part of a leaf's cap that all VMs use together; the rest covers VMs that do not know each other
  * yet. */
 #define CONNECTIONS_PART 0.85
-/* Beyond this number more connections only queue at the leaf. */
-#define CONNECTIONS_MAX 12
+/* Connections of one VM beyond twice the leaf's slots and these only queue at the leaf. */
+#define CONNECTIONS_EXTRA 2
 /* A VM begins with so many connections to a leaf and adds one when a call had to wait, since after
  * a start it does not know yet among how many the cap is divided. */
 #define CONNECTIONS_FIRST 2
@@ -21,10 +21,13 @@
 #define CONNECT_US 700000
 /* Idle connections are closed this long before the leaf would, so that no call meets the close. */
 #define IDLE_MARGIN_US 700000
-#define IDLE_DEFAULT_US 4000000
+#define IDLE_DEFAULT_US 3000000
 /* A call that must not be repeated uses a connection that was used within this time, else a new
  * one: leaves may have forgotten an idle connection. */
 #define FRESH_US 300000
+/* Of several idle connections to a leaf all but the last used are closed after this time: other
+ * VMs may need the leaf's room. */
+#define SPARE_US 1500000
 #define SWEEP_US 100000
 
 struct leaf_link {
@@ -113,18 +116,23 @@
 	g_free(link);
 }
 
+static unsigned int conns_useful(const struct leaf_link *link)
+{
+	return 2 * link->leaf->slots + CONNECTIONS_EXTRA;
+}
+
 static unsigned int conns_allowed(const struct upstream *u, const struct leaf_link *link)
 {
 	unsigned int share =
 		(unsigned int)(CONNECTIONS_PART * link->max_connections / MAX(1, u->vms));
 
-	return CLAMP(share, 1, MIN(CONNECTIONS_MAX, link->granted));
+	return CLAMP(share, 1, MIN(conns_useful(link), link->granted));
 }
 
 /* A call waits although connections are at the limit: allows one more after a quiet time. */
 static void grant_grow(struct leaf_link *link, uint64_t now_us)
 {
-	if (link->granted >= CONNECTIONS_MAX || now_us - link->granted_us < GROWTH_US)
+	if (link->granted >= conns_useful(link) || now_us - link->granted_us < GROWTH_US)
 		return;
 	link->granted++;
 	link->granted_us = now_us;
