--- a/src/httpmsg.c
+++ b/src/httpmsg.c
@@ -222,6 +222,8 @@
 		return HTTP_MORE;
 	if (!r->has_head && r->side == HTTP_SIDE_REQUEST) {
 		head_check(r, data, n);
+		if (r->progress == HTTP_MORE && r->head_bytes > r->limits.head_bytes)
+			r->progress = HTTP_HEAD_TOO_LARGE;
 		if (r->progress != HTTP_MORE)
 			return r->progress;
 	}
@@ -234,9 +236,6 @@
 		r->progress = HTTP_PARSER_ERRNO(&r->parser) == HPE_HEADER_OVERFLOW
 				      ? HTTP_HEAD_TOO_LARGE
 				      : HTTP_MALFORMED;
-	if (r->progress == HTTP_MORE && r->side == HTTP_SIDE_REQUEST && !r->has_head &&
-	    r->head_bytes > r->limits.head_bytes)
-		r->progress = HTTP_HEAD_TOO_LARGE;
 	return r->progress;
 }
 
--- a/src/job.c
+++ b/src/job.c
@@ -524,7 +524,10 @@
 		leaf = leafset_choose(j->env->leaves, sh->service, NULL, 0, now_us);
 	if (!leaf)
 		return false;
-	if (sh->n_tried > 0 && !repeats_spend(j->env->repeats, sh->service, now_us)) {
+	if (sh->n_tried > 0 &&
+	    !repeats_spend(j->env->repeats, sh->service,
+			   scatter_is_waiting(j->scatter, shard) ? REPEATS_HEDGE : REPEATS_RECOVERY,
+			   now_us)) {
 		j->n_denied++;
 		return false;
 	}
--- a/src/membership.c
+++ b/src/membership.c
@@ -158,9 +158,8 @@
 
 static void roster_publish(struct membership *ms)
 {
-	static const char *const services[] = {"searcher",   "commander", "holder",
-					       "configurer", "gateway",	  "directory",
-					       "relay"};
+	static const char *const services[] = {"searcher", "commander", "holder", "configurer",
+					       "gateway",  "directory", "relay"};
 	uint64_t version = member_table_version(ms->table);
 	struct roster_build build = {.membership = ms};
 
--- a/src/relay.c
+++ b/src/relay.c
@@ -10,8 +10,10 @@
 #include <string.h>
 
 /* Longest wait of one question to a reader; its answer says that the reader lives. */
-#define ASK_WAIT_MS 4000
+#define ASK_WAIT_MS 2000
 #define ASK_TIMEOUT_US ((uint64_t)(ASK_WAIT_MS + 800) * CLOCK_US_PER_MS)
+/* A reader that has answered within this time is taken to live: the wait and a margin. */
+#define CURRENT_MS (ASK_WAIT_MS + 600)
 /* A VM that starts waits so long for other members before it decides who reads. */
 #define SETTLE_MS 400
 /* Without anything current from a reader for so long, a VM reads the store itself ... */
@@ -69,7 +71,7 @@
 static bool is_current(const struct relay *r, uint64_t now_ms)
 {
 	return reads_itself(r) ||
-	       (mirror_revision(r->mirror) > 0 && now_ms - r->served_ms < ASK_WAIT_MS);
+	       (mirror_revision(r->mirror) > 0 && now_ms - r->served_ms < CURRENT_MS);
 }
 
 static void items_encode(apr_feed_reply *out, const struct store_answer *answer)
@@ -121,8 +123,7 @@
 	struct list_head *pos;
 	struct list_head *next;
 
-	list_for_each_safe(pos, next, &r->waiters)
-	{
+	list_for_each_safe (pos, next, &r->waiters) {
 		struct waiter *w = list_entry(pos, struct waiter, node);
 		const apr_feed_args *args = w->call->args;
 
@@ -187,8 +188,12 @@
 	if (r->is_reading == is_wanted)
 		return;
 	r->is_reading = is_wanted;
-	log_event(LOG_LEVEL_INFO, "store_reading", "reads=%s why=\"%s\" revision=%" G_GUINT64_FORMAT,
-		  is_wanted ? "self" : "peers", why, mirror_revision(r->mirror));
+	/* What was read until now is current; the readers have not been asked yet. */
+	if (!is_wanted && r->is_current)
+		r->served_ms = clock_now_ms();
+	log_event(LOG_LEVEL_INFO, "store_reading",
+		  "reads=%s why=\"%s\" revision=%" G_GUINT64_FORMAT, is_wanted ? "self" : "peers",
+		  why, mirror_revision(r->mirror));
 	kernel_message_send(r->service.kernel, kernel_service_find(r->service.kernel, "feed"),
 			    &store_reading_create(is_wanted)->message);
 }
--- a/src/repeats.c
+++ b/src/repeats.c
@@ -11,7 +11,9 @@
 /* A VM that has just started does not know the others; when all start at once each would take the
  * whole slack. Members are found within about three seconds. */
 #define FINDING_US 5000000
-#define ASSUMED_VMS 64
+#define ASSUMED_VMS 24
+/* Part of what the window allows that hedges leave to recoveries. */
+#define RECOVERY_PART 0.25
 
 struct service_use {
 	uint64_t slot; /* number of the newest slot */
@@ -92,7 +94,9 @@
 	return now_us - r->started_us < FINDING_US ? MAX(ASSUMED_VMS, r->n_vms) : r->n_vms;
 }
 
-static double use_left(const struct repeats *r, const struct service_use *use, uint64_t now_us)
+/* Repeats that the window allows, less those that were sent. part: of what it allows. */
+static double use_left(const struct repeats *r, const struct service_use *use, double part,
+		       uint64_t now_us)
 {
 	double slack = r->limits.slack / vms_sharing(r, now_us);
 	double requests = 0;
@@ -103,14 +107,16 @@
 		repeats += use->repeats[i];
 	}
 	requests -= use->requests[(use->slot + 1) % (SLOTS + 1)];
-	return SAFETY * (r->limits.ratio * requests + slack) - repeats;
+	return part * SAFETY * (r->limits.ratio * requests + slack) - repeats;
 }
 
-bool repeats_spend(struct repeats *r, const char *service, uint64_t now_us)
+bool repeats_spend(struct repeats *r, const char *service, enum repeats_purpose purpose,
+		   uint64_t now_us)
 {
 	struct service_use *use = use_find(r, service, now_us);
+	double part = purpose == REPEATS_HEDGE ? 1 - RECOVERY_PART : 1;
 
-	if (use_left(r, use, now_us) < 1)
+	if (use_left(r, use, part, now_us) < 1)
 		return false;
 	use->repeats[use->slot % (SLOTS + 1)]++;
 	return true;
@@ -118,7 +124,7 @@
 
 unsigned int repeats_left(struct repeats *r, const char *service, uint64_t now_us)
 {
-	double left = use_left(r, use_find(r, service, now_us), now_us);
+	double left = use_left(r, use_find(r, service, now_us), 1, now_us);
 
 	return left > 0 ? (unsigned int)left : 0;
 }
--- a/src/repeats.h
+++ b/src/repeats.h
@@ -40,8 +40,15 @@
 void repeats_set_vms(struct repeats *r, unsigned int n, uint64_t now_us);
 
 void repeats_request(struct repeats *r, const char *service, uint64_t now_us);
-/* Counts one repeat and returns true when the budget allows it. */
-bool repeats_spend(struct repeats *r, const char *service, uint64_t now_us);
+enum repeats_purpose {
+	REPEATS_HEDGE, /* the first call may still be answered */
+	REPEATS_RECOVERY, /* the first call is lost: without another one there is no answer */
+};
+
+/* Counts one repeat and returns true when the budget allows it. Hedges leave a part of the budget
+ * to recoveries. */
+bool repeats_spend(struct repeats *r, const char *service, enum repeats_purpose purpose,
+		   uint64_t now_us);
 /* Repeats that could be sent now. */
 unsigned int repeats_left(struct repeats *r, const char *service, uint64_t now_us);
 
--- a/tests/matrix_world.cc
+++ b/tests/matrix_world.cc
@@ -869,9 +869,10 @@
 	static bool holds_any(process *entry, int n)
 	{
 		for (guint i = 0; i < entry->m->groups->len; i++) {
-			holder_route r = routing_find(entry->routes.get(),
-					       static_cast<manifest_group *>(
-						       g_ptr_array_index(entry->m->groups, i)));
+			holder_route r =
+				routing_find(entry->routes.get(),
+					     static_cast<manifest_group *>(
+						     g_ptr_array_index(entry->m->groups, i)));
 
 			if (r.first && atoi(r.first) == n)
 				return true;
--- a/tests/repeats_test.cc
+++ b/tests/repeats_test.cc
@@ -32,7 +32,8 @@
 		if (w[0] == "spend") {
 			int n = 0;
 
-			while (repeats_spend(r, "s", now_us))
+			while (repeats_spend(
+				r, "s", w.size() > 1 ? REPEATS_HEDGE : REPEATS_RECOVERY, now_us))
 				n++;
 			return std::to_string(n) + "\n";
 		}
@@ -64,7 +65,8 @@
 
 		repeats_request(vm, "s", now_us);
 		log.emplace_back(now_us, false);
-		if ((is_fault || g_rand_double(rand) < 0.1) && repeats_spend(vm, "s", now_us))
+		if ((is_fault || g_rand_double(rand) < 0.1) &&
+		    repeats_spend(vm, "s", REPEATS_RECOVERY, now_us))
 			log.emplace_back(now_us, true);
 	}
 	for (uint64_t start = 0; start < 30000000; start += 500000) {
