--- a/fakes/routed_site.py
+++ b/fakes/routed_site.py
@@ -82,6 +82,7 @@
         super().__init__()
         self.items, self.history, self.revision = {}, [], 0
         self.page, self.mode, self.calls, self.forgotten = page, "ok", 0, 0
+        self.swallowed = 0
         self.changed = asyncio.Event()
 
     def put(self, key, value):
@@ -125,7 +126,19 @@
                                       {"Content-Type": "application/json"}))
             await writer.drain()
 
+    def swallow(self):
+        """Questions that wait now are never answered, connections stay open; new ones hang too."""
+        self.mode = "silent"
+        self.swallowed += 1
+
     async def _answer(self, path, arguments):
+        swallowed = self.swallowed
+        status, body = await self._answer_now(path, arguments)
+        if swallowed != self.swallowed:
+            await asyncio.sleep(3600)
+        return status, body
+
+    async def _answer_now(self, path, arguments):
         prefix = arguments.get("prefix", "")
         if path == "/kv-range":
             keys = sorted(k for k in self.items
@@ -147,6 +160,43 @@
                 pass
 
 
+class Gate(Server):
+    """Loopback proxy before one address: passes on, resets, cuts one way or falls silent."""
+
+    def __init__(self, target, ip="127.0.0.1", port=0):
+        super().__init__(ip, port)
+        self.target, self.mode, self.delay_s = target, "ok", 0.0
+
+    async def serve(self, reader, writer):
+        if self.mode == "reset":
+            writer.transport.abort()
+            return
+        if self.mode == "silent":
+            await asyncio.sleep(3600)
+        ip, port = self.target.split(":")
+        far_reader, far_writer = await asyncio.open_connection(ip, int(port))
+        self.writers.add(far_writer)
+        try:
+            await asyncio.gather(self._pump(reader, far_writer, "cut_out"),
+                                 self._pump(far_reader, writer, "cut_in"))
+        finally:
+            self.writers.discard(far_writer)
+            far_writer.close()
+
+    async def _pump(self, reader, writer, cut):
+        while True:
+            data = await reader.read(65536)
+            while self.mode in (cut, "silent"):
+                await asyncio.sleep(0.05)
+            if self.delay_s:
+                await asyncio.sleep(self.delay_s)
+            if not data:
+                writer.close()
+                return
+            writer.write(data)
+            await writer.drain()
+
+
 class Leaf(Server):
     """One leaf of a service. Faults: mode and work_s; a run is counted when work begins."""
 
--- a/src/feed.c
+++ b/src/feed.c
@@ -281,8 +281,12 @@
 		target = f->edge->ops->list_target(f->edge, "", f->after);
 		f->answer_by_ms = now_ms + ANSWER_MS;
 	} else {
-		target = f->edge->ops->watch_target(f->edge, "", f->revision, f->settings.wait_ms);
-		f->answer_by_ms = now_ms + f->settings.wait_ms + ANSWER_MS;
+		/* After a failure the first answer is wanted at once: a store that has gone silent
+		 * may not answer a question that was put to it meanwhile. */
+		unsigned int wait_ms = f->is_lost ? 0 : f->settings.wait_ms;
+
+		target = f->edge->ops->watch_target(f->edge, "", f->revision, wait_ms);
+		f->answer_by_ms = now_ms + wait_ms + ANSWER_MS;
 	}
 	request = g_strdup_printf("GET %s HTTP/1.1\r\nHost: %s\r\n\r\n", target,
 				  f->settings.store_address);
--- a/src/relay.c
+++ b/src/relay.c
@@ -180,6 +180,8 @@
 	if (readers->n == 0 || (kind == LANE_NOTICE && readers->n < 2))
 		return NULL;
 	vm = readers->vms[(first + step) % readers->n];
+	if (vm->is_self && readers->n > 1)
+		vm = readers->vms[(first + step + 1) % readers->n];
 	return vm->is_self ? NULL : vm;
 }
 
@@ -231,6 +233,11 @@
 	readers = readers_choose(r->roster);
 	if (readers.is_self || readers.n == 0) {
 		reading_set(r, true, "chosen");
+		/* A reader that has lost the store hears from the others meanwhile. */
+		if (!r->is_current && now_ms - r->started_ms > UNSERVED_MS) {
+			behind_check(r, now_ms);
+			lanes_advance(r, &readers, now_ms);
+		}
 		return;
 	}
 	if (!is_current(r, now_ms) && now_ms - MAX(r->served_ms, r->started_ms) > UNSERVED_MS &&
