Log one line for each request with the trace of its decisions; metrics by route; fault soak

request_done names outcome, route, version, shards in, calls, and for each decision beyond the first calls its time, shard, leaf and reason; leaf_doubted says when a leaf is avoided.

--- /dev/null
+++ b/soak/soak.py
@@ -0,0 +1,384 @@
+#!/usr/bin/env python3
+"""Randomized fault soak: real daemons as processes, faults from outside, promises checked meanwhile.
+
+soak/soak.py [--seconds N] [--daemons N] [--parallel N] SEED...   one run for each seed
+One seed decides the faults, their times and their targets; the machine decides the rest. Exit 1
+when a promise was broken; the processes' logs are kept then.
+"""
+import argparse
+import asyncio
+import os
+import random
+import signal
+import sys
+import tempfile
+import time
+
+sys.path.insert(0, os.path.join(os.path.dirname(__file__), "..", "fakes"))
+from routed_site import Daemon, Gate, Site, call, wait_for  # noqa: E402
+
+BINARY = os.path.join(os.environ.get("B", "build"), "apricotd")
+SHARDS = 5
+MOVED = 6  # services among which the versions move one route
+DRAIN_S = 4.0  # bound on new work for a leaf that leaves, on machines in touch
+TOUCH_S = 4.0  # a daemon is in touch after so long without a fault on it or the store
+CONFIG_S = 4.0  # bound on a version's being in force, on machines in touch
+RECOVER_S = 12.0
+# Each run has ports of its own; two runs side by side once answered each other's callers.
+FIRST_PORT = 12000
+SLOT_PORTS = 640
+
+
+class Soak:
+    """One run: a site, its daemons, callers, and a sequence of faults drawn from the seed."""
+
+    def __init__(self, seed, seconds, n_daemons, port):
+        self.random, self.seconds, self.port = random.Random(seed), seconds, port
+        self.site, self.daemons, self.gates, self.broken = Site(), [], {}, []
+        self.n_daemons, self.running, self.tasks = n_daemons, True, []
+        self.logs = tempfile.mkdtemp(prefix=f"soak-{seed}-")
+        self.seen_move, self.moves, self.move_at = {}, [], {}
+        self.touched_at, self.store_touched_at = {}, 0.0
+        self.counts = {"answers": 0, "successes": 0, "lost": 0, "faults": 0}
+        self.next_leaf = 0
+
+    def fail(self, what):
+        if len(self.broken) < 20:
+            self.broken.append(f"{time.monotonic() - self.began:.2f} s {what}")
+
+    def note(self, what):
+        with open(os.path.join(self.logs, "faults.log"), "a", encoding="utf-8") as log:
+            log.write(f"{time.strftime('%H:%M:%S')} {time.monotonic() - self.began:.2f} {what}\n")
+
+    async def leaf_start(self, service, dc):
+        """A leaf behind a gate: the store names the gate's address."""
+        self.next_leaf += 1
+        leaf = await self.site.leaf_add(f"leaf{self.next_leaf}", service, dc)
+        gate = Gate(leaf.address)
+        await gate.start()
+        self.gates[leaf.id] = gate
+        leaf.port = gate.port
+        self.site.store.put(f"servers/{leaf.id}", leaf.entry())
+        return leaf
+
+    async def setup(self):
+        await self.site.start()
+        self.site.drain_s = 1e9  # late work is judged here, by machines in touch
+        for shard in range(SHARDS):
+            for dc in "ab":
+                await self.leaf_start(f"s{shard}", dc)
+        for i in range(MOVED):
+            await self.leaf_start(f"m{i}", "ab"[i % 2])
+        for dc in "ab":
+            await self.leaf_start("loans", dc)
+        self.site.route("/all/", gather=[f"s{i}" for i in range(SHARDS)], topK=5,
+                        minShardRatio=0.6)
+        self.site.route("/loan/", service="loans", routeType="unsafe", maxAttempts=2)
+        self.move()
+        for i in range(self.n_daemons):
+            gate = Gate(self.site.store.address)
+            await gate.start()
+            daemon = Daemon(BINARY, f"vm{i}", "ab"[i % 2], self.port + 8 * i, gate.address)
+            daemon.peers = ",".join(f"127.0.0.1:{self.port + 8 * k + 4}" for k in range(3))
+            daemon.gate, daemon.starts = gate, 0
+            self.daemons.append(daemon)
+        await asyncio.gather(*(self.daemon_start(d) for d in self.daemons))
+
+    async def daemon_start(self, daemon):
+        daemon.starts += 1
+        self.touched_at[daemon.name] = time.monotonic()
+        await daemon.start(os.path.join(self.logs, daemon.name + ".log"))
+
+    def move(self):
+        """A version that moves one route to the next service."""
+        self.moves.append(f"m{len(self.moves) % MOVED}")
+        self.site.route("/move/", service=self.moves[-1])
+        self.site.publish()
+        self.move_at[len(self.moves) - 1] = time.monotonic()
+
+    def in_touch(self, daemon, since):
+        return since - max(self.touched_at[daemon.name], self.store_touched_at) > TOUCH_S
+
+    async def caller(self, number):
+        """Sends requests without pause; every second caller keeps its connection open."""
+        source = random.Random(number)
+        streams = {}
+        while self.running:
+            daemon = source.choice(self.daemons)
+            path = source.choice(["/all/x", "/all/x", "/loan/x", "/move/x"])
+            kept = streams.pop(daemon.name, None)
+            if kept is None and number % 2:
+                try:
+                    ip, port = daemon.gateway.split(":")
+                    kept = await asyncio.wait_for(asyncio.open_connection(ip, int(port)), 1)
+                except (OSError, asyncio.TimeoutError):
+                    kept = None
+            incarnation, began = daemon.starts, time.monotonic()
+            method, body = ("POST", b"loan") if path == "/loan/x" else ("GET", b"")
+            request, answer = await call(daemon.gateway, path, method, body, streams=kept,
+                                         timeout_s=4)
+            self.judge(daemon, incarnation, began, path, request, answer)
+            if answer and kept and answer[1].get("connection") != "close":
+                streams[daemon.name] = kept
+            await asyncio.sleep(source.uniform(0, 0.03))
+
+    def judge(self, daemon, incarnation, began, path, request, answer):
+        route = next(r for r in self.site.routes if path.startswith(r["prefix"]))
+        runs = self.site.ran.get(request, [])
+        self.counts["answers" if answer else "lost"] += 1
+        if path == "/loan/x" and len(runs) > 1:
+            self.fail(f"{request} of {daemon.name} ran {len(runs)} times")
+        if not answer:
+            return
+        if time.monotonic() - began > 3.2 and self.in_touch(daemon, began):
+            self.fail(f"{request} of {daemon.name} was held past its time limit")
+        wrong = self.site.check_answer(request, route, answer)
+        if wrong:
+            self.fail(f"{request} of {daemon.name}: {wrong}")
+        if answer[0] == 404:
+            self.fail(f"{request} of {daemon.name}: 404 for a route of all versions")
+        self.counts["successes"] += 200 <= answer[0] < 300
+        if path == "/move/x" and answer[0] == 200:
+            self.judge_version(daemon, incarnation, began, runs)
+
+    def judge_version(self, daemon, incarnation, began, runs):
+        """The newest version that may have sent the request there; it must not go back."""
+        newest = max(i for i, service in enumerate(self.moves) if service == runs[0][0])
+        key = (daemon.name, incarnation)
+        floor, floor_at = self.seen_move.get(key, (0, 0.0))
+        if newest < floor and began > floor_at + 0.3:
+            self.fail(f"{daemon.name} went back from move {floor} to {newest}")
+        if newest > floor and len(self.moves) - newest < MOVED:
+            self.seen_move[key] = (newest, time.monotonic())
+        overdue = [i for i, at in self.move_at.items() if began - at > CONFIG_S and i > newest]
+        if overdue and self.in_touch(daemon, began):
+            self.fail(f"{daemon.name} serves move {newest} although {overdue[-1]} is due")
+
+    async def watch_leaving(self, leaf, since):
+        """No new work for a leaf that leaves, from daemons in touch."""
+        await asyncio.sleep(DRAIN_S)
+        before, began = leaf.arrivals, time.monotonic()
+        if all(self.in_touch(d, since) for d in self.daemons):
+            await asyncio.sleep(0.5)
+            if leaf.arrivals > before and all(self.in_touch(d, since) for d in self.daemons):
+                self.fail(f"{leaf.id} got {leaf.arrivals - before} calls "
+                          f"{time.monotonic() - since:.1f} s after it left (from {began:.1f})")
+
+    async def replace(self, service, announced):
+        """A leaf ends and another takes over; half of them say so before."""
+        old = [x for x in self.site.leaves.values() if x.service == service and x.state == "ready"]
+        await self.leaf_start(service, old[0].dc)
+        leaf = old[0]
+        leaf.state = "draining"
+        since = time.monotonic()
+        if announced:
+            self.site.store.put(f"servers/{leaf.id}", leaf.entry())
+        else:
+            self.site.store.remove(f"servers/{leaf.id}")
+        await self.watch_leaving(leaf, since)
+        self.site.store.remove(f"servers/{leaf.id}")
+        await self.gates[leaf.id].stop()
+
+    def disturb(self, *daemons):
+        for daemon in daemons:
+            self.touched_at[daemon.name] = time.monotonic() + 1e6
+
+    def calm(self, *daemons):
+        for daemon in daemons:
+            self.touched_at[daemon.name] = time.monotonic()
+
+    async def pause(self, daemon, for_s):
+        self.disturb(daemon)
+        daemon.send(signal.SIGSTOP)
+        await asyncio.sleep(for_s)
+        daemon.send(signal.SIGCONT)
+        self.calm(daemon)
+
+    async def kill(self, daemon, for_s):
+        self.disturb(daemon)
+        daemon.send(signal.SIGCONT)
+        daemon.send(signal.SIGKILL)
+        await daemon.process.wait()
+        await asyncio.sleep(for_s)
+        await self.daemon_start(daemon)
+
+    async def terminate(self, daemon):
+        self.disturb(daemon)
+        daemon.send(signal.SIGTERM)
+        try:
+            await asyncio.wait_for(daemon.process.wait(), 8)
+        except asyncio.TimeoutError:
+            self.fail(f"{daemon.name} did not end within 8 s of SIGTERM")
+            await daemon.end()
+        await self.daemon_start(daemon)
+
+    async def gate_fault(self, gate, mode, for_s, owner=None):
+        if owner:
+            self.disturb(owner)
+        gate.mode = mode
+        if mode == "reset":
+            gate.reset_all()
+        await asyncio.sleep(for_s)
+        gate.mode = "ok"
+        if owner:
+            self.calm(owner)
+
+    async def store_fault(self, mode, for_s):
+        self.store_touched_at = time.monotonic() + 1e6
+        self.site.store.mode = mode
+        self.site.store.reset_all()
+        lapsed = [x for x in self.site.leaves.values() if x.state == "ready"]
+        if self.random.random() < 0.5:
+            for leaf in lapsed:
+                self.site.store.remove(f"servers/{leaf.id}")
+        if self.random.random() < 0.5:
+            self.site.store.forget()
+        await asyncio.sleep(for_s)
+        self.site.store.mode = "ok"
+        self.site.store.reset_all()
+        await asyncio.sleep(1.0)
+        for leaf in lapsed:
+            if leaf.state == "ready":
+                self.site.store.put(f"servers/{leaf.id}", leaf.entry())
+        self.store_touched_at = time.monotonic()
+
+    async def leaf_fault(self, leaf, mode, for_s):
+        leaf.mode, leaf.rate = mode, self.random.choice([0.05, 0.3, 1.0])
+        await asyncio.sleep(for_s)
+        leaf.mode = "ok"
+
+    def draw(self):
+        """One fault, as a coroutine and its name."""
+        r, daemon = self.random, self.random.choice(self.daemons)
+        leaf = r.choice([x for x in self.site.leaves.values() if x.state == "ready"])
+        for_s = r.uniform(0.3, 4)
+        mode = r.choice(["reset", "silent", "cut_in", "cut_out"])
+        faults = [
+            ("pause", lambda: self.pause(daemon, for_s)),
+            ("kill", lambda: self.kill(daemon, for_s / 4)),
+            ("terminate", lambda: self.terminate(daemon)),
+            ("hangup", lambda: asyncio.sleep(0, daemon.send(signal.SIGHUP))),
+            ("kill_all", lambda: asyncio.gather(*(self.kill(d, for_s / 4) for d in self.daemons
+                                                  if not self.is_held(d)))),
+            ("store_gate " + mode, lambda: self.gate_fault(daemon.gate, mode, for_s, daemon)),
+            ("leaf_gate " + mode, lambda: self.gate_fault(self.gates[leaf.id], mode, for_s)),
+            ("store", lambda: self.store_fault(r.choice(["silent", "reset", "busy"]), for_s)),
+            ("leaf", lambda: self.leaf_fault(leaf, r.choice(
+                ["shed", "mute", "lose", "error", "garbage", "cut", "twice"]), for_s)),
+            ("replace", lambda: self.replace(f"s{r.randrange(SHARDS)}", r.random() < 0.5)),
+            ("move", lambda: asyncio.sleep(0, self.move())),
+            ("storm", self.storm),
+        ]
+        name, fault = r.choice(faults)
+        if name in ("pause", "kill", "terminate", "hangup") or name.startswith("store_gate"):
+            if self.is_held(daemon):
+                return None
+            name += " " + daemon.name
+        return name, fault
+
+    def is_held(self, daemon):
+        """Another fault has this daemon in hand."""
+        return self.touched_at[daemon.name] > time.monotonic()
+
+    async def storm(self):
+        for _ in range(6):
+            self.move()
+            await asyncio.sleep(0.25)
+
+    async def run(self):
+        self.began = time.monotonic()
+        await self.setup()
+        if not await wait_for(self.serves_all, 8):
+            self.fail("not all daemons serve 8 s after the start")
+        callers = [asyncio.create_task(self.caller(i)) for i in range(8)]
+        until = time.monotonic() + self.seconds
+        while time.monotonic() < until:
+            drawn = self.draw()
+            if drawn:
+                self.note(drawn[0])
+                self.counts["faults"] += 1
+                self.tasks.append(asyncio.create_task(self.guard(drawn[1]())))
+            await asyncio.sleep(self.random.uniform(0.05, 1.2))
+        await asyncio.gather(*self.tasks)
+        if not await wait_for(self.serves_all, RECOVER_S):
+            self.fail(f"not all daemons serve whole answers {RECOVER_S:.0f} s after the last fault")
+        self.running = False
+        await asyncio.gather(*callers)
+        await self.end()
+
+    async def guard(self, fault):
+        try:
+            await fault
+        except Exception as error:  # pylint: disable=broad-except
+            self.fail(f"the soak itself: {type(error).__name__} {error}")
+
+    async def serves_all(self):
+        for daemon in self.daemons:
+            answer = (await call(daemon.gateway, "/all/x", timeout_s=3))[1]
+            if not answer or answer[0] != 200 or answer[1].get("x-missing-parts", "0") != "0":
+                return False
+        return True
+
+    async def end(self):
+        for daemon in self.daemons:
+            if daemon.process.returncode not in (None, 0, -signal.SIGKILL):
+                self.fail(f"{daemon.name} ended with {daemon.process.returncode}")
+            await daemon.end()
+        for gate in [d.gate for d in self.daemons] + list(self.gates.values()):
+            await gate.stop()
+        await self.site.stop()
+
+
+async def one_seed(seed, arguments, slot):
+    soak = Soak(seed, arguments.seconds, arguments.daemons, FIRST_PORT + slot * SLOT_PORTS)
+    try:
+        await soak.run()
+    except Exception as error:  # pylint: disable=broad-except
+        soak.fail(f"the soak itself: {type(error).__name__} {error}")
+        await soak.end()
+    counts = " ".join(f"{k}={v}" for k, v in soak.counts.items())
+    print(f"seed {seed}: {'BROKEN' if soak.broken else 'kept'} {counts}"
+          + (f" logs={soak.logs}" if soak.broken else ""), flush=True)
+    for line in soak.broken[:8]:
+        print("    " + line, flush=True)
+    if not soak.broken:
+        for name in os.listdir(soak.logs):
+            os.unlink(os.path.join(soak.logs, name))
+        os.rmdir(soak.logs)
+    return not soak.broken
+
+
+def main():
+    parser = argparse.ArgumentParser()
+    parser.add_argument("--seconds", type=float, default=12)
+    parser.add_argument("--daemons", type=int, default=4)
+    parser.add_argument("--parallel", type=int, default=1)
+    parser.add_argument("--slot", type=int, default=0)
+    parser.add_argument("seeds", nargs="+", type=int)
+    arguments = parser.parse_args()
+    if arguments.parallel == 1:
+        kept = [asyncio.run(one_seed(seed, arguments, arguments.slot))
+                for seed in arguments.seeds]
+        return 0 if all(kept) else 1
+    return asyncio.run(side_by_side(arguments))
+
+
+async def side_by_side(arguments):
+    """Runs the seeds in processes of their own, some at a time."""
+    limit, codes = asyncio.Semaphore(arguments.parallel), []
+    slots = list(range(arguments.parallel))
+
+    async def one(seed):
+        async with limit:
+            slot = slots.pop()
+            process = await asyncio.create_subprocess_exec(
+                sys.executable, __file__, "--seconds", str(arguments.seconds), "--daemons",
+                str(arguments.daemons), "--slot", str(slot), str(seed))
+            codes.append(await process.wait())
+            slots.append(slot)
+
+    await asyncio.gather(*(one(seed) for seed in arguments.seeds))
+    return max(codes)
+
+
+sys.exit(main())
--- a/src/front.c
+++ b/src/front.c
@@ -24,7 +24,7 @@
 	bool refuses_new; /* a planned stop is near its limit */
 };
 
-enum pending_kind { PENDING_REQUEST, PENDING_STATUS, PENDING_ENTRIES };
+enum pending_kind { PENDING_REQUEST, PENDING_STATUS, PENDING_ENTRIES, PENDING_METRICS };
 
 /* A request of a caller or operator that waits for other services. */
 struct pending {
@@ -133,6 +133,18 @@
 			    &r->message);
 }
 
+static const char *pending_about(enum pending_kind kind)
+{
+	switch (kind) {
+	case PENDING_ENTRIES:
+		return "entries";
+	case PENDING_METRICS:
+		return "metrics";
+	default:
+		return "status";
+	}
+}
+
 static void status_ask(struct front *f, struct evhttp_request *req, enum pending_kind kind,
 		       const char *const *services, unsigned int n)
 {
@@ -145,8 +157,7 @@
 
 		if (!to)
 			continue;
-		ask = status_request_create(&f->service, tag,
-					    kind == PENDING_ENTRIES ? "entries" : "status");
+		ask = status_request_create(&f->service, tag, pending_about(kind));
 		kernel_message_send(f->service.kernel, to, &ask->message);
 		p->n_replies_missing++;
 	}
@@ -178,18 +189,30 @@
 	}
 }
 
-static void metrics_send(struct front *f, struct evhttp_request *req)
+/* more: metrics of other services, or NULL */
+static void metrics_send(struct front *f, struct evhttp_request *req, const char *more)
 {
 	GString *text = g_string_new(NULL);
 
 	counter_render(kernel_counters(f->service.kernel), text);
 	latency_render(f, text);
+	g_string_append(text, more ? more : "");
 	evhttp_add_header(evhttp_request_get_output_headers(req), "Content-Type", "text/plain");
 	evbuffer_add(evhttp_request_get_output_buffer(req), text->str, text->len);
 	evhttp_send_reply(req, 200, NULL, NULL);
 	g_string_free(text, TRUE);
 }
 
+static void metrics_ask(struct front *f, struct evhttp_request *req)
+{
+	static const char *const services[] = {"gateway"};
+
+	if (kernel_service_find(f->service.kernel, services[0]))
+		status_ask(f, req, PENDING_METRICS, services, G_N_ELEMENTS(services));
+	else
+		metrics_send(f, req, NULL);
+}
+
 static void http_handle(struct evhttp_request *req, void *arg)
 {
 	static const char *const all[] = {"configurer", "membership", "holder",
@@ -208,7 +231,7 @@
 	else if (g_strcmp0(path, "/status") == 0 && !is_post)
 		status_ask(f, req, PENDING_STATUS, all, G_N_ELEMENTS(all));
 	else if (g_strcmp0(path, "/metrics") == 0 && !is_post)
-		metrics_send(f, req);
+		metrics_ask(f, req);
 	else
 		error_send(f, req, RESULT_NOT_FOUND, "no such path or method");
 }
@@ -249,7 +272,10 @@
 	json_object_update(p->body, reply->body);
 	if (--p->n_replies_missing > 0)
 		return;
-	json_send(p->req, 200, p->body);
+	if (p->kind == PENDING_METRICS)
+		metrics_send(f, p->req, json_string_value(json_object_get(p->body, "metrics")));
+	else
+		json_send(p->req, 200, p->body);
 	g_hash_table_remove(f->pending, (gpointer)(guintptr)reply->tag);
 }
 
--- a/src/gateway.c
+++ b/src/gateway.c
@@ -146,6 +146,64 @@
 	json_object_set_new(routes, key, route);
 }
 
+static void route_metrics(GString *out, const char *route, const struct route_stats *stats)
+{
+	static const double quantiles[] = {0.5, 0.95, 0.99};
+
+	for (int i = 0; i < JOB_OUTCOME_COUNT; i++)
+		g_string_append_printf(out,
+				       "apricot_route_requests_total{route=\"%s\",outcome=\"%s\"} "
+				       "%" G_GUINT64_FORMAT "\n",
+				       route, job_outcome_name((enum job_outcome)i),
+				       stats->outcomes[i]);
+	for (size_t i = 0; i < G_N_ELEMENTS(quantiles); i++)
+		g_string_append_printf(
+			out,
+			"apricot_route_latency_us{route=\"%s\",quantile=\"%g\"} %" G_GUINT64_FORMAT
+			"\napricot_leaf_call_us{route=\"%s\",quantile=\"%g\"} %" G_GUINT64_FORMAT
+			"\n",
+			route, quantiles[i], hist_quantile(stats->answer_us, quantiles[i]), route,
+			quantiles[i], hist_quantile(stats->call_us, quantiles[i]));
+}
+
+/* Metrics of the routed services in the text form of /metrics. */
+static char *metrics_render(struct gateway *g)
+{
+	const struct upstream_stats *up = upstream_stats(g->env.upstream);
+	GString *out = g_string_new(NULL);
+	GHashTableIter iter;
+	gpointer key;
+	gpointer stats;
+
+	g_hash_table_iter_init(&iter, g->env.stats);
+	while (g_hash_table_iter_next(&iter, &key, &stats))
+		route_metrics(out, key, stats);
+	g_string_append_printf(out,
+			       "apricot_config_version %" G_GUINT64_FORMAT "\n"
+			       "apricot_requests_open %u\napricot_leaves %u\n"
+			       "apricot_leaf_connections %u\napricot_leaf_calls_queued %u\n"
+			       "apricot_leaf_connects_total %" G_GUINT64_FORMAT "\n"
+			       "apricot_leaf_connect_failures_total %" G_GUINT64_FORMAT "\n"
+			       "apricot_leaf_stray_bytes_total %" G_GUINT64_FORMAT "\n"
+			       "apricot_not_ready_total %" G_GUINT64_FORMAT "\n"
+			       "apricot_input_refused_total %" G_GUINT64_FORMAT "\n"
+			       "apricot_log_dropped_total %" G_GUINT64_FORMAT "\n",
+			       g->map ? g->map->version : 0, g->env.n_jobs,
+			       leafset_count(g->env.leaves), up->connections, up->queued,
+			       up->connects, up->connect_failures, up->stray, g->not_ready,
+			       g->refused_bytes, log_dropped());
+	return g_string_free(out, FALSE);
+}
+
+static void metrics_answer(struct gateway *g, const struct status_request *request)
+{
+	g_autofree char *text = metrics_render(g);
+	struct status_reply *reply =
+		status_reply_create(request->tag, json_pack("{s:s}", "metrics", text));
+
+	kernel_message_send(g->service.kernel, request->reply_to, &reply->message);
+}
+
 static void status_answer(struct gateway *g, const struct status_request *request)
 {
 	json_t *routes = json_object();
@@ -198,7 +256,10 @@
 		http_server_drain(g->server);
 		break;
 	case MESSAGE_STATUS_REQUEST:
-		status_answer(g, (struct status_request *)m);
+		if (strcmp(((struct status_request *)m)->about, "metrics") == 0)
+			metrics_answer(g, (struct status_request *)m);
+		else
+			status_answer(g, (struct status_request *)m);
 		break;
 	default:
 		break;
--- a/src/job.c
+++ b/src/job.c
@@ -26,11 +26,14 @@
 #define RETRY_AFTER_MAX_S 0.3
 #define RETRY_NO_LEAF_S 0.5
 #define TRIED_MAX 8
+/* Bytes of the trace of one request, so that its line stays short. */
+#define TRACE_BYTES 900
 
 struct job;
 
 struct job_call {
 	struct leaf_call call;
+	const struct leaf *leaf; /* borrowed; the shard's list of tried leaves holds it */
 	struct list_head node; /* in job.calls */
 	struct job *job;
 	unsigned int shard;
@@ -66,7 +69,7 @@
 	GString *failure_fields; /* of the last leaf answer that was no success; NULL: none */
 	GByteArray *failure_body;
 	unsigned int failure_status;
-	const char *last_end; /* how the last lost call ended, for the log */
+	GString *trace; /* decisions besides first calls; NULL: none yet */
 	unsigned int n_calls;
 	unsigned int n_hedges;
 	unsigned int n_retries;
@@ -109,6 +112,22 @@
 	g_free(stats);
 }
 
+/*
+ * Notes one decision: "+MS WHAT SERVICE LEAF WHY;". First calls are not noted, except those of a
+ * request to a single service.
+ */
+static void trace_add(struct job *j, const char *what, const char *service, const struct leaf *leaf,
+		      const char *why, uint64_t now_us)
+{
+	if (!j->trace)
+		j->trace = g_string_sized_new(128);
+	if (j->trace->len > TRACE_BYTES)
+		return;
+	g_string_append_printf(j->trace, "+%" G_GUINT64_FORMAT " %s %s %s%s%s;",
+			       (now_us - j->read_us) / 1000, what, service, leaf ? leaf->id : "-",
+			       why ? " " : "", why ? why : "");
+}
+
 static void job_destroy(struct job *j)
 {
 	for (unsigned int i = 0; i < j->n_shards; i++)
@@ -125,6 +144,8 @@
 		g_string_free(j->failure_fields, TRUE);
 		g_byte_array_free(j->failure_body, TRUE);
 	}
+	if (j->trace)
+		g_string_free(j->trace, TRUE);
 	g_string_free(j->head, TRUE);
 	g_byte_array_free(j->body, TRUE);
 	g_free(j->id);
@@ -161,6 +182,23 @@
 	}
 }
 
+/* Names the shards that the answer lacks, each with the leaves that were tried. */
+static void trace_missing(struct job *j, uint64_t now_us)
+{
+	for (unsigned int i = 0; i < j->n_shards; i++) {
+		const struct job_shard *sh = &j->shards[i];
+
+		if (scatter_is_in(j->scatter, i))
+			continue;
+		if (sh->n_tried == 0)
+			trace_add(j, "missing", sh->service, NULL, "no leaf", now_us);
+		for (unsigned int k = 0; k < sh->n_tried; k++)
+			trace_add(j, "missing", sh->service, sh->tried[k],
+				  scatter_is_waiting(j->scatter, i) ? "unanswered" : "lost",
+				  now_us);
+	}
+}
+
 /* The caller has its answer or has left: what remains are calls that may finish for a while. */
 static void job_finish(struct job *j, enum job_outcome outcome, unsigned int status,
 		       uint64_t linger_us)
@@ -171,14 +209,17 @@
 	j->request = NULL;
 	j->stats->outcomes[outcome]++;
 	hist_add(j->stats->answer_us, took_us);
+	if (outcome != JOB_COMPLETE && outcome != JOB_PASSED)
+		trace_missing(j, now_us);
 	log_request(
 		outcome == JOB_COMPLETE ? LOG_LEVEL_INFO : LOG_LEVEL_WARNING, j->id, "request_done",
 		"outcome=%s status=%u route=%s version=%" G_GUINT64_FORMAT
-		" in=%u of=%u calls=%u hedges=%u retries=%u denied=%u lost=%s "
-		"took_us=%" G_GUINT64_FORMAT,
+		" in=%u of=%u calls=%u hedges=%u retries=%u denied=%u wait_ms=%" G_GUINT64_FORMAT
+		" took_us=%" G_GUINT64_FORMAT " trace=\"%s\"",
 		outcome_names[outcome], status, j->route->name ? j->route->name : "-",
 		j->map->version, scatter_in_count(j->scatter), j->n_shards, j->n_calls, j->n_hedges,
-		j->n_retries, j->n_denied, j->last_end ? j->last_end : "-", took_us);
+		j->n_retries, j->n_denied, (j->deadline_us - j->read_us) / 1000, took_us,
+		j->trace ? j->trace->str : "");
 	unsent_cancel(j, now_us);
 	if (list_is_empty(&j->calls))
 		job_destroy(j);
@@ -427,7 +468,8 @@
 		scatter_calls_exhausted(j->scatter, shard);
 }
 
-static enum leaf_end call_lost(struct job_call *c, enum leaf_end end, bool has_run)
+static enum leaf_end call_lost(struct job_call *c, const struct leaf *leaf, enum leaf_end end,
+			       bool has_run)
 {
 	struct job *j = c->job;
 	unsigned int shard = c->shard;
@@ -435,7 +477,7 @@
 
 	list_del(&c->node);
 	g_free(c);
-	j->last_end = leaf_end_name(end);
+	trace_add(j, "lost", j->shards[shard].service, leaf, leaf_end_name(end), now_us);
 	if (!j->request) {
 		if (list_is_empty(&j->calls))
 			job_destroy(j);
@@ -483,14 +525,15 @@
 	struct job_call *c = from_call(call);
 	struct job *j = c->job;
 	const struct edge_fields *names = &j->env->edge->fields;
+	const struct leaf *leaf = c->leaf;
 	const char *signature;
 
 	if (!answer)
-		return call_lost(c, end, was_sent);
+		return call_lost(c, leaf, end, was_sent);
 	if (http_reader_status(answer) == 421)
-		return call_lost(c, LEAF_END_WRONG, false);
+		return call_lost(c, leaf, LEAF_END_WRONG, false);
 	if (http_reader_find(answer, names->not_run))
-		return call_lost(c, LEAF_END_REFUSED, false);
+		return call_lost(c, leaf, LEAF_END_REFUSED, false);
 	signature = http_reader_find(answer, names->signature);
 	if (is_success(answer) && signature && !http_reader_find(answer, "Content-Encoding")) {
 		call_succeeded(c, answer, signature);
@@ -498,7 +541,7 @@
 	}
 	if (j->request && !is_success(answer) && signature && !is_over_shards(j))
 		failure_keep(j, answer);
-	return call_lost(c, LEAF_END_ERRORED, true);
+	return call_lost(c, leaf, LEAF_END_ERRORED, true);
 }
 
 static const struct leaf_call_ops call_ops = {
@@ -529,13 +572,18 @@
 			   scatter_is_waiting(j->scatter, shard) ? REPEATS_HEDGE : REPEATS_RECOVERY,
 			   now_us)) {
 		j->n_denied++;
+		trace_add(j, "denied", sh->service, leaf, "budget", now_us);
 		return false;
 	}
+	if (sh->n_tried > 0 || !is_over_shards(j))
+		trace_add(j, scatter_is_waiting(j->scatter, shard) ? "hedge" : "call", sh->service,
+			  leaf, NULL, now_us);
 	sh->tried[sh->n_tried++] = leaf_get(leaf);
 	service = routemap_service_find(j->map, sh->service);
 	c = g_new0(struct job_call, 1);
 	c->job = j;
 	c->shard = shard;
+	c->leaf = leaf;
 	c->call.ops = &call_ops;
 	c->call.wants_fresh = !j->route->is_idempotent;
 	list_add_tail(&c->node, &j->calls);
@@ -645,15 +693,21 @@
 {
 	const struct http_reader *message = http_request_message(request);
 	const char *host = http_reader_find(message, "Host");
+	const char *id = http_reader_find(message, env->edge->fields.request_id);
 	const struct route *route;
 	struct job *j;
 
-	if (!host || !http_reader_find(message, env->edge->fields.request_id)) {
+	if (!host || !id) {
+		log_request(LOG_LEVEL_WARNING, id, "request_refused", "status=400 lacks=%s",
+			    id ? "host" : "id");
 		http_request_answer(request, 400, "", "", 0);
 		return;
 	}
 	route = routemap_find(map, host, http_reader_target(message));
 	if (!route) {
+		log_request(LOG_LEVEL_WARNING, id, "request_refused",
+			    "status=404 host=%.80s path=%.120s version=%" G_GUINT64_FORMAT, host,
+			    http_reader_target(message), map->version);
 		http_request_answer(request, 404, "", "", 0);
 		return;
 	}
--- a/src/log.c
+++ b/src/log.c
@@ -12,7 +12,7 @@
 
 /* About two seconds of lines at the default rate; older lines stay, newer ones are dropped. */
 #define BUFFER_BYTES 65536
-#define LINE_BYTES 1024
+#define LINE_BYTES 2048
 /* A pipe that is ready for writing takes at least so many bytes without blocking (POSIX). */
 #define WRITE_BYTES 4096
 
--- a/src/upstream.c
+++ b/src/upstream.c
@@ -1,6 +1,7 @@
 #include "upstream.h"
 
 #include "clock.h"
+#include "log.h"
 
 #include <stdlib.h>
 #include <string.h>
@@ -77,11 +78,18 @@
 	struct leaf *leaf = call->leaf;
 	uint64_t now_us = clock_now_us();
 	uint64_t latency_us = now_us - call->started_us;
+	bool was_doubted;
 
 	call->leaf = NULL;
 	call->conn = NULL;
 	end = call->ops->done(call, end, answer, was_sent);
+	was_doubted = leaf_is_doubted(leaf, now_us) || leaf->is_misplaced;
 	leaf_call_ended(leaf, end, latency_us, now_us);
+	if (!was_doubted && (leaf_is_doubted(leaf, now_us) || leaf->is_misplaced))
+		log_event(LOG_LEVEL_WARNING, "leaf_doubted",
+			  "leaf=%s service=%s why=%s failures=%u for_ms=%" G_GUINT64_FORMAT,
+			  leaf->id, leaf->service, leaf_end_name(end), leaf->failures,
+			  leaf->is_misplaced ? 0 : (leaf->doubted_until_us - now_us) / 1000);
 	leaf_put(leaf);
 }
 
