--- a/soak/soak.py
+++ b/soak/soak.py
@@ -25,7 +25,7 @@
 CONFIG_S = 4.0  # bound on a version's being in force, on machines in touch
 RECOVER_S = 12.0
 # Each run has ports of its own; two runs side by side once answered each other's callers.
-FIRST_PORT = 12000
+FIRST_PORT = 6000
 SLOT_PORTS = 640
 
 
--- a/src/ctl.c
+++ b/src/ctl.c
@@ -1,4 +1,5 @@
 #include "command.h"
+#include "explain.h"
 #include "http.h"
 #include "manifest.h"
 #include "result.h"
@@ -264,12 +265,49 @@
 	return EXIT_OK;
 }
 
+/* explain ID FILE... */
+static int explain_run(int argc, char **argv)
+{
+	unsigned int n = argc > 3 ? (unsigned int)argc - 3 : 0;
+	struct explain_file *files = g_new0(struct explain_file, MAX(1, n));
+	int code = EXIT_USAGE;
+	bool found = false;
+	char *out = NULL;
+
+	if (n == 0) {
+		fprintf(stderr, "usage: apricotctl explain ID FILE...\n");
+		goto done;
+	}
+	for (unsigned int i = 0; i < n; i++) {
+		GError *error = NULL;
+		char *text = NULL;
+
+		if (!g_file_get_contents(argv[3 + i], &text, NULL, &error)) {
+			fprintf(stderr, "apricotctl: %s\n", error->message);
+			g_error_free(error);
+			goto done;
+		}
+		files[i] = (struct explain_file){argv[3 + i], text};
+	}
+	out = explain_request(argv[2], files, n, &found);
+	fputs(out, stdout);
+	code = found ? EXIT_OK : EXIT_NO_ANSWER;
+done:
+	for (unsigned int i = 0; i < n; i++)
+		g_free((char *)files[i].text);
+	g_free(files);
+	g_free(out);
+	return code;
+}
+
 static int verb_run(int argc, char **argv)
 {
 	const char *verb = argv[1];
 
 	if (strcmp(verb, "check-config") == 0)
 		return config_check(argc, argv);
+	if (strcmp(verb, "explain") == 0)
+		return explain_run(argc, argv);
 	if (!opt_entry)
 		opt_entry = g_strdup(g_getenv("APRICOT_ENTRY"));
 	if (!opt_entry || !manifest_address_is_valid(opt_entry)) {
@@ -302,6 +340,7 @@
 		"Commands:\n"
 		"  ask SERVICE QUERY         search; QUERY is JSON or a text\n"
 		"  command SERVICE KEY BODY  loan entry or hold, run at most once\n"
+		"  explain ID FILE...        story of a request from the daemons' logs\n"
 		"  entries                   the entry VMs to use\n"
 		"  status                    configuration, members, groups and work of a VM\n"
 		"  metrics                   counters and latencies of a VM\n"
--- /dev/null
+++ b/src/explain.c
@@ -0,0 +1,276 @@
+#include "explain.h"
+
+#include <string.h>
+
+/* "2026-12-04T12:00:00.123Z" */
+#define TIME_CHARS 24
+/* Lines about leaves and the store are shown from so long before the request on. */
+#define CONTEXT_MS 6000
+#define CONTEXT_LINES_MAX 20
+/* A step back of a file's clock that is pointed out. */
+#define CLOCK_STEP_MS 1000
+
+struct line {
+	const char *text; /* from the time on; owned by the list */
+	gint64 at_ms; /* wall clock */
+	char *vm;
+	char *event;
+};
+
+struct story {
+	GPtrArray *lines; /* struct line, of all files */
+	GString *notes; /* what is odd about the files */
+	guint64 n_dropped;
+};
+
+static void line_free(gpointer data)
+{
+	struct line *line = data;
+
+	g_free((char *)line->text);
+	g_free(line->vm);
+	g_free(line->event);
+	g_free(line);
+}
+
+/* The value of " name=" in a line, owned; NULL when absent. Quotes around it are taken off. */
+static char *value_find(const char *text, const char *name)
+{
+	g_autofree char *key = g_strdup_printf(" %s=", name);
+	const char *at = strstr(text, key);
+	size_t n;
+
+	if (!at)
+		return NULL;
+	at += strlen(key);
+	if (*at == '"') {
+		at++;
+		n = strcspn(at, "\"");
+	} else {
+		n = strcspn(at, " ");
+	}
+	return g_strndup(at, n);
+}
+
+/* Where the time of a line begins; tools that collect logs may write something before it. */
+static const char *time_find(const char *text)
+{
+	const char *level = strstr(text, "Z level=");
+
+	return level && level - text >= TIME_CHARS - 1 ? level - (TIME_CHARS - 1) : NULL;
+}
+
+static struct line *line_parse(const char *text)
+{
+	const char *start = time_find(text);
+	g_autofree char *time = start ? g_strndup(start, TIME_CHARS) : NULL;
+	g_autoptr(GDateTime) at = time ? g_date_time_new_from_iso8601(time, NULL) : NULL;
+	struct line *line;
+
+	if (!at)
+		return NULL;
+	line = g_new0(struct line, 1);
+	line->text = g_strdup(start);
+	line->at_ms = g_date_time_to_unix(at) * 1000 + g_date_time_get_microsecond(at) / 1000;
+	line->vm = value_find(start, "vm");
+	line->event = value_find(start, "event");
+	return line;
+}
+
+static void dropped_count(struct story *s, const struct line *line)
+{
+	g_autofree char *lines = NULL;
+
+	if (g_strcmp0(line->event, "log_dropped") != 0)
+		return;
+	lines = value_find(line->text, "lines");
+	s->n_dropped += lines ? g_ascii_strtoull(lines, NULL, 10) : 0;
+}
+
+static void file_read(struct story *s, const struct explain_file *file)
+{
+	g_auto(GStrv) texts = g_strsplit(file->text, "\n", -1);
+	GHashTable *last = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
+	size_t n = strlen(file->text);
+
+	if (n > 0 && file->text[n - 1] != '\n')
+		g_string_append_printf(s->notes, "note: %s ends within a line\n", file->name);
+	for (char **text = texts; *text; text++) {
+		struct line *line = line_parse(*text);
+		gint64 *before;
+
+		if (!line)
+			continue;
+		before = line->vm ? g_hash_table_lookup(last, line->vm) : NULL;
+		if (before && line->at_ms < *before - CLOCK_STEP_MS)
+			g_string_append_printf(
+				s->notes,
+				"note: the clock of %s stepped back %" G_GINT64_FORMAT
+				" ms in %s; the order around it is uncertain\n",
+				line->vm, *before - line->at_ms, file->name);
+		if (line->vm)
+			g_hash_table_replace(last, g_strdup(line->vm),
+					     g_memdup2(&line->at_ms, sizeof(line->at_ms)));
+		dropped_count(s, line);
+		g_ptr_array_add(s->lines, line);
+	}
+	g_hash_table_destroy(last);
+}
+
+static gint time_compare(gconstpointer a, gconstpointer b)
+{
+	const struct line *const *left = a;
+	const struct line *const *right = b;
+
+	return ((*left)->at_ms > (*right)->at_ms) - ((*left)->at_ms < (*right)->at_ms);
+}
+
+static bool is_of_request(const struct line *line, const char *id)
+{
+	g_autofree char *request = value_find(line->text, "request");
+
+	return request && strcmp(request, id) == 0;
+}
+
+/* Counts the steps of a trace that contain the words. */
+static unsigned int steps_count(const char *trace, const char *words)
+{
+	unsigned int n = 0;
+
+	for (const char *at = strstr(trace, words); at; at = strstr(at + 1, words))
+		n++;
+	return n;
+}
+
+static void missing_say(GString *out, const char *trace)
+{
+	unsigned int no_leaf = steps_count(trace, " no leaf;");
+	unsigned int unanswered = steps_count(trace, " unanswered;");
+	unsigned int lost = 0;
+
+	for (const char *at = strstr(trace, " missing "); at; at = strstr(at + 1, " missing "))
+		lost += g_str_has_suffix(at, " lost;") ||
+			strncmp(at + strcspn(at, ";") - strlen(" lost"), " lost", 5) == 0;
+	if (no_leaf)
+		g_string_append_printf(out, "; %u shards had no leaf known", no_leaf);
+	if (unanswered)
+		g_string_append_printf(out, "; %u leaves had not answered", unanswered);
+	if (lost)
+		g_string_append_printf(out, "; calls of %u leaves were lost", lost);
+	if (strstr(trace, " denied "))
+		g_string_append(out, "; the budget denied second calls");
+}
+
+/* One sentence on why the request ended as it did. */
+static void cause_say(GString *out, const struct line *line)
+{
+	g_autofree char *outcome = value_find(line->text, "outcome");
+	g_autofree char *status = value_find(line->text, "status");
+	g_autofree char *in = value_find(line->text, "in");
+	g_autofree char *of = value_find(line->text, "of");
+	g_autofree char *trace = value_find(line->text, "trace");
+	g_autofree char *wait = value_find(line->text, "wait_ms");
+
+	if (g_strcmp0(line->event, "request_refused") == 0) {
+		g_string_append_printf(out, "cause: refused with %s before any call: %s\n", status,
+				       strcmp(status, "404") == 0
+					       ? "no route of the version in force matches"
+					       : "a required field is absent");
+		return;
+	}
+	g_string_append_printf(out, "cause: %s (status %s), %s of %s shards in",
+			       outcome ? outcome : "?", status ? status : "?", in ? in : "?",
+			       of ? of : "?");
+	if (g_strcmp0(outcome, "timed_out") == 0)
+		g_string_append_printf(out, "; the time limit of %s ms passed", wait);
+	if (g_strcmp0(outcome, "left") == 0)
+		g_string_append(out, "; the caller closed its connection");
+	if (g_strcmp0(outcome, "refused") == 0)
+		g_string_append(out, "; no leaf has run it");
+	if (trace)
+		missing_say(out, trace);
+	g_string_append(out, "\n");
+}
+
+/* A line about the store, this process, or a leaf that the request's trace names. */
+static bool is_context(const struct line *line, const struct line *done)
+{
+	static const char *const general[] = {"store_lost",	"store_back", "store_reading",
+					      "pause_detected", "started",    "stop_announced",
+					      "config_applied"};
+	g_autofree char *leaf = value_find(line->text, "leaf");
+
+	if (g_strcmp0(line->vm, done->vm) != 0 || line->at_ms > done->at_ms ||
+	    line->at_ms < done->at_ms - CONTEXT_MS)
+		return false;
+	if (leaf)
+		return strstr(done->text, leaf) != NULL;
+	for (size_t i = 0; i < G_N_ELEMENTS(general); i++)
+		if (g_strcmp0(line->event, general[i]) == 0)
+			return true;
+	return false;
+}
+
+static void context_say(GString *out, const struct story *s, const struct line *done)
+{
+	unsigned int n = 0;
+
+	for (guint i = 0; i < s->lines->len; i++) {
+		const struct line *line = g_ptr_array_index(s->lines, i);
+
+		if (!is_context(line, done))
+			continue;
+		if (n++ == 0)
+			g_string_append(out, "known before:\n");
+		if (n <= CONTEXT_LINES_MAX)
+			g_string_append_printf(out, "  %s\n", line->text);
+	}
+	if (n > CONTEXT_LINES_MAX)
+		g_string_append_printf(out, "  and %u more lines\n", n - CONTEXT_LINES_MAX);
+}
+
+static void steps_say(GString *out, const struct line *line)
+{
+	g_autofree char *trace = value_find(line->text, "trace");
+	g_auto(GStrv) steps = g_strsplit(trace ? trace : "", ";", -1);
+
+	g_string_append_printf(out, "  %s\n", line->text);
+	for (char **step = steps; *step; step++)
+		if (**step)
+			g_string_append_printf(out, "    %s\n", *step);
+}
+
+char *explain_request(const char *id, const struct explain_file *files, unsigned int n_files,
+		      bool *found)
+{
+	struct story s = {g_ptr_array_new_with_free_func(line_free), g_string_new(NULL), 0};
+	GString *out = g_string_new(NULL);
+	const struct line *last = NULL;
+
+	for (unsigned int i = 0; i < n_files; i++)
+		file_read(&s, &files[i]);
+	g_ptr_array_sort(s.lines, time_compare);
+	for (guint i = 0; i < s.lines->len; i++) {
+		const struct line *line = g_ptr_array_index(s.lines, i);
+
+		if (!is_of_request(line, id))
+			continue;
+		cause_say(out, line);
+		steps_say(out, line);
+		last = line;
+	}
+	*found = last != NULL;
+	if (last)
+		context_say(out, &s, last);
+	else
+		g_string_append_printf(
+			out,
+			"no line names request %s in %u lines of %u files; %" G_GUINT64_FORMAT
+			" lines were left out when they were "
+			"written\n",
+			id, s.lines->len, n_files, s.n_dropped);
+	g_string_append(out, s.notes->str);
+	g_string_free(s.notes, TRUE);
+	g_ptr_array_free(s.lines, TRUE);
+	return g_string_free(out, FALSE);
+}
--- a/src/gateway.c
+++ b/src/gateway.c
@@ -84,7 +84,7 @@
 	if (old)
 		leaf_get(old);
 	if (item->is_removed) {
-		if (leafset_remove(g->env.leaves, item->id))
+		if (old && leafset_remove(g->env.leaves, item->id))
 			log_event(LOG_LEVEL_INFO, "leaf_gone",
 				  "leaf=%s service=%s revision=%" G_GUINT64_FORMAT, item->id,
 				  old->service, item->revision);
--- a/src/httpserver.c
+++ b/src/httpserver.c
@@ -61,7 +61,8 @@
 	g_free(r);
 }
 
-static void answer_write(struct http_request *r, unsigned int status, const char *fields,
+/* False when the connection was destroyed: it was not to be kept, or it is lost. */
+static bool answer_write(struct http_request *r, unsigned int status, const char *fields,
 			 const char *body, size_t n, bool keep)
 {
 	GString *out = g_string_sized_new(256 + n);
@@ -75,8 +76,10 @@
 	else if (!keep && stream_has_unsent(&r->stream))
 		r->is_closing = true;
 	g_string_free(out, TRUE);
-	if (!keep && !r->is_closing)
-		connection_destroy(r);
+	if (keep || r->is_closing)
+		return true;
+	connection_destroy(r);
+	return false;
 }
 
 static void refuse(struct http_request *r, unsigned int status)
@@ -274,10 +277,12 @@
 
 void http_server_destroy(struct http_server *s)
 {
+	struct list_head *node;
+
 	if (!s)
 		return;
-	while (!list_is_empty(&s->connections))
-		connection_destroy(list_entry(s->connections.next, struct http_request, node));
+	while ((node = list_pop_head(&s->connections)))
+		connection_destroy(list_entry(node, struct http_request, node));
 	http_server_stop_accepting(s);
 	event_free(s->sweep);
 	g_free(s);
@@ -367,12 +372,8 @@
 	r->data = NULL;
 	r->since_ms = clock_now_ms();
 	http_reader_reset(r->reader, false);
-	if (keep) {
-		answer_write(r, status, fields, body, n, true);
+	if (answer_write(r, status, fields, body, n, keep) && keep)
 		connection_continue(r);
-	} else {
-		answer_write(r, status, fields, body, n, false);
-	}
 }
 
 void http_request_drop(struct http_request *r)
--- a/src/job.c
+++ b/src/job.c
@@ -684,7 +684,7 @@
 	j->timer = evtimer_new(env->base, timer_handle, j);
 	if (route->shards) {
 		j->top = topk_create(route->top_k);
-		j->signatures = g_string_sized_new(64 * n);
+		j->signatures = g_string_sized_new((gsize)64 * n);
 	}
 	return j;
 }
@@ -733,6 +733,8 @@
 
 void job_end_all(struct job_env *env)
 {
-	while (!list_is_empty(&env->jobs))
-		calls_cancel(list_entry(env->jobs.next, struct job, node), clock_now_us());
+	struct list_head *node;
+
+	while ((node = list_pop_head(&env->jobs)))
+		calls_cancel(list_entry(node, struct job, node), clock_now_us());
 }
--- a/src/main.c
+++ b/src/main.c
@@ -29,9 +29,9 @@
 /* The same between the VMs of a routed deployment, which tell each other at once. */
 #define ROUTED_SPREAD_MS 600
 /* Some callers keep a list of addresses for three times its time to live. */
-#define ROUTED_TTL_FACTOR 3
+#define ROUTED_TTL_FACTOR 3u
 /* A planned stop ends this long before the process would be killed. */
-#define STOP_MARGIN_MS 400
+#define STOP_MARGIN_MS 400u
 #define LOG_FLUSH_MS 100
 
 enum exit_code { EXIT_STOPPED = 0, EXIT_SETTINGS = 2, EXIT_SYSTEM = 3 };
--- /dev/null
+++ b/tests/explain_test.cc
@@ -0,0 +1,100 @@
+#include "explain.h"
+#include "logevent.h"
+
+#include <fstream>
+#include <gtest/gtest.h>
+#include <set>
+#include <sstream>
+#include <string>
+
+namespace
+{
+std::string explained(const char *id, const std::string &text, bool *found)
+{
+	struct explain_file file = {"a.log", text.c_str()};
+	g_autofree char *out = explain_request(id, &file, 1, found);
+
+	return out;
+}
+
+const char *const sample =
+	"  3.1 n1 2026-12-04T12:00:01.000Z level=warning vm=n1 event=leaf_gone leaf=i-7 service=s3 "
+	"revision=9\n"
+	"2026-12-04T12:00:01.500Z level=info vm=n1 event=leaf_gone leaf=i-8 service=s4 revision=9\n"
+	"2026-12-04T12:00:02.000Z level=warning vm=n1 event=request_done request=ab12 "
+	"outcome=partial status=200 route=r version=4 in=18 of=20 calls=21 hedges=1 retries=0 "
+	"denied=0 wait_ms=1500 took_us=172000 trace=\"+60 hedge s3 i-7;+172 missing s3 i-7 "
+	"unanswered;+172 missing s5 - no leaf;\"\n";
+
+std::string file_read(const std::string &path)
+{
+	std::ifstream in(path);
+	std::stringstream text;
+
+	text << in.rdbuf();
+	return text.str();
+}
+} // namespace
+
+/* Guards against a story without its cause, or with lines of leaves that took no part. */
+TEST(explain, cause_comes_first)
+{
+	bool found;
+	std::string out = explained("ab12", sample, &found);
+
+	EXPECT_TRUE(found);
+	EXPECT_EQ(out.find("cause: partial (status 200), 18 of 20 shards in; 1 shards had no leaf "
+			   "known; 1 leaves had not answered\n"),
+		  0u)
+		<< out;
+	EXPECT_NE(out.find("    +60 hedge s3 i-7\n"), std::string::npos);
+	EXPECT_NE(out.find("event=leaf_gone leaf=i-7"), std::string::npos);
+	EXPECT_EQ(out.find("leaf=i-8"), std::string::npos);
+}
+
+/* Guards against silence about an unknown id, a cut file, a stepped clock or lines left out. */
+TEST(explain, says_what_is_missing)
+{
+	bool found;
+	std::string text =
+		std::string(sample) +
+		"2026-12-04T11:59:00.000Z level=warning vm=n1 event=log_dropped lines=12\n"
+		"2026-12-04T12:00:09.000Z level=info vm=n1 event=requ";
+	std::string out = explained("none", text, &found);
+
+	EXPECT_FALSE(found);
+	EXPECT_NE(out.find("no line names request none"), std::string::npos);
+	EXPECT_NE(out.find("12 lines were left out"), std::string::npos);
+	EXPECT_NE(out.find("a.log ends within a line"), std::string::npos);
+	EXPECT_NE(out.find("stepped back 62000 ms"), std::string::npos);
+}
+
+/* Guards against kinds of lines that the page does not name, and the other way round. */
+TEST(logevent, page_and_code_agree)
+{
+	std::set<std::string> listed;
+	std::string page = file_read(std::string(DOCS_DIR) + "/OPERATIONS.md");
+	std::string sources;
+
+#define X(name, text)                                                                      \
+	listed.insert(name);                                                               \
+	EXPECT_NE(page.find(std::string("| `") + name + "` | " + text), std::string::npos) \
+		<< "docs/OPERATIONS.md lacks " << name;
+	LOG_EVENT_LIST(X)
+#undef X
+	for (const char *file :
+	     {"configurer", "directory", "feed", "gateway", "holder", "job", "log", "main", "marks",
+	      "membership", "relay", "reload", "stopper", "upstream", "leaving", "leafpool"})
+		sources += file_read(std::string(TEST_DIR) + "/../src/" + file + ".c");
+	for (const std::string &name : listed)
+		EXPECT_NE(sources.find("\"" + name + "\""), std::string::npos)
+			<< "no source writes " << name;
+	for (size_t at = 0; (at = sources.find("log_event(LOG_LEVEL", at)) != std::string::npos;
+	     at++) {
+		size_t quote = sources.find('"', at);
+		std::string name =
+			sources.substr(quote + 1, sources.find('"', quote + 1) - quote - 1);
+
+		EXPECT_TRUE(listed.count(name)) << name << " is not in logevent.h";
+	}
+}
