--- a/src/main.c
+++ b/src/main.c
@@ -92,7 +92,7 @@
 		.wait_ms = (unsigned int)settings->watch_ms,
 	};
 	uint64_t lists_ms = settings->entry_ttl_ms * ROUTED_TTL_FACTOR + ROUTED_SPREAD_MS;
-	uint64_t stop_ms = MAX(settings->stop_ms, 2 * STOP_MARGIN_MS) - STOP_MARGIN_MS;
+	uint64_t stop_ms = MAX(settings->stop_ms, (uint64_t)2 * STOP_MARGIN_MS) - STOP_MARGIN_MS;
 
 	return service_add(k, peer_create(k, settings->rpc, error)) &&
 	       service_add(k, front_create(k, settings->http, error)) &&
--- a/src/relay.c
+++ b/src/relay.c
@@ -118,22 +118,32 @@
 	message_destroy(&call->message);
 }
 
+static bool waiter_is_due(const struct relay *r, const struct waiter *w, uint64_t now_ms)
+{
+	const apr_feed_args *args = w->call->args;
+
+	return !reads_itself(r) || args->known_revision < mirror_revision(r->mirror) ||
+	       now_ms >= w->until_ms;
+}
+
 static void waiters_serve(struct relay *r, uint64_t now_ms)
 {
-	struct list_head *pos;
-	struct list_head *next;
+	struct list_head waiting;
+	struct list_head *node;
 
-	list_for_each_safe (pos, next, &r->waiters) {
-		struct waiter *w = list_entry(pos, struct waiter, node);
-		const apr_feed_args *args = w->call->args;
+	list_init(&waiting);
+	while ((node = list_pop_head(&r->waiters))) {
+		struct waiter *w = list_entry(node, struct waiter, node);
 
-		if (reads_itself(r) && args->known_revision >= mirror_revision(r->mirror) &&
-		    now_ms < w->until_ms)
+		if (!waiter_is_due(r, w, now_ms)) {
+			list_add_tail(node, &waiting);
 			continue;
-		list_del(&w->node);
+		}
 		call_answer(r, w->call);
 		g_free(w);
 	}
+	while ((node = list_pop_head(&waiting)))
+		list_add_tail(node, &r->waiters);
 }
 
 /* Takes over the call. */
--- a/src/upstream.c
+++ b/src/upstream.c
@@ -113,6 +113,14 @@
 	g_free(conn);
 }
 
+static void conns_destroy(struct list_head *conns)
+{
+	struct list_head *node;
+
+	while ((node = list_pop_head(conns)))
+		conn_destroy(list_entry(node, struct leaf_conn, node));
+}
+
 /* Called by the sweep only, so that callbacks never lose a link under their hands. */
 static void link_destroy_if_unused(struct leaf_link *link)
 {
@@ -312,8 +320,12 @@
 /* Makes room for a new connection by closing the idle one that was used longest ago. */
 static void idle_evict(struct upstream *u, struct leaf_link *link)
 {
-	if (link->n_conns >= conns_allowed(u, link) && !list_is_empty(&link->idle))
-		conn_destroy(list_entry(link->idle.next, struct leaf_conn, node));
+	struct list_head *node = NULL;
+
+	if (link->n_conns >= conns_allowed(u, link))
+		node = list_pop_head(&link->idle);
+	if (node)
+		conn_destroy(list_entry(node, struct leaf_conn, node));
 }
 
 static void queue_serve(struct upstream *u, struct leaf_link *link, uint64_t now_us)
@@ -396,10 +408,8 @@
 
 	if (!link)
 		return;
-	while (!list_is_empty(&link->idle))
-		conn_destroy(list_entry(link->idle.next, struct leaf_conn, node));
-	while (!list_is_empty(&link->connecting))
-		conn_destroy(list_entry(link->connecting.next, struct leaf_conn, node));
+	conns_destroy(&link->idle);
+	conns_destroy(&link->connecting);
 	queue_fail(u, link, LEAF_END_CANCELLED);
 }
 
@@ -411,7 +421,9 @@
 	list_for_each_safe (pos, next, &link->idle) {
 		struct leaf_conn *conn = list_entry(pos, struct leaf_conn, node);
 
-		if (now_us >= conn->idle_until_us)
+		bool is_spare = next != &link->idle && now_us - conn->since_us > SPARE_US;
+
+		if (now_us >= conn->idle_until_us || is_spare)
 			conn_destroy(conn);
 	}
 	list_for_each_safe (pos, next, &link->connecting) {
@@ -453,23 +465,18 @@
 	return u;
 }
 
-static void conns_destroy(struct list_head *conns)
-{
-	while (!list_is_empty(conns))
-		conn_destroy(list_entry(conns->next, struct leaf_conn, node));
-}
-
 void upstream_destroy(struct upstream *u)
 {
+	struct list_head *node;
+
 	if (!u)
 		return;
-	while (!list_is_empty(&u->links)) {
-		struct leaf_link *link = list_entry(u->links.next, struct leaf_link, node);
+	while ((node = list_pop_head(&u->links))) {
+		struct leaf_link *link = list_entry(node, struct leaf_link, node);
 
 		conns_destroy(&link->idle);
 		conns_destroy(&link->connecting);
 		conns_destroy(&link->busy);
-		list_del(&link->node);
 		link->leaf->link = NULL;
 		leaf_put(link->leaf);
 		g_free(link);
