--- a/src/httpmsg.c
+++ b/src/httpmsg.c
@@ -50,6 +50,9 @@
 
 	if (r->has_head)
 		return 0; /* trailers of a chunked body are dropped */
+	/* Readers differ on whether a blank before the colon belongs to the name. */
+	if (memchr(at, ' ', n) || memchr(at, '\t', n))
+		return stop_with(r, HTTP_MALFORMED);
 	if (r->in_value || r->n_fields == 0) {
 		if (r->n_fields == FIELDS_MAX)
 			return stop_with(r, HTTP_HEAD_TOO_LARGE);
--- /dev/null
+++ b/tests/httpmsg_test.cc
@@ -0,0 +1,100 @@
+#include "httpmsg.h"
+
+#include <gtest/gtest.h>
+#include <string>
+
+namespace
+{
+const struct http_limits limits = {512, 64};
+
+enum http_progress progress_of(enum http_side side, const std::string &text, size_t *used)
+{
+	struct http_reader *r = http_reader_create(side, &limits);
+	enum http_progress progress = http_reader_feed(r, text.data(), text.size(), used);
+
+	http_reader_destroy(r);
+	return progress;
+}
+
+enum http_progress request(const std::string &fields)
+{
+	size_t used;
+
+	return progress_of(HTTP_SIDE_REQUEST, "POST /a HTTP/1.1\r\nHost: h\r\n" + fields, &used);
+}
+} // namespace
+
+/* Guards against requests that two readers understand differently (smuggling). */
+TEST(httpmsg, refuses_what_can_be_read_in_two_ways)
+{
+	EXPECT_EQ(request("Content-Length: 2\r\n\r\nok"), HTTP_COMPLETE);
+	EXPECT_EQ(request("Content-Length: 2\r\nContent-Length: 3\r\n\r\nok"), HTTP_MALFORMED);
+	EXPECT_EQ(request("Content-Length: 2\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n"),
+		  HTTP_MALFORMED);
+	EXPECT_EQ(request("Transfer-Encoding: gzip\r\n\r\n"), HTTP_MALFORMED);
+	EXPECT_EQ(request("Transfer-Encoding: chunked\r\n\r\nxx\r\n"), HTTP_MALFORMED);
+	EXPECT_EQ(request("A: b\r\n c\r\n\r\n"), HTTP_MALFORMED);
+	EXPECT_EQ(request("A : b\r\n\r\n"), HTTP_MALFORMED);
+	EXPECT_EQ(request("Content-Length: -1\r\n\r\n"), HTTP_MALFORMED);
+}
+
+/* Guards against limits that hold only for a head that arrives in pieces. */
+TEST(httpmsg, limits)
+{
+	EXPECT_EQ(request("A: " + std::string(600, 'x') + "\r\n\r\n"), HTTP_HEAD_TOO_LARGE);
+	EXPECT_EQ(request("A: " + std::string(600, 'x')), HTTP_HEAD_TOO_LARGE);
+	EXPECT_EQ(request("Content-Length: 65\r\n\r\n"), HTTP_BODY_TOO_LARGE);
+	EXPECT_EQ(request("Transfer-Encoding: chunked\r\n\r\n41\r\n" + std::string(65, 'x')),
+		  HTTP_BODY_TOO_LARGE);
+}
+
+/* Guards against bytes behind a message taken for a part of it. */
+TEST(httpmsg, counts_the_bytes_of_one_message)
+{
+	std::string first = "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok";
+	size_t used;
+
+	EXPECT_EQ(progress_of(HTTP_SIDE_ANSWER, first + "HTTP/1.1 500 X\r\n", &used),
+		  HTTP_COMPLETE);
+	EXPECT_EQ(used, first.size());
+	first = "GET /a HTTP/1.1\r\nHost: h\r\n\r\n";
+	EXPECT_EQ(progress_of(HTTP_SIDE_REQUEST, first + "GET /b HTTP/1.1\r\n", &used),
+		  HTTP_COMPLETE);
+	EXPECT_EQ(used, first.size());
+}
+
+/* Guards against an answer without length that counts as whole before its connection ends. */
+TEST(httpmsg, answer_without_length_ends_with_its_connection)
+{
+	std::string text = "HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 200 OK\r\n\r\nbody";
+	struct http_reader *r = http_reader_create(HTTP_SIDE_ANSWER, &limits);
+	size_t n;
+
+	EXPECT_EQ(http_reader_feed(r, text.data(), text.size(), &n), HTTP_MORE);
+	EXPECT_EQ(http_reader_end(r), HTTP_COMPLETE);
+	EXPECT_EQ(http_reader_status(r), 200u);
+	EXPECT_EQ(std::string(http_reader_body(r, &n), 4), "body");
+	EXPECT_EQ(n, 4u);
+	http_reader_reset(r, false);
+	text = "HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nbody";
+	EXPECT_EQ(http_reader_feed(r, text.data(), text.size(), &n), HTTP_MORE);
+	EXPECT_EQ(http_reader_end(r), HTTP_MALFORMED);
+	http_reader_destroy(r);
+}
+
+/* Guards against connection fields passed on to the other side. */
+TEST(httpmsg, hop_fields)
+{
+	std::string text = "GET /a HTTP/1.1\r\nHost: h\r\nConnection: close, X-One\r\nX-One: "
+			   "1\r\nX-Two: 2\r\n\r\n";
+	struct http_reader *r = http_reader_create(HTTP_SIDE_REQUEST, &limits);
+	size_t used;
+
+	ASSERT_EQ(http_reader_feed(r, text.data(), text.size(), &used), HTTP_COMPLETE);
+	EXPECT_TRUE(http_field_is_hop(r, "x-one"));
+	EXPECT_TRUE(http_field_is_hop(r, "Transfer-Encoding"));
+	EXPECT_FALSE(http_field_is_hop(r, "X-Two"));
+	EXPECT_FALSE(http_field_is_hop(r, "Host"));
+	EXPECT_FALSE(http_reader_keeps_alive(r));
+	http_reader_destroy(r);
+}
--- /dev/null
+++ b/tests/mirror_test.cc
@@ -0,0 +1,88 @@
+#include "mirror.h"
+
+#include <algorithm>
+#include <gtest/gtest.h>
+#include <string>
+#include <vector>
+
+namespace
+{
+struct store_answer answer(uint64_t revision,
+			   const std::vector<std::pair<std::string, uint64_t>> &puts,
+			   const std::vector<std::pair<std::string, uint64_t>> &removals = {})
+{
+	struct store_answer a = {g_ptr_array_new_with_free_func(store_item_free), false, revision};
+
+	for (const auto *list : {&puts, &removals})
+		for (const auto &entry : *list) {
+			struct store_item *item = g_new0(struct store_item, 1);
+
+			item->key = g_strdup(entry.first.c_str());
+			item->revision = entry.second;
+			item->value = list == &puts ? g_strdup("v") : nullptr;
+			item->n_value = item->value ? 1 : 0;
+			g_ptr_array_add(a.items, item);
+		}
+	return a;
+}
+
+/* Keys behind the revision, sorted; "-" before a removed one, "full" first for every key. */
+std::string since(const struct mirror *m, uint64_t revision)
+{
+	struct store_answer a = {};
+	std::vector<std::string> keys;
+	std::string out;
+	bool is_full;
+
+	mirror_since(m, revision, &a, &is_full);
+	for (guint i = 0; i < a.items->len; i++) {
+		auto *item = static_cast<struct store_item *>(g_ptr_array_index(a.items, i));
+
+		keys.push_back(std::string(item->value ? "" : "-") + item->key);
+	}
+	std::sort(keys.begin(), keys.end());
+	for (const std::string &key : keys)
+		out += key + " ";
+	store_answer_clear(&a);
+	return (is_full ? "full " : "") + out;
+}
+
+void take(struct mirror *m, struct store_answer a, bool is_listing = false)
+{
+	if (is_listing)
+		mirror_take_listing(m, &a);
+	else
+		mirror_take(m, &a);
+	store_answer_clear(&a);
+}
+} // namespace
+
+/* Guards against followers that miss a change or a removal. */
+TEST(mirror, passes_on_what_changed)
+{
+	struct mirror *m = mirror_create();
+
+	take(m, answer(5, {{"a", 3}, {"b", 5}}), true);
+	EXPECT_EQ(since(m, 0), "full a b ");
+	EXPECT_EQ(since(m, 5), "");
+	take(m, answer(8, {{"c", 7}}, {{"a", 8}}));
+	EXPECT_EQ(since(m, 5), "-a c ");
+	EXPECT_EQ(since(m, 7), "-a ");
+	EXPECT_EQ(since(m, 0), "full b c ");
+	take(m, answer(8, {{"a", 6}}));
+	EXPECT_EQ(since(m, 7), "-a ");
+	EXPECT_EQ(mirror_revision(m), 8u);
+	mirror_destroy(m);
+}
+
+/* Guards against a delta that hides keys which vanished while history was lost. */
+TEST(mirror, a_listing_makes_older_revisions_list_too)
+{
+	struct mirror *m = mirror_create();
+
+	take(m, answer(5, {{"a", 3}, {"b", 5}}), true);
+	take(m, answer(20, {{"b", 5}, {"c", 18}}), true);
+	EXPECT_EQ(since(m, 5), "full b c ");
+	EXPECT_EQ(since(m, 20), "");
+	mirror_destroy(m);
+}
