--- a/src/explain.c
+++ b/src/explain.c
@@ -161,6 +161,15 @@
 		g_string_append(out, "; the budget denied second calls");
 }
 
+static const char *refusal_reason(const char *status)
+{
+	if (g_strcmp0(status, "404") == 0)
+		return "no route of the version in force matches";
+	if (g_strcmp0(status, "503") == 0)
+		return "this VM had no configuration yet";
+	return "a required field is absent";
+}
+
 /* One sentence on why the request ended as it did. */
 static void cause_say(GString *out, const struct line *line)
 {
@@ -173,9 +182,7 @@
 
 	if (g_strcmp0(line->event, "request_refused") == 0) {
 		g_string_append_printf(out, "cause: refused with %s before any call: %s\n", status,
-				       strcmp(status, "404") == 0
-					       ? "no route of the version in force matches"
-					       : "a required field is absent");
+				       refusal_reason(status));
 		return;
 	}
 	g_string_append_printf(out, "cause: %s (status %s), %s of %s shards in",
--- a/src/gateway.c
+++ b/src/gateway.c
@@ -29,6 +29,9 @@
 		return;
 	}
 	g->not_ready++;
+	log_request(LOG_LEVEL_WARNING,
+		    http_reader_find(http_request_message(request), g->env.edge->fields.request_id),
+		    "request_refused", "status=503 lacks=configuration");
 	http_request_answer(request, 503, NOT_READY_FIELDS, "", 0);
 }
 
--- a/src/main.c
+++ b/src/main.c
@@ -65,6 +65,7 @@
 		.incarnation = incarnation_create(),
 		.started_ms = clock_now_ms(),
 		.lease_ms = settings->lease_ms,
+		.ping_ms = (unsigned int)settings->ping_ms,
 	};
 }
 
--- a/src/member.c
+++ b/src/member.c
@@ -85,6 +85,7 @@
 	uint64_t push_credit_ms; /* a push costs PUSH_EARN_MS */
 	unsigned int list_generation;
 	uint64_t version;
+	struct member_pace pace;
 	bool asked_to_leave;
 	bool superseded;
 	struct member_stats stats;
@@ -540,6 +541,11 @@
 			    nonce_create(rand), now_ms);
 }
 
+void member_table_set_pace(struct member_table *t, const struct member_pace *pace)
+{
+	t->pace = *pace;
+}
+
 void member_table_tick(struct member_table *t, uint64_t now_ms, GRand *rand)
 {
 	time_advance(t, now_ms);
@@ -548,13 +554,13 @@
 	graves_expire(t);
 	if (t->period_end_ms == 0) /* random phase: VMs started together do not ping at once */
 		t->period_end_ms =
-			t->time_ms + (uint64_t)g_rand_int_range(rand, 1, MEMBER_PERIOD_MS);
+			t->time_ms + (uint64_t)g_rand_int_range(rand, 1, (gint32)t->pace.period_ms);
 	if (t->time_ms >= t->period_end_ms) {
-		t->period_end_ms = t->time_ms + MEMBER_PERIOD_MS;
+		t->period_end_ms = t->time_ms + t->pace.period_ms;
 		period_start(t, now_ms, rand);
 	} else if (t->probe.target && t->probe.asks < PROBE_ASKS &&
 		   t->time_ms >=
-			   t->probe.sent_ms + MEMBER_INDIRECT_MS * (uint64_t)(t->probe.asks + 1)) {
+			   t->probe.sent_ms + t->pace.indirect_ms * (uint64_t)(t->probe.asks + 1)) {
 		probe_ask_proxies(t, now_ms, rand);
 	}
 	if (t->push_rounds > 0 && t->time_ms >= t->push_after_ms &&
@@ -625,6 +631,7 @@
 	struct member_table *t = g_new0(struct member_table, 1);
 
 	t->transport = transport;
+	t->pace = (struct member_pace){MEMBER_PERIOD_MS, MEMBER_INDIRECT_MS};
 	t->self.e = *self;
 	t->self.e.state = MEMBER_LIVE;
 	member_init(&t->self);
--- a/src/member.h
+++ b/src/member.h
@@ -94,6 +94,12 @@
 
 struct member_table;
 
+/* How often one random member is pinged, and how long its answer is waited for. */
+struct member_pace {
+	unsigned int period_ms;
+	unsigned int indirect_ms; /* at most a third of the period */
+};
+
 /*
  * self: copied; needs name, dc, addresses, a non-zero incarnation and started_ms. The transport
  * stays the caller's and outlives the table. Destroy accepts NULL.
@@ -102,6 +108,9 @@
 					 struct member_transport *transport, uint64_t now_ms);
 void member_table_destroy(struct member_table *t);
 
+/* In place of MEMBER_PERIOD_MS and MEMBER_INDIRECT_MS. */
+void member_table_set_pace(struct member_table *t, const struct member_pace *pace);
+
 /* Call about every 100 ms. Work per call does not depend on the number of members. */
 void member_table_tick(struct member_table *t, uint64_t now_ms, GRand *rand);
 /* The strings of a message must be terminated; no other property of it is relied on. */
--- a/src/membership.c
+++ b/src/membership.c
@@ -13,6 +13,8 @@
 
 #define TICK_MS 100
 #define JOIN_PEERS 3
+/* Part of a heartbeat's period after which an answer is missing. */
+#define PING_ANSWER_PART 0.3
 #define JOIN_TIMEOUT_US 1000000
 /* Listed peers are asked again this often while no member is known ... */
 #define JOIN_RETRY_MS 400
@@ -551,6 +553,14 @@
 	 * start. */
 	ms->roster_version = G_MAXUINT64;
 	ms->table = member_table_create(&ms->self, &ms->transport, settings->started_ms);
+	if (settings->ping_ms > 0) {
+		struct member_pace pace = {
+			settings->ping_ms,
+			(unsigned int)(PING_ANSWER_PART * settings->ping_ms),
+		};
+
+		member_table_set_pace(ms->table, &pace);
+	}
 	ms->tick = event_new(kernel_base(k), -1, EV_PERSIST, membership_tick, ms);
 	return &ms->service;
 }
--- a/src/membership.h
+++ b/src/membership.h
@@ -19,6 +19,7 @@
 	uint64_t incarnation;
 	uint64_t started_ms; /* clock_now_ms of the start */
 	uint64_t lease_ms;
+	unsigned int ping_ms; /* period of heartbeats; 0: MEMBER_PERIOD_MS */
 };
 
 struct service *membership_create(struct kernel *k, const struct membership_settings *settings);
--- a/src/settings.h
+++ b/src/settings.h
@@ -48,6 +48,8 @@
 	  "time over which repeats are counted, ms")                                            \
 	X(repeat_slack, "repeat-slack", "APRICOT_REPEAT_SLACK", 0, 0, 1000000,                  \
 	  "repeats of a service beyond that, all VMs together")                                 \
+	X(ping_ms, "ping-ms", "APRICOT_PING_MS", 1000, 100, 60000,                              \
+	  "period of heartbeats between VMs, ms")                                               \
 	X(log_lines_s, "log-lines-s", "APRICOT_LOG_LINES_S", 40, 1, 100000,                     \
 	  "lines about single requests written each second at most")
 
