Read no byte behind a value that a reader passes on; leak nothing on a reload

Found by the soak and the scenarios under ASan (50 reports, all the same): items_encode copied one byte more than the mirror holds.

--- a/src/relay.c
+++ b/src/relay.c
@@ -85,8 +85,10 @@
 		to->key = g_strdup(item->key);
 		to->revision = item->revision;
 		to->is_removed = !item->value;
-		to->value.value_val = g_memdup2(item->value ? item->value : "", item->n_value + 1);
-		to->value.value_len = (u_int)item->n_value;
+		to->value.value_len = item->value ? (u_int)item->n_value : 0;
+		to->value.value_val = g_malloc(MAX(1, to->value.value_len));
+		if (to->value.value_len > 0)
+			memcpy(to->value.value_val, item->value, to->value.value_len);
 	}
 }
 
--- a/src/reload.c
+++ b/src/reload.c
@@ -47,9 +47,11 @@
 
 static void settings_reload(struct reload *r, const char *cause)
 {
-	g_auto(GStrv) argv = g_strdupv(r->argv);
+	guint n = g_strv_length(r->argv);
+	/* The parser takes out of the array what it has read; the strings stay the owner's. */
+	g_autofree char **argv = g_memdup2(r->argv, (n + 1) * sizeof(*r->argv));
 	GError *error = NULL;
-	struct settings *settings = settings_create((int)g_strv_length(argv), argv, &error);
+	struct settings *settings = settings_create((int)n, argv, &error);
 
 	if (!settings) {
 		log_event(LOG_LEVEL_WARNING, "reload_refused", "cause=%s reason=\"%s\"", cause,
