--- a/src/gateway.c
+++ b/src/gateway.c
@@ -7,6 +7,9 @@
 
 #include <string.h>
 
+/* VMs that still serve callers with old address lists and share the budget of repeats: as many as
+ * may be replaced at once. */
+#define STALE_VMS 2
 /* Answer to requests that arrive before the first configuration. */
 #define NOT_READY_FIELDS "Retry-After: 0.5\r\n"
 
@@ -130,9 +133,11 @@
 	places_tell(g);
 }
 
-static void roster_take(struct gateway *g, const struct roster *roster)
+/* The VMs that take callers are those that call leaves and repeat calls. */
+static void entries_take(struct gateway *g, const struct entries_chosen *chosen)
 {
-	repeats_set_vms(g->env.repeats, roster->n_vms, clock_now_us());
+	upstream_set_vms(g->env.upstream, chosen->n);
+	repeats_set_vms(g->env.repeats, chosen->n + STALE_VMS, clock_now_us());
 }
 
 static void outcomes_add(json_t *routes, const char *key, const struct route_stats *stats)
@@ -246,11 +251,8 @@
 	case MESSAGE_LEAF_NEWS:
 		news_take(g, (struct leaf_news *)m);
 		break;
-	case MESSAGE_ROSTER_CHANGED:
-		roster_take(g, ((struct roster_changed *)m)->roster);
-		break;
 	case MESSAGE_ENTRIES_CHOSEN:
-		upstream_set_vms(g->env.upstream, ((struct entries_chosen *)m)->n);
+		entries_take(g, (struct entries_chosen *)m);
 		break;
 	case MESSAGE_SETTINGS_READ:
 		settings_take(g, (struct settings_read *)m);
