--- a/src/explain.c
+++ b/src/explain.c
@@ -179,6 +179,7 @@
 	g_autofree char *of = value_find(line->text, "of");
 	g_autofree char *trace = value_find(line->text, "trace");
 	g_autofree char *wait = value_find(line->text, "wait_ms");
+	g_autofree char *took = value_find(line->text, "took_us");
 
 	if (g_strcmp0(line->event, "request_refused") == 0) {
 		g_string_append_printf(out, "cause: refused with %s before any call: %s\n", status,
@@ -188,17 +189,37 @@
 	g_string_append_printf(out, "cause: %s (status %s), %s of %s shards in",
 			       outcome ? outcome : "?", status ? status : "?", in ? in : "?",
 			       of ? of : "?");
-	if (g_strcmp0(outcome, "timed_out") == 0)
-		g_string_append_printf(out, "; the time limit of %s ms passed", wait);
 	if (g_strcmp0(outcome, "left") == 0)
 		g_string_append(out, "; the caller closed its connection");
 	if (g_strcmp0(outcome, "refused") == 0)
 		g_string_append(out, "; no leaf has run it");
 	if (trace)
 		missing_say(out, trace);
+	if (took && wait)
+		g_string_append_printf(out, "; %" G_GUINT64_FORMAT " of %s ms passed",
+				       g_ascii_strtoull(took, NULL, 10) / 1000, wait);
 	g_string_append(out, "\n");
 }
 
+/* The request was begun and its end is on no line: says what became of the VM. */
+static void unended_say(GString *out, const struct story *s, const struct line *begun)
+{
+	for (guint i = 0; i < s->lines->len; i++) {
+		const struct line *line = g_ptr_array_index(s->lines, i);
+
+		if (line->at_ms < begun->at_ms || g_strcmp0(line->vm, begun->vm) != 0 ||
+		    g_strcmp0(line->event, "started") != 0)
+			continue;
+		g_string_append_printf(
+			out,
+			"cause: %s was lost while it worked on the request, and started "
+			"again %" G_GINT64_FORMAT " ms after it began; it may have run\n",
+			begun->vm, line->at_ms - begun->at_ms);
+		return;
+	}
+	g_string_append_printf(out, "cause: begun on %s; its end is on no line\n", begun->vm);
+}
+
 /* A line about the store, this process, or a leaf that the request's trace names. */
 static bool is_context(const struct line *line, const struct line *done)
 {
@@ -252,7 +273,9 @@
 {
 	struct story s = {g_ptr_array_new_with_free_func(line_free), g_string_new(NULL), 0};
 	GString *out = g_string_new(NULL);
+	GString *steps = g_string_new(NULL);
 	const struct line *last = NULL;
+	bool is_begun = false;
 
 	for (unsigned int i = 0; i < n_files; i++)
 		file_read(&s, &files[i]);
@@ -262,11 +285,17 @@
 
 		if (!is_of_request(line, id))
 			continue;
-		cause_say(out, line);
-		steps_say(out, line);
+		is_begun = g_strcmp0(line->event, "request_begun") == 0;
+		if (!is_begun)
+			cause_say(out, line);
+		steps_say(steps, line);
 		last = line;
 	}
 	*found = last != NULL;
+	if (last && is_begun)
+		unended_say(out, &s, last);
+	g_string_append(out, steps->str);
+	g_string_free(steps, TRUE);
 	if (last)
 		context_say(out, &s, last);
 	else
--- a/src/job.c
+++ b/src/job.c
@@ -720,6 +720,12 @@
 		if (!shard_call(j, i, j->read_us))
 			scatter_calls_exhausted(j->scatter, i);
 	}
+	/* What may not run twice is on record before it ends, also when this VM loses power. */
+	if (!route->is_idempotent)
+		log_request(LOG_LEVEL_INFO, j->id, "request_begun",
+			    "route=%s version=%" G_GUINT64_FORMAT " leaf=%s",
+			    route->name ? route->name : "-", map->version,
+			    j->shards[0].n_tried ? j->shards[0].tried[0]->id : "-");
 	job_advance(j, j->read_us);
 }
 
--- a/src/logevent.h
+++ b/src/logevent.h
@@ -15,6 +15,7 @@
 	X("reloaded", "the settings were read again and why")                                  \
 	X("reload_refused", "settings that were not taken and why")                            \
 	X("log_dropped", "lines left out since the last such line")                            \
+	X("request_begun", "a request that must not be repeated was sent to a leaf")           \
 	X("request_done", "one request: route, version, shards in, calls, trace of decisions") \
 	X("request_refused", "one request that matched no route or lacked a field")            \
 	X("input_refused", "bytes that were no request, and the status sent")                  \
--- a/tests/explain_test.cc
+++ b/tests/explain_test.cc
@@ -44,7 +44,7 @@
 
 	EXPECT_TRUE(found);
 	EXPECT_EQ(out.find("cause: partial (status 200), 18 of 20 shards in; 1 shards had no leaf "
-			   "known; 1 leaves had not answered\n"),
+			   "known; 1 leaves had not answered; 172 of 1500 ms passed\n"),
 		  0u)
 		<< out;
 	EXPECT_NE(out.find("    +60 hedge s3 i-7\n"), std::string::npos);
@@ -52,6 +52,23 @@
 	EXPECT_EQ(out.find("leaf=i-8"), std::string::npos);
 }
 
+/* Guards against a request without an explanation because its VM lost power. */
+TEST(explain, vm_was_lost)
+{
+	bool found;
+	std::string text =
+		"2026-12-04T12:00:01.000Z level=info vm=n1 event=request_begun request=ab route=r "
+		"version=3 leaf=i-1\n"
+		"2026-12-04T12:00:03.500Z level=info vm=n1 event=started dc=a\n";
+	std::string out = explained("ab", text, &found);
+
+	EXPECT_TRUE(found);
+	EXPECT_EQ(out.find("cause: n1 was lost while it worked on the request, and started again "
+			   "2500 ms after it began; it may have run\n"),
+		  0u)
+		<< out;
+}
+
 /* Guards against silence about an unknown id, a cut file, a stepped clock or lines left out. */
 TEST(explain, says_what_is_missing)
 {
