Take a caller's used time from the goal within the route's limit only; remove what nothing calls

The decision stands in scatter now. Functions without callers are gone; scenarios and soak take ports that are free.

--- a/fakes/routed_site.py
+++ b/fakes/routed_site.py
@@ -9,6 +9,7 @@
 import os
 import random
 import signal
+import socket
 import time
 
 RECORD_BYTES = 16
@@ -430,6 +431,25 @@
     return request, (int(message[0].split(" ")[1]), message[1], message[2])
 
 
+def free_ports(count):
+    """First of a run of ports that are free now, below those that the system hands out itself."""
+    for _ in range(200):
+        first = random.SystemRandom().randrange(5000, 31000 - count)
+        sockets = []
+        try:
+            for port in range(first, first + count):
+                probe = socket.socket()
+                sockets.append(probe)
+                probe.bind(("127.0.0.1", port))
+            return first
+        except OSError:
+            continue
+        finally:
+            for probe in sockets:
+                probe.close()
+    raise RuntimeError("no free ports")
+
+
 async def wait_for(condition, seconds=5.0):
     """Polls until the condition (a function, plain or async) holds; False when time is up."""
     until = time.monotonic() + seconds
--- a/soak/soak.py
+++ b/soak/soak.py
@@ -15,7 +15,7 @@
 import time
 
 sys.path.insert(0, os.path.join(os.path.dirname(__file__), "..", "fakes"))
-from routed_site import Daemon, Gate, Site, call, wait_for  # noqa: E402
+from routed_site import Daemon, Gate, Site, call, free_ports, wait_for  # noqa: E402
 
 BINARY = os.path.join(os.environ.get("B", "build"), "apricotd")
 SHARDS = 5
@@ -24,9 +24,6 @@
 TOUCH_S = 4.0  # a daemon is in touch after so long without a fault on it or the store
 CONFIG_S = 4.0  # bound on a version's being in force, on machines in touch
 RECOVER_S = 12.0
-# Each run has ports of its own; two runs side by side once answered each other's callers.
-FIRST_PORT = 6000
-SLOT_PORTS = 640
 
 
 class Soak:
@@ -329,8 +326,9 @@
         await self.site.stop()
 
 
-async def one_seed(seed, arguments, slot):
-    soak = Soak(seed, arguments.seconds, arguments.daemons, FIRST_PORT + slot * SLOT_PORTS)
+async def one_seed(seed, arguments):
+    # Each run has ports of its own: two runs side by side once answered each other's callers.
+    soak = Soak(seed, arguments.seconds, arguments.daemons, free_ports(8 * arguments.daemons))
     try:
         await soak.run()
     except Exception as error:  # pylint: disable=broad-except
@@ -353,11 +351,10 @@
     parser.add_argument("--seconds", type=float, default=12)
     parser.add_argument("--daemons", type=int, default=4)
     parser.add_argument("--parallel", type=int, default=1)
-    parser.add_argument("--slot", type=int, default=0)
     parser.add_argument("seeds", nargs="+", type=int)
     arguments = parser.parse_args()
     if arguments.parallel == 1:
-        kept = [asyncio.run(one_seed(seed, arguments, arguments.slot))
+        kept = [asyncio.run(one_seed(seed, arguments))
                 for seed in arguments.seeds]
         return 0 if all(kept) else 1
     return asyncio.run(side_by_side(arguments))
@@ -366,16 +363,13 @@
 async def side_by_side(arguments):
     """Runs the seeds in processes of their own, some at a time."""
     limit, codes = asyncio.Semaphore(arguments.parallel), []
-    slots = list(range(arguments.parallel))
 
     async def one(seed):
         async with limit:
-            slot = slots.pop()
             process = await asyncio.create_subprocess_exec(
                 sys.executable, __file__, "--seconds", str(arguments.seconds), "--daemons",
-                str(arguments.daemons), "--slot", str(slot), str(seed))
+                str(arguments.daemons), str(seed))
             codes.append(await process.wait())
-            slots.append(slot)
 
     await asyncio.gather(*(one(seed) for seed in arguments.seeds))
     return max(codes)
--- a/src/gateway.c
+++ b/src/gateway.c
@@ -303,7 +303,6 @@
 	routemap_put(defaults);
 	g->service.ops = &ops;
 	g->env.base = kernel_base(k);
-	g->env.counters = kernel_counters(k);
 	g->env.rand = kernel_rand(k);
 	g->env.edge = edge;
 	g->env.leaves = leafset_create(settings->dc);
--- a/src/httpconn.h
+++ b/src/httpconn.h
@@ -51,7 +51,6 @@
 void http_conn_probe_peer(struct http_conn *c);
 /* Sends one request; ends in answered or failed. False when the connection is lost already. */
 bool http_conn_send(struct http_conn *c, const char *request, size_t n);
-/* No answer is expected any more although none has come: only destroy may follow. */
 const char *http_failure_name(enum http_failure failure);
 
 G_END_DECLS
--- a/src/httpserver.c
+++ b/src/httpserver.c
@@ -321,11 +321,6 @@
 	s->fd = -1;
 }
 
-unsigned int http_server_connection_count(const struct http_server *s)
-{
-	return s->n_connections;
-}
-
 unsigned int http_server_busy_count(const struct http_server *s)
 {
 	return s->n_busy;
@@ -375,8 +370,3 @@
 	if (answer_write(r, status, fields, body, n, keep) && keep)
 		connection_continue(r);
 }
-
-void http_request_drop(struct http_request *r)
-{
-	connection_destroy(r);
-}
--- a/src/httpserver.h
+++ b/src/httpserver.h
@@ -3,7 +3,7 @@
  * they may send and how long they may take.
  *
  * The server owns its connections. A request handed to ops->request stays valid until it is
- * answered, dropped, or reported by ops->left; each request ends in exactly one of these ways.
+ * answered or reported by ops->left; each request ends in exactly one of these ways.
  */
 #ifndef APRICOT_HTTPSERVER_H
 #define APRICOT_HTTPSERVER_H
@@ -47,7 +47,6 @@
 void http_server_drain(struct http_server *s);
 /* Closes the listener; open connections go on. */
 void http_server_stop_accepting(struct http_server *s);
-unsigned int http_server_connection_count(const struct http_server *s);
 /* Requests that were read and are not answered yet. */
 unsigned int http_server_busy_count(const struct http_server *s);
 
@@ -62,8 +61,6 @@
  */
 void http_request_answer(struct http_request *r, unsigned int status, const char *fields,
 			 const char *body, size_t n);
-/* Closes the connection without an answer. */
-void http_request_drop(struct http_request *r);
 
 G_END_DECLS
 
--- a/src/job.c
+++ b/src/job.c
@@ -8,12 +8,6 @@
 #include <stdlib.h>
 #include <string.h>
 
-/*
- * Kept before the goal, which counts from the caller's first packet to its last: opening the
- * connection, request and answer cross to a caller in another data centre four times at 6.4 ms in
- * the deployments, and timers fire a little late.
- */
-#define ANSWER_MARGIN_US 28000
 /* Least time that a leaf call is worth sending with. */
 #define CALL_MIN_US 2000
 /* Calls whose request is answered may finish within this time, so that their connections can be
@@ -629,27 +623,20 @@
 	g_byte_array_append(j->body, (const guint8 *)body, (guint)n);
 }
 
-/* Sets when the answer is due. A second attempt of a caller names less time: what it has used up
- * is taken from the goal. */
 static void times_set(struct job *j, struct scatter_policy *policy, const char *wait_text)
 {
 	const struct route *route = j->route;
-	uint64_t wait_ms = wait_parse(wait_text);
-	uint64_t used_ms = 0;
-
-	if (wait_ms > 0) {
-		j->stats->longest_wait_ms = MAX(j->stats->longest_wait_ms, wait_ms);
-		used_ms = j->stats->longest_wait_ms - wait_ms;
-	} else {
-		wait_ms = route->timeout_ms;
-	}
-	j->deadline_us = j->read_us + MIN(wait_ms, route->timeout_ms) * 1000;
-	policy->deadline_us = j->deadline_us;
-	if (route->goal_ms > used_ms + ANSWER_MARGIN_US / 1000)
-		policy->goal_at_us =
-			j->read_us + (route->goal_ms - used_ms) * 1000 - ANSWER_MARGIN_US;
-	else if (route->goal_ms)
-		policy->goal_at_us = j->read_us;
+	struct scatter_wait wait = {
+		.read_us = j->read_us,
+		.goal_ms = route->goal_ms,
+		.timeout_ms = route->timeout_ms,
+		.wait_ms = wait_parse(wait_text),
+	};
+
+	j->stats->longest_wait_ms = MAX(j->stats->longest_wait_ms, wait.wait_ms);
+	wait.longest_ms = j->stats->longest_wait_ms;
+	scatter_times_set(policy, &wait);
+	j->deadline_us = policy->deadline_us;
 	policy->hedge_after_us =
 		scatter_hedge_delay_us(j->stats->call_us, (uint64_t)route->goal_ms * 1000);
 }
--- a/src/job.h
+++ b/src/job.h
@@ -50,7 +50,6 @@
 /* What jobs share; owned by the gateway. */
 struct job_env {
 	struct event_base *base;
-	struct counters *counters;
 	GRand *rand;
 	const struct edge *edge;
 	struct leafset *leaves;
--- a/src/leafset.c
+++ b/src/leafset.c
@@ -204,26 +204,6 @@
 	return (char **)g_ptr_array_free(places, FALSE);
 }
 
-unsigned int leafset_ready_count(const struct leafset *s, const char *service)
-{
-	const GPtrArray *list = g_hash_table_lookup(s->services, service);
-	unsigned int n = 0;
-
-	for (guint i = 0; list && i < list->len; i++)
-		n += ((struct leaf *)g_ptr_array_index(list, i))->state == LEAF_READY;
-	return n;
-}
-
-void leafset_foreach(struct leafset *s, void (*visit)(struct leaf *l, void *data), void *data)
-{
-	GHashTableIter iter;
-	gpointer leaf;
-
-	g_hash_table_iter_init(&iter, s->ids);
-	while (g_hash_table_iter_next(&iter, NULL, &leaf))
-		visit(leaf, data);
-}
-
 static double usual_latency_us(const struct leaf *l, uint64_t now_us)
 {
 	double age_us = now_us > l->sampled_us ? (double)(now_us - l->sampled_us) : 0;
--- a/src/leafset.h
+++ b/src/leafset.h
@@ -104,9 +104,6 @@
  * ended by NULL, in alphabetical order.
  */
 char **leafset_places(const struct leafset *s);
-/* Ready leaves of a service. */
-unsigned int leafset_ready_count(const struct leafset *s, const char *service);
-void leafset_foreach(struct leafset *s, void (*visit)(struct leaf *l, void *data), void *data);
 
 struct leaf *leaf_get(struct leaf *l);
 void leaf_put(struct leaf *l);
--- a/src/mirror.c
+++ b/src/mirror.c
@@ -122,8 +122,3 @@
 			g_ptr_array_add(out->items, item_copy(item));
 	}
 }
-
-unsigned int mirror_count(const struct mirror *m)
-{
-	return g_hash_table_size(m->items);
-}
--- a/src/mirror.h
+++ b/src/mirror.h
@@ -32,8 +32,6 @@
 void mirror_since(const struct mirror *m, uint64_t revision, struct store_answer *out,
 		  bool *is_full);
 
-unsigned int mirror_count(const struct mirror *m);
-
 G_END_DECLS
 
 #endif
--- a/src/repeats.c
+++ b/src/repeats.c
@@ -121,10 +121,3 @@
 	use->repeats[use->slot % (SLOTS + 1)]++;
 	return true;
 }
-
-unsigned int repeats_left(struct repeats *r, const char *service, uint64_t now_us)
-{
-	double left = use_left(r, use_find(r, service, now_us), 1, now_us);
-
-	return left > 0 ? (unsigned int)left : 0;
-}
--- a/src/repeats.h
+++ b/src/repeats.h
@@ -49,8 +49,6 @@
  * to recoveries. */
 bool repeats_spend(struct repeats *r, const char *service, enum repeats_purpose purpose,
 		   uint64_t now_us);
-/* Repeats that could be sent now. */
-unsigned int repeats_left(struct repeats *r, const char *service, uint64_t now_us);
 
 G_END_DECLS
 
--- a/src/scatter.c
+++ b/src/scatter.c
@@ -15,6 +15,13 @@
  * a leaf pauses at most. */
 #define LATE_PATIENCE_US 200000
 
+/*
+ * Kept before the goal, which counts from the caller's first packet to its last: opening the
+ * connection, request and answer cross to a caller in another data centre four times at 6.4 ms in
+ * the deployments, and timers fire a little late.
+ */
+#define ANSWER_MARGIN_US 28000
+
 struct shard {
 	uint64_t called_us;
 	unsigned int ran; /* calls that have run or may have */
@@ -196,11 +203,6 @@
 	return s->n_in;
 }
 
-unsigned int scatter_attempts(const struct scatter *s, unsigned int shard)
-{
-	return s->shards[shard].ran + s->shards[shard].open + s->shards[shard].not_run;
-}
-
 uint64_t scatter_hedge_delay_us(const struct hist *latencies, uint64_t goal_us)
 {
 	uint64_t delay_us = goal_us ? goal_us / 4 : HEDGE_NO_GOAL_US;
@@ -212,3 +214,18 @@
 	return CLAMP(delay_us, (uint64_t)(HEDGE_MIN_PART * (double)goal_us),
 		     (uint64_t)(HEDGE_MAX_PART * (double)goal_us));
 }
+
+void scatter_times_set(struct scatter_policy *policy, const struct scatter_wait *wait)
+{
+	uint64_t goal_us = (uint64_t)wait->goal_ms * 1000;
+	uint64_t limit_ms = MIN(wait->wait_ms ? wait->wait_ms : wait->timeout_ms, wait->timeout_ms);
+	uint64_t first_ms = MIN(MAX(wait->longest_ms, limit_ms), wait->timeout_ms);
+	uint64_t used_us = (first_ms - limit_ms) * 1000;
+
+	policy->deadline_us = wait->read_us + limit_ms * 1000;
+	policy->goal_at_us = 0;
+	if (goal_us > used_us + ANSWER_MARGIN_US)
+		policy->goal_at_us = wait->read_us + goal_us - used_us - ANSWER_MARGIN_US;
+	else if (goal_us)
+		policy->goal_at_us = wait->read_us;
+}
--- a/src/scatter.h
+++ b/src/scatter.h
@@ -34,7 +34,7 @@
 	SCATTER_TIMED_OUT,
 };
 
-/* X(symbol, name): why an attempt did not lead to an answer, as far as repetition is concerned */
+/* What is known of a call that was lost. */
 enum scatter_loss {
 	SCATTER_LOSS_NOT_RUN, /* the leaf has not run it and never will */
 	SCATTER_LOSS_MAY_HAVE_RUN,
@@ -69,7 +69,21 @@
 enum scatter_verdict scatter_verdict(const struct scatter *s, uint64_t now_us, uint64_t *wake_us);
 
 unsigned int scatter_in_count(const struct scatter *s);
-unsigned int scatter_attempts(const struct scatter *s, unsigned int shard);
+
+/* What a request says of its time; milliseconds but for read_us. */
+struct scatter_wait {
+	uint64_t read_us; /* when it was read */
+	unsigned int goal_ms; /* of the route, from the caller's first attempt on; 0: none */
+	unsigned int timeout_ms; /* of the route */
+	uint64_t wait_ms; /* the caller waits so long yet; 0: not said */
+	uint64_t longest_ms; /* largest wait that callers of the route have named */
+};
+
+/*
+ * Sets deadline and goal of the policy. A caller's second attempt names less time than its first:
+ * what it has used up, within the route's time limit, is taken from the goal.
+ */
+void scatter_times_set(struct scatter_policy *policy, const struct scatter_wait *wait);
 
 /* Delay until a second call from the measured latencies of the route's calls; goal_us: 0: none. */
 uint64_t scatter_hedge_delay_us(const struct hist *latencies, uint64_t goal_us);
--- a/src/upstream.h
+++ b/src/upstream.h
@@ -43,11 +43,6 @@
 	bool wants_fresh; /* an idle connection may be used only when it was used just now */
 };
 
-struct upstream_limits {
-	struct http_limits answer;
-	unsigned int vms; /* VMs that call leaves */
-};
-
 struct upstream *upstream_create(struct event_base *base);
 void upstream_destroy(struct upstream *u);
 
--- a/tests/scatter_test.cc
+++ b/tests/scatter_test.cc
@@ -1,6 +1,8 @@
 #include "scatter.h"
 #include "script.h"
 
+#include <gtest/gtest.h>
+
 namespace
 {
 /* Times in milliseconds; "@N" sets the time. */
@@ -83,3 +85,28 @@
 bool registered = script_register("scatter", "scatter.test",
 				  [] { return std::make_unique<scatter_script>(); });
 } // namespace
+
+/* Guards against one caller with a long wait that makes every other attempt count as late. */
+TEST(scatter, time_used_by_earlier_attempts)
+{
+	struct scatter_policy p = {};
+	struct scatter_wait first = {1000000, 200, 1500, 1500, 1500};
+	struct scatter_wait second = {1000000, 200, 1500, 1400, 1500};
+	struct scatter_wait odd_neighbour = {1000000, 200, 1500, 1500, 60000};
+	struct scatter_wait unsaid = {1000000, 200, 1500, 0, 0};
+	struct scatter_wait too_late = {1000000, 200, 1500, 900, 1500};
+
+	scatter_times_set(&p, &first);
+	EXPECT_EQ(p.goal_at_us, 1172000u);
+	EXPECT_EQ(p.deadline_us, 2500000u);
+	scatter_times_set(&p, &second);
+	EXPECT_EQ(p.goal_at_us, 1072000u);
+	EXPECT_EQ(p.deadline_us, 2400000u);
+	scatter_times_set(&p, &odd_neighbour);
+	EXPECT_EQ(p.goal_at_us, 1172000u);
+	scatter_times_set(&p, &unsaid);
+	EXPECT_EQ(p.goal_at_us, 1172000u);
+	EXPECT_EQ(p.deadline_us, 2500000u);
+	scatter_times_set(&p, &too_late);
+	EXPECT_EQ(p.goal_at_us, 1000000u);
+}
