Keep a leaf's queue short, and the budget for calls that need it

They also went to leaves doubted a moment before and were paid for when they never left. And a leaf left alone with a shard got up to five calls from each VM: its queue filled and all answers were late. Change: scatter_hedge_holds moves second calls towards the last useful moment below 0.3 of the budget; window bounds the calls in flight to a leaf by the latencies seen, the newest waiting call of a search goes first; an overdue call that still waits here moves to another leaf, which is no repeat; second calls avoid doubted leaves; repeats that were never sent are refunded.

--- a/src/job.c
+++ b/src/job.c
@@ -31,13 +31,15 @@
 	struct list_head node; /* in job.calls */
 	struct job *job;
 	unsigned int shard;
+	bool is_repeat; /* counted in the budget */
 };
 
 struct job_shard {
 	const char *service;
 	struct leaf *tried[TRIED_MAX]; /* references */
 	unsigned int n_tried;
-	unsigned int n_sent; /* calls that may have reached a leaf */
+	unsigned int n_sent; /* calls that may have run */
+	unsigned int n_arrivals; /* calls that were sent, refused ones included */
 };
 
 struct job {
@@ -57,6 +59,7 @@
 	uint64_t read_us;
 	uint64_t deadline_us;
 	uint64_t timer_us; /* what the timer is set for */
+	uint64_t useful_us; /* an answer so long after reading is in time; 0: there is no goal */
 	/* the answer */
 	struct topk *top;
 	GString *signatures;
@@ -66,7 +69,9 @@
 	GString *trace; /* decisions besides first calls; NULL: none yet */
 	unsigned int n_calls;
 	unsigned int n_hedges;
+	unsigned int n_moved; /* calls that had waited here went to another leaf */
 	unsigned int n_retries;
+	unsigned int n_held; /* second calls that waited, since the budget was low */
 	unsigned int n_denied; /* repeats that the budget did not allow */
 	unsigned int n_shards;
 	struct job_shard shards[];
@@ -159,6 +164,18 @@
 	event_add(j->timer, &wait);
 }
 
+/* Takes back a call; the caller has noted it in scatter. */
+static void call_cancel(struct job_call *c, enum leaf_end end, uint64_t now_us)
+{
+	struct job *j = c->job;
+
+	list_del(&c->node);
+	if (c->is_repeat && !c->call.conn)
+		repeats_refund(j->env->repeats, j->shards[c->shard].service, now_us);
+	upstream_cancel(j->env->upstream, &c->call, end, now_us);
+	g_free(c);
+}
+
 /* Calls that were not sent yet are not needed any more. */
 static void unsent_cancel(struct job *j, uint64_t now_us)
 {
@@ -168,11 +185,8 @@
 	list_for_each_safe (pos, next, &j->calls) {
 		struct job_call *c = list_entry(pos, struct job_call, node);
 
-		if (c->call.conn)
-			continue;
-		list_del(&c->node);
-		upstream_cancel(j->env->upstream, &c->call, LEAF_END_CANCELLED, now_us);
-		g_free(c);
+		if (!c->call.conn)
+			call_cancel(c, LEAF_END_CANCELLED, now_us);
 	}
 }
 
@@ -205,15 +219,15 @@
 	hist_add(j->stats->answer_us, took_us);
 	if (outcome != JOB_COMPLETE && outcome != JOB_PASSED)
 		trace_missing(j, now_us);
-	log_request(
-		outcome == JOB_COMPLETE ? LOG_LEVEL_INFO : LOG_LEVEL_WARNING, j->id, "request_done",
-		"outcome=%s status=%u route=%s version=%" G_GUINT64_FORMAT
-		" in=%u of=%u calls=%u hedges=%u retries=%u denied=%u wait_ms=%" G_GUINT64_FORMAT
-		" took_us=%" G_GUINT64_FORMAT " trace=\"%s\"",
-		outcome_names[outcome], status, j->route->name ? j->route->name : "-",
-		j->map->version, scatter_in_count(j->scatter), j->n_shards, j->n_calls, j->n_hedges,
-		j->n_retries, j->n_denied, (j->deadline_us - j->read_us) / 1000, took_us,
-		j->trace ? j->trace->str : "");
+	log_request(outcome == JOB_COMPLETE ? LOG_LEVEL_INFO : LOG_LEVEL_WARNING, j->id,
+		    "request_done",
+		    "outcome=%s status=%u route=%s version=%" G_GUINT64_FORMAT
+		    " in=%u of=%u calls=%u hedges=%u moved=%u retries=%u held=%u denied=%u "
+		    "wait_ms=%" G_GUINT64_FORMAT " took_us=%" G_GUINT64_FORMAT " trace=\"%s\"",
+		    outcome_names[outcome], status, j->route->name ? j->route->name : "-",
+		    j->map->version, scatter_in_count(j->scatter), j->n_shards, j->n_calls,
+		    j->n_hedges, j->n_moved, j->n_retries, j->n_held, j->n_denied,
+		    (j->deadline_us - j->read_us) / 1000, took_us, j->trace ? j->trace->str : "");
 	unsent_cancel(j, now_us);
 	if (list_is_empty(&j->calls))
 		job_destroy(j);
@@ -303,12 +317,58 @@
 }
 
 static bool shard_call(struct job *j, unsigned int shard, uint64_t now_us);
+static void call_start(struct job *j, unsigned int shard, struct leaf *leaf, uint64_t now_us);
+
+static struct job_call *unsent_find(struct job *j, unsigned int shard)
+{
+	struct list_head *pos;
+
+	list_for_each (pos, &j->calls) {
+		struct job_call *c = list_entry(pos, struct job_call, node);
+
+		if (c->shard == shard && !c->call.conn)
+			return c;
+	}
+	return NULL;
+}
+
+/*
+ * An overdue call still waits here: it goes to another leaf if that one will answer sooner. No
+ * leaf has seen it, so that this is no repeat.
+ */
+static void call_move(struct job *j, struct job_call *waiting, uint64_t now_us)
+{
+	unsigned int shard = waiting->shard;
+	struct job_shard *sh = &j->shards[shard];
+	struct leaf *leaf =
+		leafset_choose(j->env->leaves, sh->service, sh->tried, sh->n_tried, now_us);
+
+	if (!leaf || sh->n_tried == TRIED_MAX || leaf_is_doubted(leaf, now_us) ||
+	    !leafset_is_sooner(j->env->leaves, leaf, waiting->leaf, now_us)) {
+		scatter_hedge_defer(j->scatter, shard, now_us);
+		return;
+	}
+	call_cancel(waiting, LEAF_END_CANCELLED, now_us);
+	scatter_call_withdrawn(j->scatter, shard);
+	trace_add(j, "move", sh->service, leaf, NULL, now_us);
+	j->n_moved++;
+	call_start(j, shard, leaf, now_us);
+}
 
 static void hedges_send(struct job *j, uint64_t now_us)
 {
-	for (unsigned int shard = 0; scatter_hedge_next(j->scatter, &shard, now_us); shard++)
-		if (shard_call(j, shard, now_us))
+	for (unsigned int shard = 0; scatter_hedge_next(j->scatter, &shard, now_us); shard++) {
+		struct job_call *waiting = unsent_find(j, shard);
+		double left = repeats_left(j->env->repeats, j->shards[shard].service, REPEATS_HEDGE,
+					   now_us);
+
+		if (waiting)
+			call_move(j, waiting, now_us);
+		else if (scatter_hedge_holds(j->scatter, shard, left, now_us))
+			j->n_held++;
+		else if (shard_call(j, shard, now_us))
 			j->n_hedges++;
+	}
 }
 
 /* Acts on the verdict; the job may be gone afterwards. */
@@ -340,16 +400,11 @@
 
 static void calls_cancel(struct job *j, uint64_t now_us)
 {
-	struct list_head *node;
+	while (!list_is_empty(&j->calls)) {
+		struct job_call *c = list_entry(j->calls.next, struct job_call, node);
+		bool is_silent = now_us - c->call.started_us > LINGER_US;
 
-	while ((node = list_pop_head(&j->calls))) {
-		struct job_call *c = list_entry(node, struct job_call, node);
-
-		upstream_cancel(j->env->upstream, &c->call,
-				now_us - c->call.started_us > LINGER_US ? LEAF_END_SILENT
-									: LEAF_END_CANCELLED,
-				now_us);
-		g_free(c);
+		call_cancel(c, is_silent ? LEAF_END_SILENT : LEAF_END_CANCELLED, now_us);
 	}
 	job_destroy(j);
 }
@@ -376,11 +431,12 @@
 static void call_render(struct leaf_call *call, GString *out)
 {
 	struct job_call *c = from_call(call);
-	const struct job *j = c->job;
+	struct job *j = c->job;
 	const struct edge_fields *names = &j->env->edge->fields;
 	uint64_t now_us = clock_now_us();
 	uint64_t left_ms = j->deadline_us > now_us ? (j->deadline_us - now_us) / 1000 : 0;
 
+	j->shards[c->shard].n_arrivals++;
 	g_string_append_len(out, j->head->str, (gssize)j->head->len);
 	g_string_append_printf(out, "%s: %" G_GUINT64_FORMAT "\r\n%s: %s\r\n\r\n",
 			       names->deadline_ms, MAX(1, left_ms), names->leaf_id, call->leaf->id);
@@ -469,6 +525,8 @@
 	unsigned int shard = c->shard;
 	uint64_t now_us = clock_now_us();
 
+	if (c->is_repeat && c->call.sent_us == 0)
+		repeats_refund(j->env->repeats, j->shards[shard].service, now_us);
 	list_del(&c->node);
 	g_free(c);
 	trace_add(j, "lost", j->shards[shard].service, leaf, leaf_end_name(end), now_us);
@@ -544,47 +602,69 @@
 	.done = call_done,
 };
 
+static void call_start(struct job *j, unsigned int shard, struct leaf *leaf, uint64_t now_us)
+{
+	struct job_shard *sh = &j->shards[shard];
+	const struct routemap_service *service = routemap_service_find(j->map, sh->service);
+	struct job_call *c = g_new0(struct job_call, 1);
+
+	sh->tried[sh->n_tried++] = leaf_get(leaf);
+	c->job = j;
+	c->shard = shard;
+	c->leaf = leaf;
+	c->is_repeat = sh->n_arrivals > 0;
+	c->call.ops = &call_ops;
+	c->call.useful_us = j->useful_us;
+	c->call.is_partial = is_over_shards(j);
+	c->call.wants_fresh = !j->route->is_idempotent;
+	list_add_tail(&c->node, &j->calls);
+	j->n_calls++;
+	scatter_call_started(j->scatter, shard, now_us);
+	upstream_call(j->env->upstream, &c->call, leaf, service ? service->max_connections : 1,
+		      now_us);
+}
+
+/*
+ * The leaf for the next call of the shard, or NULL. A second call beside an open one goes to a
+ * leaf that is not doubted only: it would cost budget and rarely be answered.
+ */
+static struct leaf *shard_choose(struct job *j, const struct job_shard *sh, bool is_hedge,
+				 uint64_t now_us)
+{
+	struct leaf *leaf =
+		leafset_choose(j->env->leaves, sh->service, sh->tried, sh->n_tried, now_us);
+
+	if (is_hedge)
+		return leaf && !leaf_is_doubted(leaf, now_us) ? leaf : NULL;
+	/* The only leaf left may be asked again once its call has ended. */
+	if (!leaf && sh->n_tried > 0)
+		leaf = leafset_choose(j->env->leaves, sh->service, NULL, 0, now_us);
+	return leaf;
+}
+
 /* Sends one call of the shard; false when no leaf, attempt or budget is left for it. */
 static bool shard_call(struct job *j, unsigned int shard, uint64_t now_us)
 {
 	struct job_shard *sh = &j->shards[shard];
-	const struct routemap_service *service;
-	struct job_call *c;
+	bool is_hedge = scatter_is_waiting(j->scatter, shard);
 	struct leaf *leaf;
 
 	if (sh->n_tried == TRIED_MAX || !scatter_may_call(j->scatter, shard) ||
 	    j->deadline_us < now_us + CALL_MIN_US)
 		return false;
-	leaf = leafset_choose(j->env->leaves, sh->service, sh->tried, sh->n_tried, now_us);
-	/* The only leaf left may be asked again once its call has ended. */
-	if (!leaf && sh->n_tried > 0 && !scatter_is_waiting(j->scatter, shard))
-		leaf = leafset_choose(j->env->leaves, sh->service, NULL, 0, now_us);
+	leaf = shard_choose(j, sh, is_hedge, now_us);
 	if (!leaf)
 		return false;
-	if (sh->n_tried > 0 &&
+	if (sh->n_arrivals > 0 &&
 	    !repeats_spend(j->env->repeats, sh->service,
-			   scatter_is_waiting(j->scatter, shard) ? REPEATS_HEDGE : REPEATS_RECOVERY,
-			   now_us)) {
+			   is_hedge ? REPEATS_HEDGE : REPEATS_RECOVERY, now_us)) {
 		j->n_denied++;
 		trace_add(j, "denied", sh->service, leaf, "budget", now_us);
 		return false;
 	}
 	if (sh->n_tried > 0 || !is_over_shards(j))
-		trace_add(j, scatter_is_waiting(j->scatter, shard) ? "hedge" : "call", sh->service,
-			  leaf, NULL, now_us);
-	sh->tried[sh->n_tried++] = leaf_get(leaf);
-	service = routemap_service_find(j->map, sh->service);
-	c = g_new0(struct job_call, 1);
-	c->job = j;
-	c->shard = shard;
-	c->leaf = leaf;
-	c->call.ops = &call_ops;
-	c->call.wants_fresh = !j->route->is_idempotent;
-	list_add_tail(&c->node, &j->calls);
-	j->n_calls++;
-	scatter_call_started(j->scatter, shard, now_us);
-	upstream_call(j->env->upstream, &c->call, leaf, service ? service->max_connections : 1,
-		      now_us);
+		trace_add(j, is_hedge ? "hedge" : "call", sh->service, leaf, NULL, now_us);
+	call_start(j, shard, leaf, now_us);
 	return true;
 }
 
@@ -637,8 +717,11 @@
 	wait.longest_ms = j->stats->longest_wait_ms;
 	scatter_times_set(policy, &wait);
 	j->deadline_us = policy->deadline_us;
+	if (policy->goal_at_us > j->read_us)
+		j->useful_us = policy->goal_at_us - j->read_us;
 	policy->hedge_after_us =
 		scatter_hedge_delay_us(j->stats->call_us, (uint64_t)route->goal_ms * 1000);
+	policy->hedge_last_at_us = scatter_hedge_last_at_us(j->stats->call_us, policy->goal_at_us);
 }
 
 static struct job *job_create(struct job_env *env, struct routemap *map, const struct route *route,
--- a/src/leafset.c
+++ b/src/leafset.c
@@ -234,6 +234,12 @@
 	return cost_us;
 }
 
+bool leafset_is_sooner(const struct leafset *s, const struct leaf *a, const struct leaf *b,
+		       uint64_t now_us)
+{
+	return leaf_cost_us(a, s->own_dc, now_us) < leaf_cost_us(b, s->own_dc, now_us);
+}
+
 bool leaf_is_doubted(const struct leaf *l, uint64_t now_us)
 {
 	return now_us < l->doubted_until_us;
--- a/src/leafset.h
+++ b/src/leafset.h
@@ -117,6 +117,9 @@
 
 /* Expected time to an answer of a call sent now. */
 double leaf_cost_us(const struct leaf *l, const char *own_dc, uint64_t now_us);
+/* True when a call sent now is expected to be answered sooner by a than by b. */
+bool leafset_is_sooner(const struct leafset *s, const struct leaf *a, const struct leaf *b,
+		       uint64_t now_us);
 bool leaf_is_doubted(const struct leaf *l, uint64_t now_us);
 
 /* Every leaf_call_started is followed by exactly one leaf_call_ended. */
--- a/src/repeats.c
+++ b/src/repeats.c
@@ -94,30 +94,66 @@
 	return now_us - r->started_us < FINDING_US ? MAX(ASSUMED_VMS, r->n_vms) : r->n_vms;
 }
 
-/* Repeats that the window allows, less those that were sent. part: of what it allows. */
-static double use_left(const struct repeats *r, const struct service_use *use, double part,
-		       uint64_t now_us)
+static double part_of(enum repeats_purpose purpose)
+{
+	return purpose == REPEATS_HEDGE ? 1 - RECOVERY_PART : 1;
+}
+
+/* Repeats that the window allows, sent ones included. */
+static double use_allowed(const struct repeats *r, const struct service_use *use,
+			  enum repeats_purpose purpose, uint64_t now_us)
 {
 	double slack = r->limits.slack / vms_sharing(r, now_us);
 	double requests = 0;
-	double repeats = 0;
 
-	for (unsigned int i = 0; i <= SLOTS; i++) {
+	for (unsigned int i = 0; i <= SLOTS; i++)
 		requests += use->requests[i];
-		repeats += use->repeats[i];
-	}
 	requests -= use->requests[(use->slot + 1) % (SLOTS + 1)];
-	return part * SAFETY * (r->limits.ratio * requests + slack) - repeats;
+	return part_of(purpose) * SAFETY * (r->limits.ratio * requests + slack);
+}
+
+static double use_spent(const struct service_use *use)
+{
+	double repeats = 0;
+
+	for (unsigned int i = 0; i <= SLOTS; i++)
+		repeats += use->repeats[i];
+	return repeats;
+}
+
+double repeats_left(struct repeats *r, const char *service, enum repeats_purpose purpose,
+		    uint64_t now_us)
+{
+	const struct service_use *use = use_find(r, service, now_us);
+	double allowed = use_allowed(r, use, purpose, now_us);
+	double left = allowed - use_spent(use);
+
+	return left < 1 ? 0 : left / allowed;
 }
 
 bool repeats_spend(struct repeats *r, const char *service, enum repeats_purpose purpose,
 		   uint64_t now_us)
 {
 	struct service_use *use = use_find(r, service, now_us);
-	double part = purpose == REPEATS_HEDGE ? 1 - RECOVERY_PART : 1;
 
-	if (use_left(r, use, part, now_us) < 1)
+	if (use_allowed(r, use, purpose, now_us) - use_spent(use) < 1)
 		return false;
 	use->repeats[use->slot % (SLOTS + 1)]++;
 	return true;
 }
+
+void repeats_refund(struct repeats *r, const char *service, uint64_t now_us)
+{
+	struct service_use *use = use_find(r, service, now_us);
+
+	/* The slot in which it was counted may be past; it is taken from the newest that has one.
+	 */
+	for (unsigned int i = 0; i <= SLOTS; i++) {
+		unsigned int *repeats = &use->repeats[(use->slot + SLOTS + 1 - i) % (SLOTS + 1)];
+
+		if (*repeats == 0)
+			continue;
+		(*repeats)--;
+		return;
+	}
+}
--- a/src/repeats.h
+++ b/src/repeats.h
@@ -49,6 +49,11 @@
  * to recoveries. */
 bool repeats_spend(struct repeats *r, const char *service, enum repeats_purpose purpose,
 		   uint64_t now_us);
+/* A repeat that was counted has never been sent. */
+void repeats_refund(struct repeats *r, const char *service, uint64_t now_us);
+/* Part of the budget that is unspent, 0 to 1. */
+double repeats_left(struct repeats *r, const char *service, enum repeats_purpose purpose,
+		    uint64_t now_us);
 
 G_END_DECLS
 
--- a/src/scatter.c
+++ b/src/scatter.c
@@ -9,6 +9,15 @@
 /* Bounds of the delay as parts of the goal: early enough for a second call to be in time. */
 #define HEDGE_MIN_PART 0.12
 #define HEDGE_MAX_PART 0.3
+/* Time that a usual call takes at most: a second one must be answered within it to be in time. */
+#define HEDGE_ANSWER_QUANTILE 0.75
+/* Assumed of a call before there are samples: twice the mean work of the first deployments'
+ * searches. */
+#define HEDGE_NO_SAMPLES_US 40000
+/* Part of the budget below which second calls wait: calm days leave more than that unspent. */
+#define HEDGE_HOLD_BELOW 0.3
+/* Timers fire about so late; a shorter wait is none. */
+#define HEDGE_STEP_US 1000
 /* Without a goal: a usual time for a call. */
 #define HEDGE_NO_GOAL_US 500000
 /* Past the goal an answer is worth little sooner or later; it waits for missing shards as long as
@@ -24,6 +33,7 @@
 
 struct shard {
 	uint64_t called_us;
+	uint64_t hedge_at_us;
 	unsigned int ran; /* calls that have run or may have */
 	unsigned int not_run;
 	unsigned int open;
@@ -75,6 +85,7 @@
 
 	sh->open++;
 	sh->called_us = now_us;
+	sh->hedge_at_us = now_us + s->policy.hedge_after_us;
 	sh->is_hedge_due = true;
 	shard_changed(s, sh, was_lost);
 }
@@ -92,6 +103,15 @@
 	shard_changed(s, sh, was_lost);
 }
 
+void scatter_call_withdrawn(struct scatter *s, unsigned int shard)
+{
+	struct shard *sh = &s->shards[shard];
+	bool was_lost = shard_is_lost(sh);
+
+	sh->open--;
+	shard_changed(s, sh, was_lost);
+}
+
 bool scatter_call_answered(struct scatter *s, unsigned int shard)
 {
 	struct shard *sh = &s->shards[shard];
@@ -137,11 +157,6 @@
 	return s->shards[shard].is_in;
 }
 
-static bool is_overdue(const struct scatter *s, const struct shard *sh, uint64_t now_us)
-{
-	return now_us >= sh->called_us + s->policy.hedge_after_us;
-}
-
 bool scatter_hedge_next(struct scatter *s, unsigned int *shard, uint64_t now_us)
 {
 	if (s->policy.hedge_after_us == 0 || !s->policy.is_idempotent)
@@ -149,7 +164,7 @@
 	for (; *shard < s->policy.n_shards; (*shard)++) {
 		struct shard *sh = &s->shards[*shard];
 
-		if (sh->is_in || sh->open == 0 || !sh->is_hedge_due || !is_overdue(s, sh, now_us))
+		if (sh->is_in || sh->open == 0 || !sh->is_hedge_due || now_us < sh->hedge_at_us)
 			continue;
 		sh->is_hedge_due = false;
 		if (scatter_may_call(s, *shard))
@@ -158,6 +173,32 @@
 	return false;
 }
 
+bool scatter_hedge_holds(struct scatter *s, unsigned int shard, double budget_left, uint64_t now_us)
+{
+	struct shard *sh = &s->shards[shard];
+	uint64_t first_us = sh->called_us + s->policy.hedge_after_us;
+	double part;
+	uint64_t at_us;
+
+	if (s->policy.hedge_last_at_us <= first_us)
+		return false;
+	part = 1 - CLAMP(budget_left / HEDGE_HOLD_BELOW, 0, 1);
+	at_us = first_us + (uint64_t)(part * (double)(s->policy.hedge_last_at_us - first_us));
+	if (at_us < now_us + HEDGE_STEP_US)
+		return false;
+	sh->hedge_at_us = at_us;
+	sh->is_hedge_due = true;
+	return true;
+}
+
+void scatter_hedge_defer(struct scatter *s, unsigned int shard, uint64_t now_us)
+{
+	struct shard *sh = &s->shards[shard];
+
+	sh->hedge_at_us = now_us + MAX(HEDGE_STEP_US, s->policy.hedge_after_us / 2);
+	sh->is_hedge_due = true;
+}
+
 static uint64_t next_hedge_us(const struct scatter *s)
 {
 	uint64_t first_us = G_MAXUINT64;
@@ -168,7 +209,7 @@
 		const struct shard *sh = &s->shards[i];
 
 		if (!sh->is_in && sh->open > 0 && sh->is_hedge_due && scatter_may_call(s, i))
-			first_us = MIN(first_us, sh->called_us + s->policy.hedge_after_us);
+			first_us = MIN(first_us, sh->hedge_at_us);
 	}
 	return first_us;
 }
@@ -215,6 +256,15 @@
 		     (uint64_t)(HEDGE_MAX_PART * (double)goal_us));
 }
 
+uint64_t scatter_hedge_last_at_us(const struct hist *latencies, uint64_t goal_at_us)
+{
+	uint64_t answer_us = HEDGE_NO_SAMPLES_US;
+
+	if (latencies && hist_count(latencies) >= HEDGE_SAMPLES)
+		answer_us = hist_quantile(latencies, HEDGE_ANSWER_QUANTILE);
+	return goal_at_us > answer_us ? goal_at_us - answer_us : 0;
+}
+
 void scatter_times_set(struct scatter_policy *policy, const struct scatter_wait *wait)
 {
 	uint64_t goal_us = (uint64_t)wait->goal_ms * 1000;
--- a/src/scatter.h
+++ b/src/scatter.h
@@ -25,6 +25,7 @@
 	uint64_t goal_at_us; /* an answer sent by then is in time; 0: no goal */
 	uint64_t deadline_us;
 	uint64_t hedge_after_us; /* second call when the first is unanswered for so long; 0: none */
+	uint64_t hedge_last_at_us; /* a second call sent later is rarely in time; 0: no goal */
 };
 
 enum scatter_verdict {
@@ -48,6 +49,8 @@
 /* A call of the shard is on its way. */
 void scatter_call_started(struct scatter *s, unsigned int shard, uint64_t now_us);
 void scatter_call_lost(struct scatter *s, unsigned int shard, enum scatter_loss loss);
+/* A call of the shard was taken back before it was sent. */
+void scatter_call_withdrawn(struct scatter *s, unsigned int shard);
 /* The shard's answer is in; false when it had been in already. */
 bool scatter_call_answered(struct scatter *s, unsigned int shard);
 /* No further call of the shard is possible: no leaf, no attempt or no budget is left. */
@@ -65,6 +68,20 @@
  */
 bool scatter_hedge_next(struct scatter *s, unsigned int *shard, uint64_t now_us);
 
+/*
+ * Whether the second call of a shard that scatter_hedge_next returned waits, since its first call
+ * may still be in time and others need the budget more. budget_left: 0 (spent) to 1 (unspent); the
+ * less is left, the closer to hedge_last_at_us the call goes out. The shard is returned again then.
+ *
+ * Answers the load in which leaves of many shards are slow at once: calls that are a little late
+ * would use up the budget before those that will not be answered at all.
+ */
+bool scatter_hedge_holds(struct scatter *s, unsigned int shard, double budget_left,
+			 uint64_t now_us);
+
+/* Nothing better than waiting is known for an overdue shard: it is returned again after a while. */
+void scatter_hedge_defer(struct scatter *s, unsigned int shard, uint64_t now_us);
+
 /* *wake_us: when the verdict is to be asked for again without news. */
 enum scatter_verdict scatter_verdict(const struct scatter *s, uint64_t now_us, uint64_t *wake_us);
 
@@ -87,6 +104,8 @@
 
 /* Delay until a second call from the measured latencies of the route's calls; goal_us: 0: none. */
 uint64_t scatter_hedge_delay_us(const struct hist *latencies, uint64_t goal_us);
+/* Last moment at which a usual call is answered by goal_at_us; 0: there is no goal. */
+uint64_t scatter_hedge_last_at_us(const struct hist *latencies, uint64_t goal_at_us);
 
 G_END_DECLS
 
--- a/src/upstream.c
+++ b/src/upstream.c
@@ -2,6 +2,7 @@
 
 #include "clock.h"
 #include "log.h"
+#include "window.h"
 
 #include <stdlib.h>
 #include <string.h>
@@ -40,7 +41,9 @@
 	struct list_head queue; /* struct leaf_call */
 	unsigned int n_conns;
 	unsigned int n_connecting;
+	unsigned int n_busy;
 	unsigned int n_queued;
+	struct window window; /* calls in flight */
 	unsigned int max_connections; /* of the leaf, all VMs together */
 	unsigned int granted; /* connections that this VM allows itself */
 	uint64_t granted_us; /* last change of it */
@@ -72,19 +75,42 @@
 
 static void queue_serve(struct upstream *u, struct leaf_link *link, uint64_t now_us);
 
+/* Ends of calls that tell how long the leaf takes. */
+static bool end_tells_latency(enum leaf_end end)
+{
+	return end == LEAF_END_ANSWERED || end == LEAF_END_ERRORED || end == LEAF_END_SILENT;
+}
+
+/* sent_us: 0 when the call never left; the call is not counted as busy any more. */
+static void window_note(struct leaf_link *link, enum leaf_end end, uint64_t sent_us,
+			uint64_t useful_us, uint64_t now_us)
+{
+	if (sent_us == 0)
+		return;
+	if (end == LEAF_END_REFUSED)
+		window_call_refused(&link->window, sent_us, now_us);
+	else if (end_tells_latency(end))
+		window_call_ended(&link->window, sent_us, useful_us, link->n_busy + 1, now_us);
+}
+
 static void call_end(struct upstream *u, struct leaf_call *call, enum leaf_end end,
 		     const struct http_reader *answer, bool was_sent)
 {
 	struct leaf *leaf = call->leaf;
 	uint64_t now_us = clock_now_us();
 	uint64_t latency_us = now_us - call->started_us;
+	uint64_t sent_us;
+	uint64_t useful_us;
 	bool was_doubted;
 
 	call->leaf = NULL;
 	call->conn = NULL;
+	sent_us = call->sent_us;
+	useful_us = call->useful_us;
 	end = call->ops->done(call, end, answer, was_sent);
 	was_doubted = leaf_is_doubted(leaf, now_us) || leaf->is_misplaced;
 	leaf_call_ended(leaf, end, latency_us, now_us);
+	window_note(leaf->link, end, sent_us, useful_us, now_us);
 	if (!was_doubted && (leaf_is_doubted(leaf, now_us) || leaf->is_misplaced))
 		log_event(LOG_LEVEL_WARNING, "leaf_doubted",
 			  "leaf=%s service=%s why=%s failures=%u for_ms=%" G_GUINT64_FORMAT,
@@ -106,6 +132,7 @@
 
 	list_del(&conn->node);
 	link->n_conns--;
+	link->n_busy -= conn->call != NULL;
 	conn->upstream->stats.connections--;
 	if (!conn->is_open)
 		link->n_connecting--;
@@ -171,7 +198,9 @@
 	list_add_tail(&conn->node, &link->busy);
 	conn->call = call;
 	conn->since_us = now_us;
+	link->n_busy++;
 	call->conn = conn;
+	call->sent_us = now_us;
 	call->ops->render(call, out);
 	/* A connection that is found lost here is reported by its read event. */
 	http_conn_send(conn->client, out->str, out->len);
@@ -216,6 +245,7 @@
 	if (!call->ops->matches(call, answer))
 		return false;
 	conn->call = NULL;
+	link->n_busy--;
 	conn->is_proven = true;
 	conn->since_us = now_us;
 	conn->idle_until_us = now_us + idle_time_us(answer);
@@ -328,10 +358,21 @@
 		conn_destroy(list_entry(node, struct leaf_conn, node));
 }
 
+/*
+ * The call that is sent next. Of calls that their requests can do without the newest has the most
+ * time left: in a queue that does not get shorter, the oldest first would make all of them late.
+ */
+static struct leaf_call *queue_next(const struct leaf_link *link)
+{
+	struct leaf_call *newest = list_entry(link->queue.prev, struct leaf_call, node);
+
+	return newest->is_partial ? newest : list_entry(link->queue.next, struct leaf_call, node);
+}
+
 static void queue_serve(struct upstream *u, struct leaf_link *link, uint64_t now_us)
 {
-	while (link->n_queued > 0) {
-		struct leaf_call *call = list_entry(link->queue.next, struct leaf_call, node);
+	while (link->n_queued > 0 && link->n_busy < window_size(&link->window)) {
+		struct leaf_call *call = queue_next(link);
 		struct leaf_conn *conn = idle_pick(link, call, now_us);
 
 		if (!conn)
@@ -339,7 +380,8 @@
 		queue_remove(u, link, call);
 		call_send(conn, call, now_us);
 	}
-	while (link->n_queued > link->n_connecting) {
+	while (link->n_queued > link->n_connecting &&
+	       link->n_busy + link->n_connecting < window_size(&link->window)) {
 		idle_evict(u, link);
 		if (link->n_conns >= conns_allowed(u, link))
 			grant_grow(link, now_us);
@@ -360,6 +402,7 @@
 	link = g_new0(struct leaf_link, 1);
 	link->leaf = leaf_get(leaf);
 	link->granted = CONNECTIONS_FIRST;
+	window_init(&link->window);
 	list_init(&link->idle);
 	list_init(&link->connecting);
 	list_init(&link->busy);
@@ -378,6 +421,7 @@
 	call->leaf = leaf_get(leaf);
 	call->conn = NULL;
 	call->started_us = now_us;
+	call->sent_us = 0;
 	leaf_call_started(leaf, now_us);
 	list_add_tail(&call->node, &link->queue);
 	link->n_queued++;
@@ -398,6 +442,7 @@
 		conn_destroy(conn);
 	else
 		queue_remove(u, link, call);
+	window_note(link, end, call->sent_us, call->useful_us, now_us);
 	queue_serve(u, link, now_us);
 	leaf_put(leaf);
 }
--- a/src/upstream.h
+++ b/src/upstream.h
@@ -40,6 +40,9 @@
 	struct leaf *leaf; /* a reference, held from upstream_call to the end */
 	struct leaf_conn *conn; /* while sent */
 	uint64_t started_us;
+	uint64_t sent_us; /* 0: not sent yet */
+	uint64_t useful_us; /* an answer so long after the start is in time; 0: not known */
+	bool is_partial; /* its request can be answered without it */
 	bool wants_fresh; /* an idle connection may be used only when it was used just now */
 };
 
--- a/tests/repeats_test.cc
+++ b/tests/repeats_test.cc
@@ -29,6 +29,15 @@
 		if (w[0] == "requests")
 			for (int i = 0; i < std::stoi(w[1]); i++)
 				repeats_request(r, "s", now_us);
+		for (int i = 0; w[0] == "refund" && i < std::stoi(w[1]); i++)
+			repeats_refund(r, "s", now_us);
+		if (w[0] == "left") {
+			char text[16];
+
+			g_snprintf(text, sizeof(text), "%.2f\n",
+				   repeats_left(r, "s", REPEATS_RECOVERY, now_us));
+			return text;
+		}
 		if (w[0] == "spend") {
 			int n = 0;
 
--- a/tests/scatter_test.cc
+++ b/tests/scatter_test.cc
@@ -15,7 +15,7 @@
 		scatter_destroy(s);
 	}
 
-	/* policy SHARDS MIN_SHARE ATTEMPTS safe|unsafe GOAL DEADLINE HEDGE */
+	/* policy SHARDS MIN_SHARE ATTEMPTS safe|unsafe GOAL DEADLINE HEDGE [last AT] */
 	void policy(const std::vector<std::string> &w)
 	{
 		struct scatter_policy p = {};
@@ -27,6 +27,8 @@
 		p.goal_at_us = std::stoull(w[5]) * 1000;
 		p.deadline_us = std::stoull(w[6]) * 1000;
 		p.hedge_after_us = std::stoull(w[7]) * 1000;
+		if (w.size() > 9)
+			p.hedge_last_at_us = std::stoull(w[9]) * 1000;
 		s = scatter_create(&p);
 	}
 
@@ -40,6 +42,21 @@
 		       (v == SCATTER_WAIT ? " " + std::to_string(wake_us / 1000) : "") + "\n";
 	}
 
+	/* holds SHARD budget LEFT: when the shard is returned again, looked for millisecond by
+	 * millisecond. */
+	std::string holds(unsigned int shard, double left)
+	{
+		uint64_t at_us = now_us;
+
+		if (!scatter_hedge_holds(s, shard, left, now_us))
+			return "no\n";
+		for (unsigned int found = shard;
+		     !scatter_hedge_next(s, &found, at_us) || found != shard; found = shard)
+			at_us += 1000;
+		scatter_hedge_holds(s, shard, left, now_us);
+		return "until " + std::to_string(at_us / 1000) + "\n";
+	}
+
 	std::string hedges()
 	{
 		std::string out;
@@ -52,9 +69,10 @@
 	std::string run(const std::vector<std::string> &w) override
 	{
 		unsigned int first = w.size() > 1 && w[0] != "policy" ? std::stoul(w[1]) : 0;
-		unsigned int last = w.size() > 2 && w[0] != "policy" && w[0] != "lost"
-					    ? std::stoul(w[2])
-					    : first;
+		unsigned int last =
+			w.size() > 2 && w[0] != "policy" && w[0] != "lost" && w[0] != "holds"
+				? std::stoul(w[2])
+				: first;
 
 		if (w[0][0] == '@')
 			now_us = std::stoull(w[0].substr(1)) * 1000;
@@ -72,6 +90,12 @@
 							  : SCATTER_LOSS_MAY_HAVE_RUN);
 		if (w[0] == "exhausted")
 			scatter_calls_exhausted(s, first);
+		if (w[0] == "withdrawn")
+			scatter_call_withdrawn(s, first);
+		if (w[0] == "defer")
+			scatter_hedge_defer(s, first, now_us);
+		if (w[0] == "holds")
+			return holds(first, std::stod(w[3]));
 		if (w[0] == "may")
 			return scatter_may_call(s, first) ? "yes\n" : "no\n";
 		if (w[0] == "verdict")
