Name each request in the logs, also when its VM is lost

Change: requests_begun lists the ids that were read since the last flush, requests_brief the ends whose lines the rate left out (20 lines of 1,000 bytes a second each at most); explain finds ids in both. Ruled out: a line for each request that begins (twice the volume at the bound of 40 lines a second). Tests explain.lists_name_requests_without_a_line and explain.list_after_the_end.

--- a/src/explain.c
+++ b/src/explain.c
@@ -125,13 +125,54 @@
 	return ((*left)->at_ms > (*right)->at_ms) - ((*left)->at_ms < (*right)->at_ms);
 }
 
+static bool is_list(const struct line *line)
+{
+	return g_strcmp0(line->event, "requests_begun") == 0 ||
+	       g_strcmp0(line->event, "requests_brief") == 0;
+}
+
+/* The item of a list that begins with the id, as its parts; NULL when there is none. */
+static char **item_find(const struct line *line, const char *id)
+{
+	g_autofree char *items = value_find(line->text, "items");
+	g_auto(GStrv) list = g_strsplit(items ? items : "", ",", -1);
+
+	for (char **item = list; *item; item++) {
+		char **parts = g_strsplit(*item, ":", -1);
+
+		if (g_strcmp0(parts[0], id) == 0)
+			return parts;
+		g_strfreev(parts);
+	}
+	return NULL;
+}
+
 static bool is_of_request(const struct line *line, const char *id)
 {
-	g_autofree char *request = value_find(line->text, "request");
+	g_autofree char *request = NULL;
 
+	if (is_list(line)) {
+		g_auto(GStrv) item = item_find(line, id);
+
+		return item != NULL;
+	}
+	request = value_find(line->text, "request");
 	return request && strcmp(request, id) == 0;
 }
 
+/* The request has no line of its own: the rate of such lines left it out. */
+static void brief_say(GString *out, const struct line *line, const char *id)
+{
+	g_auto(GStrv) item = item_find(line, id);
+
+	if (g_strv_length(item) != 4)
+		return;
+	g_string_append_printf(out,
+			       "cause: %s (status %s), %s shards in; its line was left out since "
+			       "too many requests ended badly at once: look at lines of others\n",
+			       item[1], item[2], item[3]);
+}
+
 /* Counts the steps of a trace that contain the words. */
 static unsigned int steps_count(const char *trace, const char *words)
 {
@@ -268,14 +309,29 @@
 			g_string_append_printf(out, "    %s\n", *step);
 }
 
+/* Says what one line tells of the request; true when it is the line of its end. */
+static bool line_say(GString *out, GString *steps, const struct line *line, const char *id)
+{
+	bool is_begun = g_strcmp0(line->event, "request_begun") == 0 ||
+			g_strcmp0(line->event, "requests_begun") == 0;
+
+	if (g_strcmp0(line->event, "requests_brief") == 0)
+		brief_say(out, line, id);
+	else if (!is_begun)
+		cause_say(out, line);
+	if (!is_list(line))
+		steps_say(steps, line);
+	return !is_begun;
+}
+
 char *explain_request(const char *id, const struct explain_file *files, unsigned int n_files,
 		      bool *found)
 {
 	struct story s = {g_ptr_array_new_with_free_func(line_free), g_string_new(NULL), 0};
 	GString *out = g_string_new(NULL);
 	GString *steps = g_string_new(NULL);
-	const struct line *last = NULL;
-	bool is_begun = false;
+	const struct line *begun = NULL;
+	const struct line *end = NULL;
 
 	for (unsigned int i = 0; i < n_files; i++)
 		file_read(&s, &files[i]);
@@ -285,19 +341,19 @@
 
 		if (!is_of_request(line, id))
 			continue;
-		is_begun = g_strcmp0(line->event, "request_begun") == 0;
-		if (!is_begun)
-			cause_say(out, line);
-		steps_say(steps, line);
-		last = line;
+		/* A list is written a little after what it names: it may follow the end. */
+		if (line_say(out, steps, line, id))
+			end = line;
+		else
+			begun = line;
 	}
-	*found = last != NULL;
-	if (last && is_begun)
-		unended_say(out, &s, last);
+	*found = begun || end;
+	if (begun && !end)
+		unended_say(out, &s, begun);
 	g_string_append(out, steps->str);
 	g_string_free(steps, TRUE);
-	if (last)
-		context_say(out, &s, last);
+	if (*found)
+		context_say(out, &s, end ? end : begun);
 	else
 		g_string_append_printf(
 			out,
--- a/src/gateway.c
+++ b/src/gateway.c
@@ -26,15 +26,17 @@
 static void server_request(void *arg, struct http_request *request)
 {
 	struct gateway *g = arg;
+	const char *id;
 
 	if (g->map) {
 		job_start(&g->env, g->map, request);
 		return;
 	}
 	g->not_ready++;
-	log_request(LOG_LEVEL_WARNING,
-		    http_reader_find(http_request_message(request), g->env.edge->fields.request_id),
-		    "request_refused", "status=503 lacks=configuration");
+	id = http_reader_find(http_request_message(request), g->env.edge->fields.request_id);
+	if (!log_request(LOG_LEVEL_WARNING, id, "request_refused",
+			 "status=503 lacks=configuration"))
+		log_list_add(LOG_LIST_BRIEF, "%s:refused:503:0/0", id ? id : "-");
 	http_request_answer(request, 503, NOT_READY_FIELDS, "", 0);
 }
 
--- a/src/job.c
+++ b/src/job.c
@@ -207,6 +207,26 @@
 	}
 }
 
+/* A request whose line the rate leaves out is named in a list at least. */
+static void end_log(const struct job *j, enum job_outcome outcome, unsigned int status,
+		    uint64_t took_us)
+{
+	enum log_level level = outcome == JOB_COMPLETE ? LOG_LEVEL_INFO : LOG_LEVEL_WARNING;
+	unsigned int n_in = scatter_in_count(j->scatter);
+
+	if (log_request(level, j->id, "request_done",
+			"outcome=%s status=%u route=%s version=%" G_GUINT64_FORMAT
+			" in=%u of=%u calls=%u hedges=%u moved=%u retries=%u held=%u denied=%u"
+			" wait_ms=%" G_GUINT64_FORMAT " took_us=%" G_GUINT64_FORMAT " trace=\"%s\"",
+			outcome_names[outcome], status, j->route->name ? j->route->name : "-",
+			j->map->version, n_in, j->n_shards, j->n_calls, j->n_hedges, j->n_moved,
+			j->n_retries, j->n_held, j->n_denied, (j->deadline_us - j->read_us) / 1000,
+			took_us, j->trace ? j->trace->str : ""))
+		return;
+	log_list_add(LOG_LIST_BRIEF, "%s:%s:%u:%u/%u", j->id, outcome_names[outcome], status, n_in,
+		     j->n_shards);
+}
+
 /* The caller has its answer or has left: what remains are calls that may finish for a while. */
 static void job_finish(struct job *j, enum job_outcome outcome, unsigned int status,
 		       uint64_t linger_us)
@@ -219,15 +239,7 @@
 	hist_add(j->stats->answer_us, took_us);
 	if (outcome != JOB_COMPLETE && outcome != JOB_PASSED)
 		trace_missing(j, now_us);
-	log_request(outcome == JOB_COMPLETE ? LOG_LEVEL_INFO : LOG_LEVEL_WARNING, j->id,
-		    "request_done",
-		    "outcome=%s status=%u route=%s version=%" G_GUINT64_FORMAT
-		    " in=%u of=%u calls=%u hedges=%u moved=%u retries=%u held=%u denied=%u "
-		    "wait_ms=%" G_GUINT64_FORMAT " took_us=%" G_GUINT64_FORMAT " trace=\"%s\"",
-		    outcome_names[outcome], status, j->route->name ? j->route->name : "-",
-		    j->map->version, scatter_in_count(j->scatter), j->n_shards, j->n_calls,
-		    j->n_hedges, j->n_moved, j->n_retries, j->n_held, j->n_denied,
-		    (j->deadline_us - j->read_us) / 1000, took_us, j->trace ? j->trace->str : "");
+	end_log(j, outcome, status, took_us);
 	unsent_cancel(j, now_us);
 	if (list_is_empty(&j->calls))
 		job_destroy(j);
@@ -767,6 +779,7 @@
 	const struct route *route;
 	struct job *j;
 
+	log_list_add(LOG_LIST_BEGUN, "%s", id ? id : "-");
 	if (!host || !id) {
 		log_request(LOG_LEVEL_WARNING, id, "request_refused", "status=400 lacks=%s",
 			    id ? "host" : "id");
--- a/src/log.c
+++ b/src/log.c
@@ -16,6 +16,24 @@
 /* A pipe that is ready for writing takes at least so many bytes without blocking (POSIX). */
 #define WRITE_BYTES 4096
 
+/* Of a list's line; with LIST_LINES_S this bounds each list to about 20 KB a second. */
+#define LIST_BYTES 1000
+#define LIST_LINES_S 20
+
+/* Items of a list that are not written yet. */
+struct pending_list {
+	const char *event;
+	char items[LIST_BYTES];
+	size_t n_bytes;
+	unsigned int lines; /* in the current second */
+	uint64_t second;
+};
+
+static struct pending_list lists[] = {
+#define X(symbol, name) {.event = name},
+	LOG_LIST_LIST(X)
+#undef X
+};
 static const char *const level_names[] = {"error", "warning", "info"};
 static char log_vm[64] = "-";
 static enum log_level log_max = LOG_LEVEL_INFO;
@@ -83,8 +101,51 @@
 	buffered += n;
 }
 
+static void list_write(struct pending_list *list)
+{
+	char text[LIST_BYTES + 8];
+	uint64_t second = clock_now_ms() / CLOCK_MS_PER_S;
+
+	if (list->n_bytes == 0)
+		return;
+	if (second != list->second)
+		list->lines = 0;
+	list->second = second;
+	g_snprintf(text, sizeof(text), "items=%s", list->items);
+	list->n_bytes = 0;
+	if (list->lines++ < LIST_LINES_S)
+		line_add(LOG_LEVEL_INFO, list->event, NULL, text);
+	else
+		dropped++;
+}
+
+void log_list_add(enum log_list which, const char *format, ...)
+{
+	struct pending_list *list = &lists[which];
+	char item[LIST_BYTES / 4];
+	size_t n;
+	va_list args;
+
+	if (log_max < LOG_LEVEL_INFO)
+		return;
+	va_start(args, format);
+	g_vsnprintf(item, sizeof(item), format, args);
+	va_end(args);
+	/* Separators of the list that come from outside. */
+	g_strdelimit(item, ", \t", '_');
+	n = strlen(item);
+	if (list->n_bytes + n + 2 > sizeof(list->items))
+		list_write(list);
+	if (list->n_bytes > 0)
+		list->items[list->n_bytes++] = ',';
+	memcpy(list->items + list->n_bytes, item, n + 1);
+	list->n_bytes += n;
+}
+
 void log_flush(void)
 {
+	for (int i = 0; i < LOG_LIST_COUNT; i++)
+		list_write(&lists[i]);
 	if (dropped != dropped_said && buffered < sizeof(buffer) / 2) {
 		char text[64];
 
@@ -115,10 +176,8 @@
 		request_second = second;
 		request_lines = 0;
 	}
-	if (request_lines >= limit) {
-		dropped++;
+	if (request_lines >= limit)
 		return false;
-	}
 	request_lines++;
 	return true;
 }
@@ -136,17 +195,18 @@
 	line_add(level, event, NULL, text);
 }
 
-void log_request(enum log_level level, const char *id, const char *event, const char *format, ...)
+bool log_request(enum log_level level, const char *id, const char *event, const char *format, ...)
 {
 	char text[LINE_BYTES];
 	va_list args;
 
 	if (level > log_max || !request_line_allowed(level))
-		return;
+		return false;
 	va_start(args, format);
 	g_vsnprintf(text, sizeof(text), format, args);
 	va_end(args);
 	line_add(level, event, id, text);
+	return true;
 }
 
 gboolean log_level_parse(const char *text, enum log_level *level)
--- a/src/log.h
+++ b/src/log.h
@@ -10,6 +10,7 @@
 #define APRICOT_LOG_H
 
 #include <glib.h>
+#include <stdbool.h>
 
 G_BEGIN_DECLS
 
@@ -25,10 +26,25 @@
 void log_event(enum log_level level, const char *event, const char *format, ...)
 	G_GNUC_PRINTF(3, 4);
 
-/* The same for one request, within the rate of such lines; id: the request's. */
-void log_request(enum log_level level, const char *id, const char *event, const char *format, ...)
+/* The same for one request; false when the rate of such lines leaves it out. id: the request's. */
+bool log_request(enum log_level level, const char *id, const char *event, const char *format, ...)
 	G_GNUC_PRINTF(4, 5);
 
+/* X(symbol, event): kinds of lines that name many requests in a few bytes each */
+#define LOG_LIST_LIST(X)           \
+	X(BEGUN, "requests_begun") \
+	X(BRIEF, "requests_brief")
+
+enum log_list {
+#define X(symbol, event) LOG_LIST_##symbol,
+	LOG_LIST_LIST(X)
+#undef X
+		LOG_LIST_COUNT
+};
+
+/* Adds an item, without commas and blanks, to the next line of the list; log_flush writes it. */
+void log_list_add(enum log_list list, const char *format, ...) G_GNUC_PRINTF(2, 3);
+
 /* Writes what the output takes now. Called by the event loop's timer and at the end. */
 void log_flush(void);
 
--- a/src/logevent.h
+++ b/src/logevent.h
@@ -16,6 +16,8 @@
 	X("reload_refused", "settings that were not taken and why")                            \
 	X("log_dropped", "lines left out since the last such line")                            \
 	X("request_begun", "a request that must not be repeated was sent to a leaf")           \
+	X("requests_begun", "ids of requests that were read since the last such line")         \
+	X("requests_brief", "ends of requests without a line: id:outcome:status:in/of")        \
 	X("request_done", "one request: route, version, shards in, calls, trace of decisions") \
 	X("request_refused", "one request that matched no route or lacked a field")            \
 	X("input_refused", "bytes that were no request, and the status sent")                  \
--- a/tests/explain_test.cc
+++ b/tests/explain_test.cc
@@ -69,6 +69,40 @@
 		<< out;
 }
 
+/* Guards against a search without an explanation because its VM lost power, or its line the rate.
+ */
+TEST(explain, lists_name_requests_without_a_line)
+{
+	bool found;
+	std::string text =
+		"2026-12-04T12:00:01.000Z level=info vm=n1 event=requests_begun items=aa,ab,ac\n"
+		"2026-12-04T12:00:01.090Z level=info vm=n1 event=requests_brief "
+		"items=aa:partial:200:18/20,ac:refused:503:0/1\n"
+		"2026-12-04T12:00:03.500Z level=info vm=n1 event=started dc=a\n";
+
+	EXPECT_EQ(explained("ab", text, &found)
+			  .find("cause: n1 was lost while it worked on the request, and started "
+				"again 2500 ms after it began; it may have run\n"),
+		  0u);
+	EXPECT_TRUE(found);
+	EXPECT_EQ(explained("aa", text, &found)
+			  .find("cause: partial (status 200), 18/20 shards in; "),
+		  0u);
+	explained("a", text, &found);
+	EXPECT_FALSE(found);
+}
+
+/* Guards against an end that is taken for none, since the list of begun requests is written later.
+ */
+TEST(explain, list_after_the_end)
+{
+	bool found;
+	std::string text = std::string(sample) + "2026-12-04T12:00:02.090Z level=info vm=n1 "
+						 "event=requests_begun items=ab12\n";
+
+	EXPECT_EQ(explained("ab12", text, &found).find("cause: partial (status 200)"), 0u);
+}
+
 /* Guards against silence about an unknown id, a cut file, a stepped clock or lines left out. */
 TEST(explain, says_what_is_missing)
 {
@@ -103,6 +137,8 @@
 	     {"configurer", "directory", "feed", "gateway", "holder", "job", "log", "main", "marks",
 	      "membership", "relay", "reload", "stopper", "upstream", "leaving", "leafpool"})
 		sources += file_read(std::string(TEST_DIR) + "/../src/" + file + ".c");
+	/* The names of lists stand beside their enumeration. */
+	sources += file_read(std::string(TEST_DIR) + "/../src/log.h");
 	for (const std::string &name : listed)
 		EXPECT_NE(sources.find("\"" + name + "\""), std::string::npos)
 			<< "no source writes " << name;
