Tell callers to come back late when the store is away

Change: retryafter chooses by reason: leaves full 0.05 to 0.3 s as before; no leaf or no configuration a third of the caller's time, 2 s at most, spread by a fifth; a VM that has just started 0.1 to 0.3 s. Ruled out: telling more than a third, which callers do not honour.

--- a/src/gateway.c
+++ b/src/gateway.c
@@ -4,14 +4,13 @@
 #include "job.h"
 #include "log.h"
 #include "message.h"
+#include "retryafter.h"
 
 #include <string.h>
 
 /* VMs that still serve callers with old address lists and share the budget of repeats: as many as
  * may be replaced at once. */
 #define STALE_VMS 2
-/* Answer to requests that arrive before the first configuration. */
-#define NOT_READY_FIELDS "Retry-After: 0.5\r\n"
 
 struct gateway {
 	struct service service;
@@ -21,23 +20,35 @@
 	char **places; /* data centres of the leaves, as told to the directory */
 	uint64_t refused_bytes; /* inputs that were no request */
 	uint64_t not_ready;
+	uint64_t started_ms;
 };
 
-static void server_request(void *arg, struct http_request *request)
+/* A request that arrives before the first configuration. */
+static void not_ready_answer(struct gateway *g, struct http_request *request)
 {
-	struct gateway *g = arg;
-	const char *id;
+	const struct http_reader *message = http_request_message(request);
+	const char *id = http_reader_find(message, g->env.edge->fields.request_id);
+	const char *wait = http_reader_find(message, g->env.edge->fields.deadline_ms);
+	char fields[64];
 
-	if (g->map) {
-		job_start(&g->env, g->map, request);
-		return;
-	}
 	g->not_ready++;
-	id = http_reader_find(http_request_message(request), g->env.edge->fields.request_id);
 	if (!log_request(LOG_LEVEL_WARNING, id, "request_refused",
 			 "status=503 lacks=configuration"))
 		log_list_add(LOG_LIST_BRIEF, "%s:refused:503:0/0", id ? id : "-");
-	http_request_answer(request, 503, NOT_READY_FIELDS, "", 0);
+	g_snprintf(fields, sizeof(fields), "Retry-After: %.3f\r\n",
+		   retryafter_choose_s(RETRY_NO_CONFIG, http_milliseconds_parse(wait),
+				       clock_now_ms() - g->started_ms, g->env.rand));
+	http_request_answer(request, 503, fields, "", 0);
+}
+
+static void server_request(void *arg, struct http_request *request)
+{
+	struct gateway *g = arg;
+
+	if (g->map)
+		job_start(&g->env, g->map, request);
+	else
+		not_ready_answer(g, request);
 }
 
 static void server_left(void *arg, struct http_request *request)
@@ -306,6 +317,7 @@
 	g->service.ops = &ops;
 	g->env.base = kernel_base(k);
 	g->env.rand = kernel_rand(k);
+	g->started_ms = clock_now_ms();
 	g->env.edge = edge;
 	g->env.leaves = leafset_create(settings->dc);
 	g->env.upstream = upstream_create(kernel_base(k));
--- a/src/httpmsg.c
+++ b/src/httpmsg.c
@@ -374,3 +374,12 @@
 		return "Status";
 	}
 }
+
+uint64_t http_milliseconds_parse(const char *text)
+{
+	guint64 value;
+
+	if (text && g_ascii_string_to_unsigned(text, 10, 1, G_MAXINT32, &value, NULL))
+		return value;
+	return 0;
+}
--- a/src/httpmsg.h
+++ b/src/httpmsg.h
@@ -71,6 +71,9 @@
 
 const char *http_status_text(unsigned int status);
 
+/* A field's value in whole milliseconds; 0 when it is absent or no positive number. */
+uint64_t http_milliseconds_parse(const char *text);
+
 G_END_DECLS
 
 #endif
--- a/src/job.c
+++ b/src/job.c
@@ -2,6 +2,7 @@
 
 #include "clock.h"
 #include "log.h"
+#include "retryafter.h"
 #include "scatter.h"
 #include "topk.h"
 
@@ -15,10 +16,6 @@
 #define LINGER_US 400000
 /* The caller has left: leaves must not be at work for it half a second later. */
 #define LEFT_LINGER_US 200000
-/* When a request that could not be served is worth trying again. */
-#define RETRY_AFTER_MIN_S 0.05
-#define RETRY_AFTER_MAX_S 0.3
-#define RETRY_NO_LEAF_S 0.5
 #define TRIED_MAX 8
 /* Bytes of the trace of one request, so that its line stays short. */
 #define TRACE_BYTES 900
@@ -259,11 +256,14 @@
 	job_finish(j, outcome, status, LINGER_US);
 }
 
-static void job_refuse(struct job *j, double retry_s)
+static void job_refuse(struct job *j, enum retry_reason reason)
 {
+	uint64_t now_us = clock_now_us();
+	uint64_t left_ms = j->deadline_us > now_us ? (j->deadline_us - now_us) / 1000 : 1;
 	char fields[64];
 
-	g_snprintf(fields, sizeof(fields), "Retry-After: %.3f\r\n", retry_s);
+	g_snprintf(fields, sizeof(fields), "Retry-After: %.3f\r\n",
+		   retryafter_choose_s(reason, left_ms, 0, j->env->rand));
 	job_answer(j, JOB_REFUSED, 503, fields, "", 0);
 }
 
@@ -312,16 +312,11 @@
 	return false;
 }
 
-static double retry_after_s(struct job *j)
-{
-	return g_rand_double_range(j->env->rand, RETRY_AFTER_MIN_S, RETRY_AFTER_MAX_S);
-}
-
 /* The least share cannot be reached any more. */
 static void answer_unreachable(struct job *j)
 {
 	if (!has_sent(j))
-		job_refuse(j, j->n_calls == 0 ? RETRY_NO_LEAF_S : retry_after_s(j));
+		job_refuse(j, j->n_calls == 0 ? RETRY_NO_LEAF : RETRY_LEAVES_FULL);
 	else if (j->failure_fields && !is_over_shards(j))
 		answer_failure(j);
 	else
@@ -405,7 +400,7 @@
 		if (has_sent(j))
 			job_answer(j, JOB_TIMED_OUT, 504, "", "", 0);
 		else
-			job_refuse(j, retry_after_s(j));
+			job_refuse(j, RETRY_LEAVES_FULL);
 		break;
 	}
 }
@@ -680,15 +675,6 @@
 	return true;
 }
 
-static uint64_t wait_parse(const char *text)
-{
-	guint64 value;
-
-	if (text && g_ascii_string_to_unsigned(text, 10, 1, G_MAXINT32, &value, NULL))
-		return value;
-	return 0;
-}
-
 /* Copies the request as every leaf gets it, without the fields that the product sets itself. */
 static void head_copy(struct job *j, const struct http_reader *message)
 {
@@ -722,7 +708,7 @@
 		.read_us = j->read_us,
 		.goal_ms = route->goal_ms,
 		.timeout_ms = route->timeout_ms,
-		.wait_ms = wait_parse(wait_text),
+		.wait_ms = http_milliseconds_parse(wait_text),
 	};
 
 	j->stats->longest_wait_ms = MAX(j->stats->longest_wait_ms, wait.wait_ms);
--- /dev/null
+++ b/tests/retryafter_test.cc
@@ -0,0 +1,42 @@
+#include "retryafter.h"
+#include "script.h"
+
+#include <algorithm>
+#include <gtest/gtest.h>
+#include <map>
+
+namespace
+{
+struct retryafter_script : script_interpreter {
+	/* choose REASON wait MS uptime MS: bounds over many draws, to two digits. */
+	std::string run(const std::vector<std::string> &w) override
+	{
+		static const std::map<std::string, enum retry_reason> reasons = {
+			{"full", RETRY_LEAVES_FULL},
+			{"no_leaf", RETRY_NO_LEAF},
+			{"no_config", RETRY_NO_CONFIG}};
+		GRand *rand = g_rand_new_with_seed(1);
+		double low = 1e9;
+		double high = 0;
+		char text[64];
+
+		for (int i = 0; i < 20000; i++) {
+			double s = retryafter_choose_s(reasons.at(w[1]), std::stoull(w[3]),
+						       std::stoull(w[5]), rand);
+
+			low = std::min(low, s);
+			high = std::max(high, s);
+		}
+		g_rand_free(rand);
+		g_snprintf(text, sizeof(text), "%.2g to %.2g\n", low, high);
+		std::string out = text;
+		/* "2 to" reads as "2.0 to". */
+		if (out.find('.', out.find("to")) == std::string::npos)
+			out.insert(out.size() - 1, ".0");
+		return out;
+	}
+};
+
+bool registered = script_register("retryafter", "retryafter.test",
+				  [] { return std::make_unique<retryafter_script>(); });
+} // namespace
