Judge a leaf's latency without its pauses

Each leaf pauses 150 to 200 ms in every 3.6 to 4.5 s; one such answer moved its average by 30 ms, more than the 11 ms that a crossing counts, so that the near leaf was avoided until the average had halved after 2 s. Change: an answer above three times the usual one counts up to that limit, once for all calls of the same pause, and in full only when its call was sent after such an answer had come. The window of a leaf starts at its slots, so that leaves with more than four are not held back.

--- a/src/leafset.c
+++ b/src/leafset.c
@@ -6,6 +6,8 @@
 
 /* Weight of a new sample in the average: follows a slow-down within about five answers. */
 #define LATENCY_GAIN 0.2
+/* An answer that takes so many times the usual one met a pause, or the leaf has become slow. */
+#define OUTLIER_FACTOR 3.0
 /* Assumed of a leaf without a sample: the mean work of the first deployments' searches. */
 #define LATENCY_FIRST_US 20000.0
 /* Without samples the average halves in this time, so that a leaf that was slow is tried again. */
@@ -285,6 +287,29 @@
 		l->waiting_since_us = now_us;
 }
 
+/*
+ * Takes an answer into the average. An answer far above it says little: every leaf pauses for ten
+ * times its usual latency now and then. It counts up to a limit, and once for all calls that the
+ * same pause may have held up; in full when its call was sent after such an answer had come, which
+ * one pause cannot explain.
+ */
+static void latency_sample(struct leaf *l, double sample_us, uint64_t now_us)
+{
+	double usual_us = l->latency_us > 0 ? l->latency_us : LATENCY_FIRST_US;
+	bool is_slow = sample_us > OUTLIER_FACTOR * usual_us;
+	bool is_again = l->slow_us > 0 && (double)(now_us - l->slow_us) >= sample_us;
+	bool is_same_pause = is_slow && !is_again && l->slow_us > 0;
+
+	if (is_slow && !is_again)
+		sample_us = OUTLIER_FACTOR * usual_us;
+	if (l->latency_us <= 0)
+		l->latency_us = sample_us;
+	else if (!is_same_pause)
+		l->latency_us += LATENCY_GAIN * (sample_us - l->latency_us);
+	l->slow_us = is_slow ? now_us : 0;
+	l->sampled_us = now_us;
+}
+
 /* nth: how many times in a row there was reason to doubt it. */
 static void leaf_doubt(struct leaf *l, unsigned int nth, uint64_t now_us)
 {
@@ -299,11 +324,7 @@
 	switch (end) {
 	case LEAF_END_ANSWERED:
 		l->waiting_since_us = now_us;
-		l->latency_us = l->latency_us > 0
-					? l->latency_us + LATENCY_GAIN * ((double)latency_us -
-									  l->latency_us)
-					: (double)latency_us;
-		l->sampled_us = now_us;
+		latency_sample(l, (double)latency_us, now_us);
 		l->failures = 0;
 		l->doubted_until_us = 0;
 		break;
--- a/src/leafset.h
+++ b/src/leafset.h
@@ -71,6 +71,7 @@
 	unsigned int outstanding; /* calls without an answer */
 	uint64_t waiting_since_us; /* last answer, or first of the outstanding calls if later */
 	double latency_us; /* moving average; 0: no sample yet */
+	uint64_t slow_us; /* last answer, when it took far longer than usual; else 0 */
 	uint64_t sampled_us;
 	unsigned int failures; /* in a row */
 	uint64_t doubted_until_us;
--- a/src/upstream.c
+++ b/src/upstream.c
@@ -402,7 +402,7 @@
 	link = g_new0(struct leaf_link, 1);
 	link->leaf = leaf_get(leaf);
 	link->granted = CONNECTIONS_FIRST;
-	window_init(&link->window);
+	window_init(&link->window, leaf->slots);
 	list_init(&link->idle);
 	list_init(&link->connecting);
 	list_init(&link->busy);
--- a/src/window.h
+++ b/src/window.h
@@ -18,17 +18,19 @@
 /* Embedded by its owner; holds no memory of its own. */
 struct window {
 	double size;
+	double max;
 	uint64_t cut_us; /* when it was last made smaller */
 };
 
-void window_init(struct window *w);
+/* slots: calls that the leaf runs at once. */
+void window_init(struct window *w, unsigned int slots);
 
 /* Calls that may be in flight at once, at least 1. */
 unsigned int window_size(const struct window *w);
 
 /*
  * A call that was sent at sent_us has ended now, with an answer or without one. useful_us: time
- * from the start of its request within which the answer is worth waiting for; 0: not known.
+ * from the start of its request within which the answer is worth waiting for; 0: any.
  * in_flight: calls in flight before it ended.
  */
 void window_call_ended(struct window *w, uint64_t sent_us, uint64_t useful_us,
--- a/tests/window_test.cc
+++ b/tests/window_test.cc
@@ -94,7 +94,7 @@
 		in_flight.resize(n_vms);
 		waiting.resize(n_vms);
 		for (auto &w : windows)
-			window_init(&w);
+			window_init(&w, slots);
 		for (uint64_t now_us = 0; now_us < 10000000; now_us += STEP_US) {
 			if (g_rand_double(rand) < calls_s * STEP_US / 1e6) {
 				unsigned int vm = (unsigned)g_rand_int_range(rand, 0, (int)n_vms);
@@ -117,7 +117,7 @@
 
 	window_script()
 	{
-		window_init(&w);
+		window_init(&w, 2);
 	}
 
 	/* replay N vms N calls N slots N ms goal N window on|off */
@@ -145,6 +145,10 @@
 		unsigned int in_flight = is_ended && a.size() > 6 ? std::stoul(a[6]) : 1;
 		int times = is_ended && a.size() > 8 ? std::stoi(a[8]) : 1;
 
+		if (a[0] == "slots") {
+			window_init(&w, std::stoul(a[1]));
+			return size();
+		}
 		if (a[0] == "replay")
 			return replay_run(a);
 		if (a[0] == "refused")
