Send no further call for a search's part to a doubted leaf

Change: leafset_choose_again passes over doubted leaves; first calls still go to one when there is no other, and requests to a single service still try everything.

--- a/src/job.c
+++ b/src/job.c
@@ -348,9 +348,9 @@
 	unsigned int shard = waiting->shard;
 	struct job_shard *sh = &j->shards[shard];
 	struct leaf *leaf =
-		leafset_choose(j->env->leaves, sh->service, sh->tried, sh->n_tried, now_us);
+		leafset_choose_again(j->env->leaves, sh->service, sh->tried, sh->n_tried, now_us);
 
-	if (!leaf || sh->n_tried == TRIED_MAX || leaf_is_doubted(leaf, now_us) ||
+	if (!leaf || sh->n_tried == TRIED_MAX ||
 	    !leafset_is_sooner(j->env->leaves, leaf, waiting->leaf, now_us)) {
 		scatter_hedge_defer(j->scatter, shard, now_us);
 		return;
@@ -632,21 +632,26 @@
 }
 
 /*
- * The leaf for the next call of the shard, or NULL. A second call beside an open one goes to a
- * leaf that is not doubted only: it would cost budget and rarely be answered.
+ * The leaf for the next call of the shard, or NULL. A second call beside an open one does not go to
+ * a doubted leaf, nor does one for a lost part of a search: it would cost budget and rarely be
+ * answered. A request to a single service has nothing else left.
  */
 static struct leaf *shard_choose(struct job *j, const struct job_shard *sh, bool is_hedge,
 				 uint64_t now_us)
 {
-	struct leaf *leaf =
-		leafset_choose(j->env->leaves, sh->service, sh->tried, sh->n_tried, now_us);
-
-	if (is_hedge)
-		return leaf && !leaf_is_doubted(leaf, now_us) ? leaf : NULL;
-	/* The only leaf left may be asked again once its call has ended. */
-	if (!leaf && sh->n_tried > 0)
-		leaf = leafset_choose(j->env->leaves, sh->service, NULL, 0, now_us);
-	return leaf;
+	const struct leafset *leaves = j->env->leaves;
+	bool is_last_resort = sh->n_tried == 0 || (!is_hedge && !is_over_shards(j));
+	struct leaf *leaf;
+
+	if (is_last_resort)
+		leaf = leafset_choose(leaves, sh->service, sh->tried, sh->n_tried, now_us);
+	else
+		leaf = leafset_choose_again(leaves, sh->service, sh->tried, sh->n_tried, now_us);
+	if (leaf || is_hedge || sh->n_tried == 0)
+		return leaf;
+	/* After a loss a leaf that was tried may be asked again. */
+	return is_last_resort ? leafset_choose(leaves, sh->service, NULL, 0, now_us)
+			      : leafset_choose_again(leaves, sh->service, NULL, 0, now_us);
 }
 
 /* Sends one call of the shard; false when no leaf, attempt or budget is left for it. */
--- a/src/leafset.c
+++ b/src/leafset.c
@@ -281,6 +281,14 @@
 	return best;
 }
 
+struct leaf *leafset_choose_again(const struct leafset *s, const char *service,
+				  struct leaf *const *tried, unsigned int n_tried, uint64_t now_us)
+{
+	struct leaf *leaf = leafset_choose(s, service, tried, n_tried, now_us);
+
+	return leaf && !leaf_is_doubted(leaf, now_us) ? leaf : NULL;
+}
+
 void leaf_call_started(struct leaf *l, uint64_t now_us)
 {
 	if (l->outstanding++ == 0)
--- a/src/leafset.h
+++ b/src/leafset.h
@@ -116,6 +116,13 @@
 struct leaf *leafset_choose(const struct leafset *s, const char *service, struct leaf *const *tried,
 			    unsigned int n_tried, uint64_t now_us);
 
+/*
+ * The same for a call beyond the first of its request: a doubted leaf would hardly answer it, and
+ * the request has tried others or this one before.
+ */
+struct leaf *leafset_choose_again(const struct leafset *s, const char *service,
+				  struct leaf *const *tried, unsigned int n_tried, uint64_t now_us);
+
 /* Expected time to an answer of a call sent now. */
 double leaf_cost_us(const struct leaf *l, const char *own_dc, uint64_t now_us);
 /* True when a call sent now is expected to be answered sooner by a than by b. */
--- a/tests/leafset_test.cc
+++ b/tests/leafset_test.cc
@@ -54,10 +54,10 @@
 			return put(w);
 		if (w[0] == "remove")
 			return leafset_remove(s, w[1].c_str()) ? "removed\n" : "unknown\n";
-		if (w[0] == "choose") { /* choose SERVICE [TRIED] */
+		if (w[0] == "choose" || w[0] == "again") { /* choose|again SERVICE [TRIED] */
 			struct leaf *tried = w.size() > 2 ? leafset_find(s, w[2].c_str()) : nullptr;
-			struct leaf *l =
-				leafset_choose(s, w[1].c_str(), &tried, tried ? 1 : 0, now_us);
+			auto choose = w[0] == "again" ? leafset_choose_again : leafset_choose;
+			struct leaf *l = choose(s, w[1].c_str(), &tried, tried ? 1 : 0, now_us);
 
 			return std::string(l ? l->id : "none") + "\n";
 		}
