Split a job into its life, its calls and its answers

Change: jobcall.c sends, moves, repeats and judges leaf calls, jobanswer.c writes what the caller gets and the log line, job.c keeps creation, time limits and the verdict; jobstate.h is shared by these three only. Found by the linter on the way: a call was freed while it was still on its list's path for the analyser; calls are taken off the list first now.

--- /dev/null
+++ b/src/jobanswer.c
@@ -0,0 +1,231 @@
+#include "jobstate.h"
+
+#include "clock.h"
+#include "log.h"
+
+#include <string.h>
+
+/* Bytes of the trace of one request, so that its line stays short. */
+#define TRACE_BYTES 900
+
+static const char *const outcome_names[] = {
+#define X(symbol, name) name,
+	JOB_OUTCOME_LIST(X)
+#undef X
+};
+
+const char *job_outcome_name(enum job_outcome outcome)
+{
+	return outcome_names[outcome];
+}
+
+/*
+ * Notes one decision: "+MS WHAT SERVICE LEAF WHY;". First calls are not noted, except those of a
+ * request to a single service.
+ */
+void jobanswer_trace_add(struct job *j, const char *what, const char *service,
+			 const struct leaf *leaf, const char *why, uint64_t now_us)
+{
+	if (!j->trace)
+		j->trace = g_string_sized_new(128);
+	if (j->trace->len > TRACE_BYTES)
+		return;
+	g_string_append_printf(j->trace, "+%" G_GUINT64_FORMAT " %s %s %s%s%s;",
+			       (now_us - j->read_us) / 1000, what, service, leaf ? leaf->id : "-",
+			       why ? " " : "", why ? why : "");
+}
+
+/* Names the shards that the answer lacks, each with the leaves that were tried. */
+static void trace_missing(struct job *j, uint64_t now_us)
+{
+	for (unsigned int i = 0; i < j->n_shards; i++) {
+		const struct job_shard *sh = &j->shards[i];
+
+		if (scatter_is_in(j->scatter, i))
+			continue;
+		if (sh->n_tried == 0)
+			jobanswer_trace_add(j, "missing", sh->service, NULL, "no leaf", now_us);
+		for (unsigned int k = 0; k < sh->n_tried; k++)
+			jobanswer_trace_add(
+				j, "missing", sh->service, sh->tried[k],
+				scatter_is_waiting(j->scatter, i) ? "unanswered" : "lost", now_us);
+	}
+}
+
+/* A request whose line the rate leaves out is named in a list at least. */
+static void end_log(const struct job *j, enum job_outcome outcome, unsigned int status,
+		    uint64_t took_us)
+{
+	enum log_level level = outcome == JOB_COMPLETE ? LOG_LEVEL_INFO : LOG_LEVEL_WARNING;
+	unsigned int n_in = scatter_in_count(j->scatter);
+
+	if (log_request(level, j->id, "request_done",
+			"outcome=%s status=%u route=%s version=%" G_GUINT64_FORMAT
+			" in=%u of=%u calls=%u hedges=%u moved=%u retries=%u held=%u denied=%u"
+			" wait_ms=%" G_GUINT64_FORMAT " took_us=%" G_GUINT64_FORMAT " trace=\"%s\"",
+			outcome_names[outcome], status, j->route->name ? j->route->name : "-",
+			j->map->version, n_in, j->n_shards, j->n_calls, j->n_hedges, j->n_moved,
+			j->n_retries, j->n_held, j->n_denied, (j->deadline_us - j->read_us) / 1000,
+			took_us, j->trace ? j->trace->str : ""))
+		return;
+	log_list_add(LOG_LIST_BRIEF, "%s:%s:%u:%u/%u", j->id, outcome_names[outcome], status, n_in,
+		     j->n_shards);
+}
+
+/* The caller has its answer or has left: what remains are calls that may finish for a while. */
+void jobanswer_finish(struct job *j, enum job_outcome outcome, unsigned int status,
+		      uint64_t linger_us)
+{
+	uint64_t now_us = clock_now_us();
+	uint64_t took_us = now_us - j->read_us;
+
+	j->request = NULL;
+	j->stats->outcomes[outcome]++;
+	hist_add(j->stats->answer_us, took_us);
+	if (outcome != JOB_COMPLETE && outcome != JOB_PASSED)
+		trace_missing(j, now_us);
+	end_log(j, outcome, status, took_us);
+	jobcall_unsent_cancel(j, now_us);
+	if (list_is_empty(&j->calls))
+		job_destroy(j);
+	else
+		job_timer_set(j, now_us + linger_us, now_us);
+}
+
+static void answer_send(struct job *j, enum job_outcome outcome, unsigned int status,
+			const char *fields, const char *body, size_t n)
+{
+	struct http_request *request = j->request;
+
+	/* The server may hand over the next request of the connection at once. */
+	j->request = NULL;
+	http_request_set_data(request, NULL);
+	http_request_answer(request, status, fields, body, n);
+	jobanswer_finish(j, outcome, status, JOB_LINGER_US);
+}
+
+void jobanswer_refuse(struct job *j, enum retry_reason reason)
+{
+	uint64_t now_us = clock_now_us();
+	uint64_t left_ms = j->deadline_us > now_us ? (j->deadline_us - now_us) / 1000 : 1;
+	char fields[64];
+
+	g_snprintf(fields, sizeof(fields), "Retry-After: %.3f\r\n",
+		   retryafter_choose_s(reason, left_ms, 0, j->env->rand));
+	answer_send(j, JOB_REFUSED, 503, fields, "", 0);
+}
+
+void jobanswer_parts_send(struct job *j)
+{
+	const struct edge_fields *names = &j->env->edge->fields;
+	unsigned int n_in = scatter_in_count(j->scatter);
+	GString *fields = g_string_sized_new(j->signatures->len + 128);
+	size_t n;
+	const char *records = topk_records(j->top, &n);
+
+	g_string_append_printf(fields, "%s: %s\r\n%s: %s\r\n%s: %u\r\n", names->request_id, j->id,
+			       names->part_signatures, j->signatures->str, names->missing_count,
+			       j->n_shards - n_in);
+	answer_send(j, n_in == j->n_shards ? JOB_COMPLETE : JOB_PARTIAL, 200, fields->str, records,
+		    n);
+	g_string_free(fields, TRUE);
+}
+
+/* Fields of a leaf's answer that go on to the caller, as lines. */
+static GString *fields_copy(const struct http_reader *answer)
+{
+	GString *out = g_string_sized_new(256);
+
+	for (unsigned int i = 0; i < http_reader_field_count(answer); i++) {
+		struct http_field f = http_reader_field(answer, i);
+
+		if (!http_field_is_hop(answer, f.name))
+			g_string_append_printf(out, "%s: %s\r\n", f.name, f.value);
+	}
+	return out;
+}
+
+bool jobanswer_is_success(const struct http_reader *answer)
+{
+	unsigned int status = http_reader_status(answer);
+
+	return status >= 200 && status < 300;
+}
+
+void jobanswer_failure_keep(struct job *j, const struct http_reader *answer)
+{
+	size_t n;
+	const char *body = http_reader_body(answer, &n);
+
+	if (j->failure_fields) {
+		g_string_free(j->failure_fields, TRUE);
+		g_byte_array_free(j->failure_body, TRUE);
+	}
+	j->failure_fields = fields_copy(answer);
+	j->failure_status = http_reader_status(answer);
+	j->failure_body = g_byte_array_new();
+	g_byte_array_append(j->failure_body, (const guint8 *)body, (guint)n);
+}
+
+void jobanswer_part_add(struct job *j, const struct http_reader *answer, const char *signature)
+{
+	size_t n;
+	const char *body = http_reader_body(answer, &n);
+
+	topk_add(j->top, body, n);
+	g_string_append_printf(j->signatures, "%s%s", j->signatures->len ? ", " : "", signature);
+}
+
+void jobanswer_pass(struct job *j, const struct http_reader *answer)
+{
+	GString *fields = fields_copy(answer);
+	size_t n;
+	const char *body = http_reader_body(answer, &n);
+
+	answer_send(j, jobanswer_is_success(answer) ? JOB_COMPLETE : JOB_PASSED,
+		    http_reader_status(answer), fields->str, body, n);
+	g_string_free(fields, TRUE);
+}
+
+/* Passes on the leaf's answer that no other attempt has bettered. */
+static void failure_send(struct job *j)
+{
+	g_autofree char *fields = g_strdup(j->failure_fields->str);
+	GByteArray *body = j->failure_body;
+
+	g_byte_array_ref(body);
+	answer_send(j, JOB_PASSED, j->failure_status, fields, (const char *)body->data, body->len);
+	g_byte_array_unref(body);
+}
+
+static bool has_sent(const struct job *j)
+{
+	struct list_head *pos;
+
+	list_for_each (pos, &j->calls)
+		if (list_entry(pos, struct job_call, node)->call.conn)
+			return true;
+	for (unsigned int i = 0; i < j->n_shards; i++)
+		if (j->shards[i].n_sent > 0)
+			return true;
+	return false;
+}
+
+/* The least share cannot be reached any more. */
+void jobanswer_unreachable_send(struct job *j)
+{
+	if (!has_sent(j))
+		jobanswer_refuse(j, j->n_calls == 0 ? RETRY_NO_LEAF : RETRY_LEAVES_FULL);
+	else if (j->failure_fields && !job_is_over_shards(j))
+		failure_send(j);
+	else
+		answer_send(j, JOB_FAILED, 502, "", "", 0);
+}
+
+void jobanswer_timeout_send(struct job *j)
+{
+	if (has_sent(j))
+		answer_send(j, JOB_TIMED_OUT, 504, "", "", 0);
+	else
+		jobanswer_refuse(j, RETRY_LEAVES_FULL);
+}
--- /dev/null
+++ b/src/jobcall.c
@@ -0,0 +1,297 @@
+#include "jobstate.h"
+
+#include "clock.h"
+
+#include <string.h>
+
+/* Least time that a leaf call is worth sending with. */
+#define CALL_MIN_US 2000
+
+/* Takes back a call that is off the job's list; the caller has noted it in scatter. */
+static void call_cancel(struct job_call *c, enum leaf_end end, uint64_t now_us)
+{
+	struct job *j = c->job;
+
+	if (c->is_repeat && !c->call.conn)
+		repeats_refund(j->env->repeats, j->shards[c->shard].service, now_us);
+	upstream_cancel(j->env->upstream, &c->call, end, now_us);
+	g_free(c);
+}
+
+/* Calls that were not sent yet are not needed any more. */
+void jobcall_unsent_cancel(struct job *j, uint64_t now_us)
+{
+	struct list_head *pos;
+	struct list_head *next;
+
+	list_for_each_safe (pos, next, &j->calls) {
+		struct job_call *c = list_entry(pos, struct job_call, node);
+
+		if (c->call.conn)
+			continue;
+		list_del(&c->node);
+		call_cancel(c, LEAF_END_CANCELLED, now_us);
+	}
+}
+
+void jobcall_all_cancel(struct job *j, uint64_t now_us)
+{
+	struct list_head *node;
+
+	while ((node = list_pop_head(&j->calls))) {
+		struct job_call *c = list_entry(node, struct job_call, node);
+		bool is_silent = now_us - c->call.started_us > JOB_LINGER_US;
+
+		call_cancel(c, is_silent ? LEAF_END_SILENT : LEAF_END_CANCELLED, now_us);
+	}
+	job_destroy(j);
+}
+
+static struct job_call *from_call(struct leaf_call *call)
+{
+	return list_entry(call, struct job_call, call);
+}
+
+static void call_render(struct leaf_call *call, GString *out)
+{
+	struct job_call *c = from_call(call);
+	struct job *j = c->job;
+	const struct edge_fields *names = &j->env->edge->fields;
+	uint64_t now_us = clock_now_us();
+	uint64_t left_ms = j->deadline_us > now_us ? (j->deadline_us - now_us) / 1000 : 0;
+
+	j->shards[c->shard].n_arrivals++;
+	g_string_append_len(out, j->head->str, (gssize)j->head->len);
+	g_string_append_printf(out, "%s: %" G_GUINT64_FORMAT "\r\n%s: %s\r\n\r\n",
+			       names->deadline_ms, MAX(1, left_ms), names->leaf_id, call->leaf->id);
+	g_string_append_len(out, (const char *)j->body->data, j->body->len);
+}
+
+static bool call_matches(struct leaf_call *call, const struct http_reader *answer)
+{
+	const struct job *j = from_call(call)->job;
+	const char *id = http_reader_find(answer, j->env->edge->fields.request_id);
+
+	return !id || strcmp(id, j->id) == 0;
+}
+
+/* Sends a lost call of the shard again where that is allowed. */
+static void shard_recover(struct job *j, unsigned int shard, uint64_t now_us)
+{
+	if (scatter_is_in(j->scatter, shard) || scatter_is_waiting(j->scatter, shard))
+		return;
+	if (jobcall_send(j, shard, now_us))
+		j->n_retries++;
+	else
+		scatter_calls_exhausted(j->scatter, shard);
+}
+
+static enum leaf_end call_lost(struct job_call *c, const struct leaf *leaf, enum leaf_end end,
+			       bool has_run)
+{
+	struct job *j = c->job;
+	unsigned int shard = c->shard;
+	uint64_t now_us = clock_now_us();
+
+	if (c->is_repeat && c->call.sent_us == 0)
+		repeats_refund(j->env->repeats, j->shards[shard].service, now_us);
+	list_del(&c->node);
+	g_free(c);
+	jobanswer_trace_add(j, "lost", j->shards[shard].service, leaf, leaf_end_name(end), now_us);
+	if (!j->request) {
+		if (list_is_empty(&j->calls))
+			job_destroy(j);
+		return end;
+	}
+	if (has_run)
+		j->shards[shard].n_sent++;
+	scatter_call_lost(j->scatter, shard,
+			  has_run ? SCATTER_LOSS_MAY_HAVE_RUN : SCATTER_LOSS_NOT_RUN);
+	shard_recover(j, shard, now_us);
+	job_advance(j, now_us);
+	return end;
+}
+
+static void call_succeeded(struct job_call *c, const struct http_reader *answer,
+			   const char *signature)
+{
+	struct job *j = c->job;
+	unsigned int shard = c->shard;
+	uint64_t now_us = clock_now_us();
+	bool is_first;
+
+	hist_add(j->stats->call_us, now_us - c->call.started_us);
+	list_del(&c->node);
+	g_free(c);
+	if (!j->request) {
+		if (list_is_empty(&j->calls))
+			job_destroy(j);
+		return;
+	}
+	j->shards[shard].n_sent++;
+	is_first = scatter_call_answered(j->scatter, shard);
+	if (!job_is_over_shards(j)) {
+		jobanswer_pass(j, answer);
+		return;
+	}
+	if (is_first)
+		jobanswer_part_add(j, answer, signature);
+	job_advance(j, now_us);
+}
+
+static enum leaf_end call_done(struct leaf_call *call, enum leaf_end end,
+			       const struct http_reader *answer, bool was_sent)
+{
+	struct job_call *c = from_call(call);
+	struct job *j = c->job;
+	const struct edge_fields *names = &j->env->edge->fields;
+	const struct leaf *leaf = c->leaf;
+	const char *signature;
+
+	if (!answer)
+		return call_lost(c, leaf, end, was_sent);
+	if (http_reader_status(answer) == 421)
+		return call_lost(c, leaf, LEAF_END_WRONG, false);
+	if (http_reader_find(answer, names->not_run))
+		return call_lost(c, leaf, LEAF_END_REFUSED, false);
+	signature = http_reader_find(answer, names->signature);
+	if (jobanswer_is_success(answer) && signature &&
+	    !http_reader_find(answer, "Content-Encoding")) {
+		call_succeeded(c, answer, signature);
+		return LEAF_END_ANSWERED;
+	}
+	if (j->request && !jobanswer_is_success(answer) && signature && !job_is_over_shards(j))
+		jobanswer_failure_keep(j, answer);
+	return call_lost(c, leaf, LEAF_END_ERRORED, true);
+}
+
+static const struct leaf_call_ops call_ops = {
+	.render = call_render,
+	.matches = call_matches,
+	.done = call_done,
+};
+
+static void call_start(struct job *j, unsigned int shard, struct leaf *leaf, uint64_t now_us)
+{
+	struct job_shard *sh = &j->shards[shard];
+	const struct routemap_service *service = routemap_service_find(j->map, sh->service);
+	struct job_call *c = g_new0(struct job_call, 1);
+
+	sh->tried[sh->n_tried++] = leaf_get(leaf);
+	c->job = j;
+	c->shard = shard;
+	c->leaf = leaf;
+	c->is_repeat = sh->n_arrivals > 0;
+	c->call.ops = &call_ops;
+	c->call.useful_us = j->useful_us;
+	c->call.is_partial = job_is_over_shards(j);
+	c->call.wants_fresh = !j->route->is_idempotent;
+	list_add_tail(&c->node, &j->calls);
+	j->n_calls++;
+	scatter_call_started(j->scatter, shard, now_us);
+	upstream_call(j->env->upstream, &c->call, leaf, service ? service->max_connections : 1,
+		      now_us);
+}
+
+/*
+ * The leaf for the next call of the shard, or NULL. A second call beside an open one does not go to
+ * a doubted leaf, nor does one for a lost part of a search: it would cost budget and rarely be
+ * answered. A request to a single service has nothing else left.
+ */
+static struct leaf *shard_choose(struct job *j, const struct job_shard *sh, bool is_hedge,
+				 uint64_t now_us)
+{
+	const struct leafset *leaves = j->env->leaves;
+	bool is_last_resort = sh->n_tried == 0 || (!is_hedge && !job_is_over_shards(j));
+	struct leaf *leaf;
+
+	if (is_last_resort)
+		leaf = leafset_choose(leaves, sh->service, sh->tried, sh->n_tried, now_us);
+	else
+		leaf = leafset_choose_again(leaves, sh->service, sh->tried, sh->n_tried, now_us);
+	if (leaf || is_hedge || sh->n_tried == 0)
+		return leaf;
+	/* After a loss a leaf that was tried may be asked again. */
+	return is_last_resort ? leafset_choose(leaves, sh->service, NULL, 0, now_us)
+			      : leafset_choose_again(leaves, sh->service, NULL, 0, now_us);
+}
+
+/* Sends one call of the shard; false when no leaf, attempt or budget is left for it. */
+bool jobcall_send(struct job *j, unsigned int shard, uint64_t now_us)
+{
+	struct job_shard *sh = &j->shards[shard];
+	bool is_hedge = scatter_is_waiting(j->scatter, shard);
+	struct leaf *leaf;
+
+	if (sh->n_tried == JOB_TRIED_MAX || !scatter_may_call(j->scatter, shard) ||
+	    j->deadline_us < now_us + CALL_MIN_US)
+		return false;
+	leaf = shard_choose(j, sh, is_hedge, now_us);
+	if (!leaf)
+		return false;
+	if (sh->n_arrivals > 0 &&
+	    !repeats_spend(j->env->repeats, sh->service,
+			   is_hedge ? REPEATS_HEDGE : REPEATS_RECOVERY, now_us)) {
+		j->n_denied++;
+		jobanswer_trace_add(j, "denied", sh->service, leaf, "budget", now_us);
+		return false;
+	}
+	if (sh->n_tried > 0 || !job_is_over_shards(j))
+		jobanswer_trace_add(j, is_hedge ? "hedge" : "call", sh->service, leaf, NULL,
+				    now_us);
+	call_start(j, shard, leaf, now_us);
+	return true;
+}
+
+static struct job_call *unsent_find(struct job *j, unsigned int shard)
+{
+	struct list_head *pos;
+
+	list_for_each (pos, &j->calls) {
+		struct job_call *c = list_entry(pos, struct job_call, node);
+
+		if (c->shard == shard && !c->call.conn)
+			return c;
+	}
+	return NULL;
+}
+
+/*
+ * An overdue call still waits here: it goes to another leaf if that one will answer sooner. No
+ * leaf has seen it, so that this is no repeat.
+ */
+static void call_move(struct job *j, struct job_call *waiting, uint64_t now_us)
+{
+	unsigned int shard = waiting->shard;
+	struct job_shard *sh = &j->shards[shard];
+	struct leaf *leaf =
+		leafset_choose_again(j->env->leaves, sh->service, sh->tried, sh->n_tried, now_us);
+
+	if (!leaf || sh->n_tried == JOB_TRIED_MAX ||
+	    !leafset_is_sooner(j->env->leaves, leaf, waiting->leaf, now_us)) {
+		scatter_hedge_defer(j->scatter, shard, now_us);
+		return;
+	}
+	list_del(&waiting->node);
+	call_cancel(waiting, LEAF_END_CANCELLED, now_us);
+	scatter_call_withdrawn(j->scatter, shard);
+	jobanswer_trace_add(j, "move", sh->service, leaf, NULL, now_us);
+	j->n_moved++;
+	call_start(j, shard, leaf, now_us);
+}
+
+void jobcall_hedges_send(struct job *j, uint64_t now_us)
+{
+	for (unsigned int shard = 0; scatter_hedge_next(j->scatter, &shard, now_us); shard++) {
+		struct job_call *waiting = unsent_find(j, shard);
+		double left = repeats_left(j->env->repeats, j->shards[shard].service, REPEATS_HEDGE,
+					   now_us);
+
+		if (waiting)
+			call_move(j, waiting, now_us);
+		else if (scatter_hedge_holds(j->scatter, shard, left, now_us))
+			j->n_held++;
+		else if (jobcall_send(j, shard, now_us))
+			j->n_hedges++;
+	}
+}
--- a/src/log.c
+++ b/src/log.c
@@ -30,7 +30,7 @@
 };
 
 static struct pending_list lists[] = {
-#define X(symbol, name) {.event = name},
+#define X(symbol, name) {.event = (name)},
 	LOG_LIST_LIST(X)
 #undef X
 };
--- a/tests/explain_test.cc
+++ b/tests/explain_test.cc
@@ -133,9 +133,9 @@
 		<< "docs/OPERATIONS.md lacks " << name;
 	LOG_EVENT_LIST(X)
 #undef X
-	for (const char *file :
-	     {"configurer", "directory", "feed", "gateway", "holder", "job", "log", "main", "marks",
-	      "membership", "relay", "reload", "stopper", "upstream", "leaving", "leafpool"})
+	for (const char *file : {"configurer", "directory", "feed", "gateway", "holder", "job",
+				 "jobanswer", "log", "main", "marks", "membership", "relay",
+				 "reload", "stopper", "upstream", "leaving", "leafpool"})
 		sources += file_read(std::string(TEST_DIR) + "/../src/" + file + ".c");
 	/* The names of lists stand beside their enumeration. */
 	sources += file_read(std::string(TEST_DIR) + "/../src/log.h");
