Count a reader as lost once, and only after it has served

Change: each of the three questions keeps whether its last answer was current; all three must not be, and a reader must have served this VM before.

--- a/src/relay.c
+++ b/src/relay.c
@@ -38,6 +38,7 @@
 	uint64_t tag;
 	uint64_t next_ms;
 	unsigned int skip; /* readers passed over, counted from the first */
+	bool is_stale; /* the last answer was not current, or there was none */
 };
 
 /* A question of another VM that waits for news. */
@@ -62,7 +63,6 @@
 	uint64_t self_until_ms; /* reads the store itself until then */
 	uint64_t noticed_revision; /* known to another reader */
 	uint64_t noticed_ms;
-	unsigned int n_stale; /* answers of readers in a row that were not current */
 	bool is_reading; /* what the feed was told */
 	bool is_current; /* the feed of this VM is in touch with the store */
 };
@@ -72,10 +72,19 @@
 	return r->is_reading && r->is_current;
 }
 
+/* Every reader has said that it lost the store; not so at a start, when none has read it yet. */
+static bool are_readers_lost(const struct relay *r)
+{
+	for (unsigned int i = 0; i < LANES; i++)
+		if (!r->lanes[i].is_stale)
+			return false;
+	return r->served_ms > 0;
+}
+
 /* Whether what this VM knows is current: it reads the store, or a reader has served it of late. */
 static bool is_current(const struct relay *r, uint64_t now_ms)
 {
-	return reads_itself(r) || (mirror_revision(r->mirror) > 0 && r->n_stale < LANES &&
+	return reads_itself(r) || (mirror_revision(r->mirror) > 0 && !are_readers_lost(r) &&
 				   now_ms - r->served_ms < CURRENT_MS);
 }
 
@@ -258,7 +267,7 @@
 		return;
 	}
 	if (!is_current(r, now_ms) && now_ms >= r->self_until_ms &&
-	    (r->n_stale >= LANES || now_ms - MAX(r->served_ms, r->started_ms) > UNSERVED_MS))
+	    (are_readers_lost(r) || now_ms - MAX(r->served_ms, r->started_ms) > UNSERVED_MS))
 		r->self_until_ms = now_ms + SELF_READING_MS;
 	reading_set(r, now_ms < r->self_until_ms,
 		    now_ms < r->self_until_ms ? "no reader answers" : "a reader answers");
@@ -322,13 +331,12 @@
 		if (!lane->is_open || lane->tag != message->tag)
 			continue;
 		lane->is_open = false;
-		if (!reply || !reply->is_current) {
+		lane->is_stale = !reply || !reply->is_current;
+		if (lane->is_stale) {
 			lane->skip++;
 			lane->next_ms = now_ms + RETRY_MS;
-			r->n_stale++;
 			return;
 		}
-		r->n_stale = 0;
 		r->served_ms = now_ms;
 		if (i == LANE_ITEMS) {
 			items_receive(r, reply);
