Pay again for a repeat that moves; name rejected requests within the rate too

A call that follows a lost one and waits here was refunded when it moved to another leaf, and the new one was not paid for: the budget of repeats came out one too low each time. Lines that the rate left out were no longer counted, and requests answered 400 or 404 beyond the rate were named nowhere. Change: the moved repeat is paid for, the lines are counted as before, rejected requests go to requests_brief.

--- a/src/job.c
+++ b/src/job.c
@@ -188,6 +188,15 @@
 	return j;
 }
 
+/* Answers a request that no route takes. */
+static void request_reject(struct http_request *request, const char *id, unsigned int status,
+			   const char *why)
+{
+	if (!log_request(LOG_LEVEL_WARNING, id, "request_refused", "status=%u %s", status, why))
+		log_list_add(LOG_LIST_BRIEF, "%s:refused:%u:0/0", id ? id : "-", status);
+	http_request_answer(request, status, "", "", 0);
+}
+
 void job_start(struct job_env *env, struct routemap *map, struct http_request *request)
 {
 	const struct http_reader *message = http_request_message(request);
@@ -198,17 +207,16 @@
 
 	log_list_add(LOG_LIST_BEGUN, "%s", id ? id : "-");
 	if (!host || !id) {
-		log_request(LOG_LEVEL_WARNING, id, "request_refused", "status=400 lacks=%s",
-			    id ? "host" : "id");
-		http_request_answer(request, 400, "", "", 0);
+		request_reject(request, id, 400, id ? "lacks=host" : "lacks=id");
 		return;
 	}
 	route = routemap_find(map, host, http_reader_target(message));
 	if (!route) {
-		log_request(LOG_LEVEL_WARNING, id, "request_refused",
-			    "status=404 host=%.80s path=%.120s version=%" G_GUINT64_FORMAT, host,
-			    http_reader_target(message), map->version);
-		http_request_answer(request, 404, "", "", 0);
+		g_autofree char *why =
+			g_strdup_printf("host=%.80s path=%.120s version=%" G_GUINT64_FORMAT, host,
+					http_reader_target(message), map->version);
+
+		request_reject(request, id, 404, why);
 		return;
 	}
 	j = job_create(env, map, route, request);
--- a/src/jobcall.c
+++ b/src/jobcall.c
@@ -274,6 +274,9 @@
 	}
 	list_del(&waiting->node);
 	call_cancel(waiting, LEAF_END_CANCELLED, now_us);
+	/* One that follows a lost call is a repeat: it was refunded and is paid for again. */
+	if (sh->n_arrivals > 0)
+		repeats_spend(j->env->repeats, sh->service, REPEATS_RECOVERY, now_us);
 	scatter_call_withdrawn(j->scatter, shard);
 	jobanswer_trace_add(j, "move", sh->service, leaf, NULL, now_us);
 	j->n_moved++;
--- a/src/log.c
+++ b/src/log.c
@@ -176,8 +176,10 @@
 		request_second = second;
 		request_lines = 0;
 	}
-	if (request_lines >= limit)
+	if (request_lines >= limit) {
+		dropped++;
 		return false;
+	}
 	request_lines++;
 	return true;
 }
