Log skipped readers and the answers that are dropped with them

Callers saw: handled by version N or older, 5 s and more after a later one was confirmed (CONFIG). Cause: the logs could not tell a reader that never answered from one whose answer was thrown away. Change: events reader_skipped and reader_answer_dropped; no decision changes.

--- a/src/relay.c
+++ b/src/relay.c
@@ -262,6 +262,10 @@
 		return;
 	r->reported_ms = now_ms;
 	r->n_skipped++;
+	log_event(LOG_LEVEL_INFO, "reader_skipped",
+		  "revision=%" G_GUINT64_FORMAT " reported=%" G_GUINT64_FORMAT " answer_pending=%s",
+		  mirror_revision(r->mirror), r->reported_revision,
+		  r->queries[QUERY_CHANGES].is_open ? "yes" : "no");
 	r->queries[QUERY_CHANGES].is_open = false;
 	r->queries[QUERY_CHANGES].next_ms = now_ms;
 }
@@ -364,7 +368,12 @@
 			r->reported_revision = reply->revision;
 			r->reported_ms = now_ms;
 		}
+		return;
 	}
+	if (reply && reply->items.items_len > 0)
+		log_event(LOG_LEVEL_INFO, "reader_answer_dropped",
+			  "revision=%" G_GUINT64_FORMAT " known=%" G_GUINT64_FORMAT " keys=%u",
+			  reply->revision, mirror_revision(r->mirror), reply->items.items_len);
 }
 
 /* Takes in what the feed of this VM has read from the store. */
