Show that changes which take long to arrive are never applied

Callers saw: handled by version N or older, 5 s and more after a later one was confirmed (CONFIG), on both grown sites. Cause: relay gives a reader 250 ms after another one has reported a higher revision, then asks the next and drops the first one's answer. When every answer takes longer, none is applied; the other readers' answers about their revision still count as current, so the VM does not read the store either. Evidence: a relay between a stand-in of the readers and of the feed, real clock: changes that take 400 ms are not applied within 1,500 ms.

--- a/src/clock.h
+++ b/src/clock.h
@@ -2,8 +2,11 @@
 #ifndef APRICOT_CLOCK_H
 #define APRICOT_CLOCK_H
 
+#include <glib.h>
 #include <stdint.h>
 
+G_BEGIN_DECLS
+
 #define CLOCK_US_PER_MS 1000u
 #define CLOCK_MS_PER_S 1000u
 
@@ -18,4 +21,6 @@
 /* Milliseconds since the Unix epoch, only for the start time of a process and for logs. */
 uint64_t clock_wall_ms(void);
 
+G_END_DECLS
+
 #endif
--- /dev/null
+++ b/tests/relay_test.cc
@@ -0,0 +1,207 @@
+#include "clock.h"
+#include "message.h"
+#include "procedure.h"
+#include "relay.h"
+#include "rendezvous.h"
+#include "script.h"
+
+#include <algorithm>
+#include <cstring>
+
+namespace
+{
+#define STEP_MS 5
+
+/* How each of the readers behaves; they are named r0, r1 and so on. */
+struct reader {
+	uint64_t revision;
+	uint64_t changes_ms; /* time that an answer with changes takes */
+};
+
+/* Stands for the other VMs: answers queries as readers do, each after its time. */
+struct fake_peer {
+	struct service service;
+	std::vector<struct reader> *readers;
+	struct query {
+		struct service *reply_to;
+		uint64_t tag;
+		size_t reader;
+		uint64_t known;
+		bool wants_items;
+		uint64_t until_ms;
+		uint64_t due_ms; /* when the answer arrives; 0: not known yet */
+	};
+	std::vector<query> queries;
+	unsigned int changes_sent; /* answers with changes */
+};
+
+void peer_receive(struct service *s, struct message *m)
+{
+	auto *p = reinterpret_cast<struct fake_peer *>(s);
+	auto *call = reinterpret_cast<struct peer_call *>(m);
+	auto *args = static_cast<apr_feed_args *>(call->args);
+
+	p->queries.push_back({call->reply_to, call->tag, (size_t)(call->address[1] - '0'),
+			      args->known_revision, (bool)args->wants_items,
+			      clock_now_ms() + args->wait_ms, 0});
+	message_destroy(m);
+}
+
+void query_answer(struct fake_peer *p, const fake_peer::query &q)
+{
+	uint64_t revision = (*p->readers)[q.reader].revision;
+	auto *result = static_cast<apr_feed_reply *>(peer_result_create(APR_FEED));
+	bool has_items = q.wants_items && revision > q.known;
+
+	result->is_current = TRUE;
+	result->revision = revision;
+	result->items.items_val = g_new0(apr_feed_item, 1);
+	result->items.items_len = has_items;
+	if (has_items) {
+		result->items.items_val[0].key = g_strdup("key");
+		result->items.items_val[0].revision = revision;
+		result->items.items_val[0].value.value_val = g_strdup("value");
+		result->items.items_val[0].value.value_len = strlen("value");
+		p->changes_sent++;
+	}
+	kernel_message_send(p->service.kernel, q.reply_to,
+			    &peer_reply_create(q.tag, APR_FEED, PEER_STATUS_DONE, result)->message);
+}
+
+/* Answers the queries whose time has come; a query without news is held until its wait is over. */
+void peer_advance(struct fake_peer *p, uint64_t now_ms)
+{
+	std::vector<fake_peer::query> open;
+
+	for (auto &q : p->queries) {
+		const struct reader &r = (*p->readers)[q.reader];
+
+		if (!q.due_ms && r.revision > q.known)
+			q.due_ms = now_ms + (q.wants_items ? r.changes_ms : 0);
+		if ((q.due_ms && now_ms >= q.due_ms) || (!q.due_ms && now_ms >= q.until_ms))
+			query_answer(p, q);
+		else
+			open.push_back(q);
+	}
+	p->queries = open;
+}
+
+/* Stands for the service that applies what the relay passes on. */
+struct fake_feed {
+	struct service service;
+	uint64_t revision;
+	bool reads_store;
+};
+
+void feed_receive(struct service *s, struct message *m)
+{
+	auto *f = reinterpret_cast<struct fake_feed *>(s);
+
+	if (m->kind == MESSAGE_STORE_UPDATE)
+		f->revision = reinterpret_cast<struct store_update *>(m)->answer.revision;
+	if (m->kind == MESSAGE_STORE_READING)
+		f->reads_store = reinterpret_cast<struct store_reading *>(m)->is_wanted;
+	message_destroy(m);
+}
+
+/* Times in milliseconds of the real clock. */
+struct relay_script : script_interpreter {
+	struct event_base *base = event_base_new();
+	struct kernel *k = kernel_create(base);
+	struct fake_peer peer = {};
+	struct fake_feed feed = {};
+	std::vector<struct reader> readers;
+
+	relay_script()
+	{
+		static const struct service_ops peer_ops = {"peer", nullptr, peer_receive,
+							    [](struct service *) {}};
+		static const struct service_ops feed_ops = {"feed", nullptr, feed_receive,
+							    [](struct service *) {}};
+
+		peer.service.ops = &peer_ops;
+		peer.readers = &readers;
+		feed.service.ops = &feed_ops;
+		kernel_service_add(k, &peer.service);
+		kernel_service_add(k, &feed.service);
+		kernel_service_add(k, relay_create(k, "dc"));
+		kernel_services_start(k, nullptr);
+	}
+
+	~relay_script() override
+	{
+		kernel_destroy(k);
+		event_base_free(base);
+	}
+
+	/* This VM has the least weight, so that the others are the readers. */
+	void roster_send(unsigned int n)
+	{
+		struct roster *roster = roster_create(n + 1, 1);
+
+		for (unsigned int i = 0; i <= n; i++) {
+			struct roster_vm *vm = &roster->vms[i];
+			std::string name = "r" + std::to_string(i);
+
+			vm->name = g_strdup(name.c_str());
+			vm->dc = g_strdup("dc");
+			vm->rpc = g_strdup(name.c_str());
+			vm->http = g_strdup("");
+			vm->name_hash = rendezvous_name_hash(name.c_str());
+			vm->weight = i < n ? 500 : 120;
+			vm->is_self = i == n;
+			vm->is_available = true;
+		}
+		kernel_message_send(k, kernel_service_find(k, "relay"),
+				    &roster_changed_create(roster)->message);
+		roster_put(roster);
+	}
+
+	/* Runs until done() or for at most limit_ms; false in the latter case. */
+	bool loop(uint64_t limit_ms, const std::function<bool()> &done)
+	{
+		struct timeval step = {0, STEP_MS * 1000};
+		uint64_t until_ms = clock_now_ms() + limit_ms;
+
+		while (!done()) {
+			if (clock_now_ms() >= until_ms)
+				return false;
+			peer_advance(&peer, clock_now_ms());
+			event_base_loopexit(base, &step);
+			event_base_dispatch(base);
+		}
+		return true;
+	}
+
+	std::string run(const std::vector<std::string> &w) override
+	{
+		if (w[0] == "readers") { /* readers N REVISION */
+			readers.assign(std::stoul(w[1]), {std::stoull(w[2]), 0});
+			roster_send((unsigned int)readers.size());
+		} else if (w[0] == "changes-take") { /* changes-take MS: from any reader */
+			for (auto &r : readers)
+				r.changes_ms = std::stoull(w[1]);
+		} else if (w[0] == "write") { /* write REVISION: all readers have read it */
+			for (auto &r : readers)
+				r.revision = std::stoull(w[1]);
+			peer.changes_sent = 0;
+		} else if (w[0] == "known") { /* known REVISION within MS */
+			uint64_t revision = std::stoull(w[1]);
+
+			return loop(std::stoull(w[3]), [&] { return feed.revision >= revision; })
+				       ? "yes\n"
+				       : "no\n";
+		} else if (w[0] == "answers-at-most") { /* answers-at-most N: with changes */
+			return peer.changes_sent <= std::stoul(w[1]) ? "yes\n" : "no\n";
+		} else if (w[0] == "reads-store") {
+			return feed.reads_store ? "yes\n" : "no\n";
+		} else {
+			return "unknown step " + w[0] + "\n";
+		}
+		return "";
+	}
+};
+
+bool registered =
+	script_register("relay", "relay.test", [] { return std::make_unique<relay_script>(); });
+} // namespace
