Apply changes from readers however long they take

Cause: a congestion collapse by requests that are given up and repeated. A VM asked the next reader 250 ms after another one had reported a higher revision and dropped the answer on its way. A configuration of 534 KB takes 214 ms on a link of 20 Mbit/s alone; three readers sent it over and over to every VM, which applied none of it, and went on counting itself as served because the small answers about revisions were current. Change: the decisions move from relay into follower, without sockets and clock. Marks are kept for each reader. Revision and changes are asked separately, so a VM knows that it is behind as soon as any reader does. No query for changes is given up; another reader is asked after 250 to 1,000 ms, following the time that changes take. A VM that makes no progress for 1.5 s, or whose readers have all been silent for 2.3 s, reads the store. Event second_reader_asked.

--- /dev/null
+++ b/src/follower.c
@@ -0,0 +1,259 @@
+#include "follower.h"
+
+#include "readers.h"
+
+#include <string.h>
+
+/*
+ * A reader that has not answered a query for its revision for this long counts as lost, and what
+ * this VM knows counts as current for as long after an answer. Readers hold such a query for
+ * 2,000 ms; the strictest limit for a change to be in force is 3,000 ms.
+ */
+#define CURRENT_MS 2300
+/* Limit for the first answer after a start. */
+#define FIRST_ANSWER_MS 700
+/*
+ * Shortest and longest delay until another reader is asked for the same changes. In between, the
+ * delay follows the time that changes take, so that large ones are not requested from every reader.
+ */
+#define REPEAT_MIN_MS 250
+#define REPEAT_MAX_MS 1000
+/* A VM that has been behind for this long without progress reads the store itself. */
+#define BEHIND_MAX_MS 1500
+/* Pause after an answer that is not current or brings no progress, before the next such query. */
+#define RETRY_MS 500
+
+struct query {
+	bool is_open; /* waits for its answer */
+	uint64_t tag;
+	uint64_t asked_ms;
+	uint64_t next_ms; /* earliest time of the next one */
+};
+
+struct slot {
+	char *address; /* NULL: no reader */
+	struct query revision_query;
+	struct query changes_query;
+	bool is_stale; /* the last query got no answer, or one that is not current */
+	uint64_t revision; /* highest one reported */
+	uint64_t ahead_ms; /* since when that is above the revision of this VM, or its last progress
+			    */
+};
+
+struct follower {
+	struct slot slots[READERS_MAX]; /* in order of preference */
+	uint64_t last_tag;
+	uint64_t revision; /* of this VM */
+	bool was_served; /* since the restart */
+	uint64_t served_ms; /* last answer of a current reader, or the restart */
+	uint64_t changes_asked_ms; /* last query for changes */
+	uint64_t repeat_ms; /* present delay, see REPEAT_MIN_MS */
+};
+
+static void slot_clear(struct slot *s)
+{
+	g_free(s->address);
+	memset(s, 0, sizeof(*s));
+}
+
+struct follower *follower_create(uint64_t now_ms)
+{
+	struct follower *f = g_new0(struct follower, 1);
+
+	follower_restart(f, false, now_ms);
+	return f;
+}
+
+void follower_destroy(struct follower *f)
+{
+	if (!f)
+		return;
+	for (unsigned int i = 0; i < READERS_MAX; i++)
+		slot_clear(&f->slots[i]);
+	g_free(f);
+}
+
+void follower_restart(struct follower *f, bool is_served, uint64_t now_ms)
+{
+	for (unsigned int i = 0; i < READERS_MAX; i++)
+		slot_clear(&f->slots[i]);
+	f->was_served = is_served;
+	f->served_ms = now_ms;
+	f->repeat_ms = REPEAT_MIN_MS;
+}
+
+/* Moves the slot of the address out of the slots, or returns a new one. */
+static struct slot slot_take(struct slot *slots, const char *address)
+{
+	struct slot taken = {0};
+
+	for (unsigned int i = 0; i < READERS_MAX; i++)
+		if (slots[i].address && strcmp(slots[i].address, address) == 0) {
+			taken = slots[i];
+			memset(&slots[i], 0, sizeof(slots[i]));
+			return taken;
+		}
+	taken.address = g_strdup(address);
+	return taken;
+}
+
+void follower_readers_set(struct follower *f, const char *const *addresses, unsigned int n)
+{
+	struct slot slots[READERS_MAX] = {0};
+
+	for (unsigned int i = 0; i < n && i < READERS_MAX; i++)
+		slots[i] = slot_take(f->slots, addresses[i]);
+	for (unsigned int i = 0; i < READERS_MAX; i++)
+		slot_clear(&f->slots[i]);
+	memcpy(f->slots, slots, sizeof(slots));
+}
+
+void follower_revision_set(struct follower *f, uint64_t revision, uint64_t now_ms)
+{
+	if (revision <= f->revision)
+		return;
+	f->revision = revision;
+	for (unsigned int i = 0; i < READERS_MAX; i++) {
+		f->slots[i].ahead_ms = now_ms;
+		f->slots[i].changes_query.next_ms = now_ms;
+	}
+}
+
+static bool slot_is_lost(const struct slot *s, uint64_t now_ms)
+{
+	return s->is_stale ||
+	       (s->revision_query.is_open && now_ms - s->revision_query.asked_ms > CURRENT_MS);
+}
+
+static bool slot_is_ahead(const struct follower *f, const struct slot *s)
+{
+	return s->address && s->revision > f->revision;
+}
+
+/* For how long this VM has known without progress that a reader is ahead of it; 0: none is. */
+static uint64_t behind_ms(const struct follower *f, uint64_t now_ms)
+{
+	uint64_t longest_ms = 0;
+
+	for (unsigned int i = 0; i < READERS_MAX; i++)
+		if (slot_is_ahead(f, &f->slots[i]))
+			longest_ms = MAX(longest_ms, now_ms - f->slots[i].ahead_ms);
+	return longest_ms;
+}
+
+static void query_open(struct follower *f, struct query *q, uint64_t now_ms)
+{
+	q->is_open = true;
+	q->asked_ms = now_ms;
+	q->tag = ++f->last_tag;
+}
+
+static bool revision_query_write(struct follower *f, struct slot *s, uint64_t now_ms,
+				 struct follower_query *out)
+{
+	struct query *q = &s->revision_query;
+
+	if (q->is_open || now_ms < q->next_ms)
+		return false;
+	query_open(f, q, now_ms);
+	*out = (struct follower_query){
+		.address = s->address,
+		.tag = q->tag,
+		.known_revision = MAX(f->revision, s->revision),
+	};
+	return true;
+}
+
+/* is_first: no reader that is preferred to this one is left. */
+static bool changes_query_write(struct follower *f, struct slot *s, bool is_first, uint64_t now_ms,
+				struct follower_query *out)
+{
+	struct query *q = &s->changes_query;
+
+	if (q->is_open || now_ms < q->next_ms || slot_is_lost(s, now_ms) || !slot_is_ahead(f, s))
+		return false;
+	if (!is_first &&
+	    (behind_ms(f, now_ms) < f->repeat_ms || now_ms - f->changes_asked_ms < f->repeat_ms))
+		return false;
+	query_open(f, q, now_ms);
+	f->changes_asked_ms = now_ms;
+	*out = (struct follower_query){
+		.address = s->address,
+		.tag = q->tag,
+		.known_revision = f->revision,
+		.wants_changes = true,
+		.is_repeat = !is_first,
+	};
+	return true;
+}
+
+bool follower_query_next(struct follower *f, uint64_t now_ms, struct follower_query *out)
+{
+	bool is_first = true;
+
+	for (unsigned int i = 0; i < READERS_MAX; i++) {
+		struct slot *s = &f->slots[i];
+
+		if (!s->address)
+			continue;
+		if (revision_query_write(f, s, now_ms, out) ||
+		    changes_query_write(f, s, is_first, now_ms, out))
+			return true;
+		is_first = is_first && slot_is_lost(s, now_ms);
+	}
+	return false;
+}
+
+static void changes_answered(struct follower *f, struct slot *s, uint64_t revision, uint64_t now_ms)
+{
+	s->changes_query.next_ms = now_ms + RETRY_MS;
+	if (revision > f->revision)
+		f->repeat_ms = CLAMP(2 * behind_ms(f, now_ms), REPEAT_MIN_MS, REPEAT_MAX_MS);
+}
+
+void follower_answered(struct follower *f, uint64_t tag, bool is_current, uint64_t revision,
+		       uint64_t now_ms)
+{
+	for (unsigned int i = 0; i < READERS_MAX; i++) {
+		struct slot *s = &f->slots[i];
+		bool is_changes = s->changes_query.is_open && s->changes_query.tag == tag;
+		struct query *q = is_changes ? &s->changes_query : &s->revision_query;
+
+		if (!q->is_open || q->tag != tag)
+			continue;
+		q->is_open = false;
+		s->is_stale = !is_current;
+		if (!is_current) {
+			q->next_ms = now_ms + RETRY_MS;
+			return;
+		}
+		f->was_served = true;
+		f->served_ms = now_ms;
+		if (is_changes)
+			changes_answered(f, s, revision, now_ms);
+		if (revision > s->revision) {
+			if (s->revision <= f->revision)
+				s->ahead_ms = now_ms;
+			s->revision = revision;
+		}
+		return;
+	}
+}
+
+/* True when no reader is left whose last query was answered as current. */
+static bool are_readers_lost(const struct follower *f, uint64_t now_ms)
+{
+	for (unsigned int i = 0; i < READERS_MAX; i++)
+		if (f->slots[i].address && !slot_is_lost(&f->slots[i], now_ms))
+			return false;
+	return true;
+}
+
+bool follower_needs_store(const struct follower *f, uint64_t now_ms)
+{
+	bool is_starting = !f->was_served || f->revision == 0;
+
+	return now_ms - f->served_ms >= (is_starting ? FIRST_ANSWER_MS : CURRENT_MS) ||
+	       (f->was_served && are_readers_lost(f, now_ms)) ||
+	       behind_ms(f, now_ms) >= BEHIND_MAX_MS;
+}
--- /dev/null
+++ b/src/follower.h
@@ -0,0 +1,65 @@
+/*
+ * Decides how a VM that does not read the configuration store keeps up with the readers, the VMs
+ * that do: what it asks each of them, and when it has to read the store itself.
+ *
+ * Load answered: a configuration of hundreds of kilobytes that a reader sends to dozens of VMs over
+ * slow links, so that changes take longer to arrive than a reader may be behind otherwise; readers
+ * that are paused, cut off or have lost the store without knowing it yet.
+ *
+ * Each reader is asked for its revision, and holds the query until it knows a later one. The first
+ * reader that answers as current is then asked for its changes, another one only when these have
+ * not arrived after a delay. No query for changes is given up. Times are in milliseconds.
+ */
+#ifndef APRICOT_FOLLOWER_H
+#define APRICOT_FOLLOWER_H
+
+#include <glib.h>
+#include <stdbool.h>
+#include <stdint.h>
+
+G_BEGIN_DECLS
+
+struct follower;
+
+/* What to ask a reader. */
+struct follower_query {
+	const char
+		*address; /* of the reader; borrowed until the next call of follower_readers_set */
+	uint64_t tag; /* identifies the answer */
+	uint64_t known_revision; /* the answer has what is later */
+	bool wants_changes; /* false: only the reader's revision, once it is later */
+	bool is_repeat; /* these changes were asked of another reader and have not arrived yet */
+};
+
+/* The caller owns the result; destroy accepts NULL. */
+struct follower *follower_create(uint64_t now_ms);
+void follower_destroy(struct follower *f);
+
+/*
+ * Forgets what is known of the readers. is_served: this VM's content is current. To be called when
+ * the VM begins to follow.
+ */
+void follower_restart(struct follower *f, bool is_served, uint64_t now_ms);
+
+/* Sets the addresses of the readers in order of preference; n is at most READERS_MAX. */
+void follower_readers_set(struct follower *f, const char *const *addresses, unsigned int n);
+
+/* Notes the revision of this VM's content. */
+void follower_revision_set(struct follower *f, uint64_t revision, uint64_t now_ms);
+
+/* Writes the next query that is due now, which then counts as open; false when there is none. */
+bool follower_query_next(struct follower *f, uint64_t now_ms, struct follower_query *out);
+
+/*
+ * Notes the end of a query, before follower_revision_set for the changes in the answer. is_current:
+ * the reader answered and vouches for the revision. A tag that is not of an open query is ignored.
+ */
+void follower_answered(struct follower *f, uint64_t tag, bool is_current, uint64_t revision,
+		       uint64_t now_ms);
+
+/* True when this VM cannot rely on the readers and has to read the store itself. */
+bool follower_needs_store(const struct follower *f, uint64_t now_ms);
+
+G_END_DECLS
+
+#endif
--- a/src/logevent.h
+++ b/src/logevent.h
@@ -35,10 +35,8 @@
 	X("store_listed", "all keys of the store were read")                                      \
 	X("store_history_lost", "the store has dropped its history; all keys are read again")     \
 	X("store_reading", "whether this VM now reads the store or gets changes from peers; why") \
-	X("reader_skipped",                                                                       \
-	  "a reader has not passed on a revision that another one knows; the next is asked")      \
-	X("reader_answer_dropped",                                                                \
-	  "changes from a reader that was skipped meanwhile were not applied")                    \
+	X("second_reader_asked",                                                                  \
+	  "changes that a reader knows have not arrived from the first one; another is asked")    \
 	X("entries_chosen", "number of entry VMs, those whose addresses callers get")             \
 	X("member_changed", "another VM is live, leaving, suspected or removed")                  \
 	X("pause_detected", "this process did not run for longer than its lease")                 \
--- a/src/relay.c
+++ b/src/relay.c
@@ -1,6 +1,7 @@
 #include "relay.h"
 
 #include "clock.h"
+#include "follower.h"
 #include "log.h"
 #include "message.h"
 #include "mirror.h"
@@ -12,44 +13,15 @@
 /* Longest time that a reader holds a query open. An answer also shows that the reader is alive. */
 #define ASK_WAIT_MS 2000
 #define ASK_TIMEOUT_US ((uint64_t)(ASK_WAIT_MS + 800) * CLOCK_US_PER_MS)
-/*
- * What this VM knows counts as current for this time after a reader's answer: the wait and a
- * margin.
- */
-#define CURRENT_MS (ASK_WAIT_MS + 600)
+/* Changes that take seconds over a slow link are still applied. */
+#define CHANGES_TIMEOUT_US ((uint64_t)(ASK_WAIT_MS + 6000) * CLOCK_US_PER_MS)
 /* A starting VM that knows no other member waits this long before it chooses the readers. */
 #define SETTLE_MS 400
-/* A VM that has had no current answer from a reader for this long reads the store itself. */
+/* A reader that has not read the store this long after its start asks the other readers. */
 #define UNSERVED_MS 700
 /* A VM that starts to read the store itself does so for this long, to avoid frequent switching. */
 #define SELF_READING_MS 5000
-/*
- * When the reader that is asked for changes has not passed on a revision that another reader has
- * known for this long, the next reader is asked instead.
- */
-#define BEHIND_MS 250
 #define TICK_MS 50
-/* Pause after an answer that is not current, before the next reader is asked for changes. */
-#define RETRY_MS 150
-/*
- * Pause after an answer that is not current, before the same reader is asked for its revision
- * again.
- */
-#define REVISION_RETRY_MS 500
-
-/*
- * A VM keeps one query open to each reader. The first one asks for changes, the others only ask the
- * other readers for their revisions, since a reader may have lost the store without knowing it yet.
- */
-#define QUERY_CHANGES 0
-#define QUERIES READERS_MAX
-
-struct query {
-	bool is_open; /* waits for an answer */
-	uint64_t tag; /* of the call in progress */
-	uint64_t next_ms; /* earliest time of the next call */
-	bool is_stale; /* the last call got no answer, or one that is not current */
-};
 
 /* A query of another VM that is held open until there are changes. */
 struct waiter {
@@ -66,14 +38,10 @@
 	struct roster *roster;
 	struct event *tick;
 	struct list_head waiters;
-	struct query queries[QUERIES]; /* each to a different reader */
-	unsigned int n_skipped; /* readers that the query for changes has passed over so far */
-	uint64_t last_tag;
+	struct follower *follower;
 	uint64_t started_ms;
-	uint64_t served_ms; /* time of the last current answer of a reader; 0: none yet */
 	uint64_t self_until_ms; /* this VM reads the store itself until then */
-	uint64_t reported_revision; /* highest revision in an answer to a query for revisions */
-	uint64_t reported_ms; /* time of that answer, or of the last skip of a reader */
+	bool is_following; /* asks readers */
 	bool is_reading; /* the feed of this VM was told to read the store */
 	bool is_current; /* as in the last store_update of the feed */
 };
@@ -83,25 +51,6 @@
 	return r->is_reading && r->is_current;
 }
 
-/*
- * True when every reader failed to give a current answer to its last query. False until a first
- * current answer, since after a start the readers may not have read the store yet.
- */
-static bool are_readers_stale(const struct relay *r)
-{
-	for (unsigned int i = 0; i < QUERIES; i++)
-		if (!r->queries[i].is_stale)
-			return false;
-	return r->served_ms > 0;
-}
-
-/* True when this VM reads the store, or a reader has given a current answer within CURRENT_MS. */
-static bool is_current(const struct relay *r, uint64_t now_ms)
-{
-	return reads_itself(r) || (mirror_revision(r->mirror) > 0 && !are_readers_stale(r) &&
-				   now_ms - r->served_ms < CURRENT_MS);
-}
-
 static void items_encode(apr_feed_reply *out, const struct store_answer *answer)
 {
 	out->items.items_len = MIN(answer->items->len, APR_FEED_ITEMS_MAX);
@@ -195,47 +144,30 @@
 	list_add_tail(&w->node, &r->waiters);
 }
 
-static void query_send(struct relay *r, unsigned int index, const struct roster_vm *reader)
+static void query_send(struct relay *r, const struct follower_query *query)
 {
-	struct query *query = &r->queries[index];
 	apr_feed_args *args = peer_args_create(APR_FEED);
 	struct peer_call *call;
 
-	args->known_revision =
-		MAX(mirror_revision(r->mirror), index == QUERY_CHANGES ? 0 : r->reported_revision);
+	args->known_revision = query->known_revision;
 	args->wait_ms = ASK_WAIT_MS;
-	args->wants_items = index == QUERY_CHANGES;
-	call = peer_call_create(APR_FEED, reader->rpc, args, ASK_TIMEOUT_US);
+	args->wants_items = query->wants_changes;
+	call = peer_call_create(APR_FEED, query->address, args,
+				query->wants_changes ? CHANGES_TIMEOUT_US : ASK_TIMEOUT_US);
 	call->reply_to = &r->service;
-	call->tag = query->tag = ++r->last_tag;
-	query->is_open = true;
+	call->tag = query->tag;
+	if (query->is_repeat)
+		log_event(LOG_LEVEL_INFO, "second_reader_asked",
+			  "reader=%s revision=%" G_GUINT64_FORMAT, query->address,
+			  query->known_revision);
 	kernel_message_send(r->service.kernel, r->peer, &call->message);
 }
 
-/* The reader that the query goes to now; NULL when there is none besides this VM. */
-static const struct roster_vm *query_reader(const struct relay *r, unsigned int index,
-					    const struct readers *readers)
-{
-	unsigned int first = readers_first(readers, r->dc);
-	unsigned int step = r->n_skipped + index;
-	const struct roster_vm *vm;
-
-	if (index >= readers->n)
-		return NULL;
-	vm = readers->vms[(first + step) % readers->n];
-	if (vm->is_self && readers->n > 1)
-		vm = readers->vms[(first + step + 1) % readers->n];
-	return vm->is_self ? NULL : vm;
-}
-
 static void reading_set(struct relay *r, bool is_wanted, const char *why)
 {
 	if (r->is_reading == is_wanted)
 		return;
 	r->is_reading = is_wanted;
-	/* What this VM has read until now is current, although no reader was asked yet. */
-	if (!is_wanted && r->is_current)
-		r->served_ms = clock_now_ms();
 	log_event(LOG_LEVEL_INFO, "store_reading",
 		  "reads=%s why=\"%s\" revision=%" G_GUINT64_FORMAT, is_wanted ? "self" : "peers",
 		  why, mirror_revision(r->mirror));
@@ -243,31 +175,37 @@
 			    &store_reading_create(is_wanted)->message);
 }
 
-static void queries_advance(struct relay *r, const struct readers *readers, uint64_t now_ms)
+/* Tells the follower the readers other than this VM, the one in its own data centre first. */
+static void follower_readers_update(struct relay *r, const struct readers *readers)
 {
-	for (unsigned int i = 0; i < QUERIES; i++) {
-		struct query *query = &r->queries[i];
-		const struct roster_vm *vm = query_reader(r, i, readers);
+	const char *addresses[READERS_MAX];
+	unsigned int first = readers_first(readers, r->dc);
+	unsigned int n = 0;
+
+	for (unsigned int i = 0; i < readers->n; i++) {
+		const struct roster_vm *vm = readers->vms[(first + i) % readers->n];
 
-		if (vm && !query->is_open && now_ms >= query->next_ms)
-			query_send(r, i, vm);
+		if (!vm->is_self)
+			addresses[n++] = vm->rpc;
 	}
+	follower_readers_set(r->follower, addresses, n);
 }
 
-/* Asks the next reader for changes when the present one lags behind another one. */
-static void lagging_reader_skip(struct relay *r, uint64_t now_ms)
+static void readers_ask(struct relay *r, const struct readers *readers, uint64_t now_ms)
 {
-	if (r->reported_revision <= mirror_revision(r->mirror) ||
-	    now_ms - r->reported_ms < BEHIND_MS)
-		return;
-	r->reported_ms = now_ms;
-	r->n_skipped++;
-	log_event(LOG_LEVEL_INFO, "reader_skipped",
-		  "revision=%" G_GUINT64_FORMAT " reported=%" G_GUINT64_FORMAT " answer_pending=%s",
-		  mirror_revision(r->mirror), r->reported_revision,
-		  r->queries[QUERY_CHANGES].is_open ? "yes" : "no");
-	r->queries[QUERY_CHANGES].is_open = false;
-	r->queries[QUERY_CHANGES].next_ms = now_ms;
+	struct follower_query query;
+
+	follower_readers_update(r, readers);
+	while (follower_query_next(r->follower, now_ms, &query))
+		query_send(r, &query);
+}
+
+/* Starts or stops asking the readers. */
+static void following_set(struct relay *r, bool is_wanted, uint64_t now_ms)
+{
+	if (is_wanted && !r->is_following)
+		follower_restart(r->follower, r->is_current, now_ms);
+	r->is_following = is_wanted;
 }
 
 static void relay_advance(struct relay *r)
@@ -282,19 +220,17 @@
 	if (readers.is_self || readers.n == 0) {
 		reading_set(r, true, "chosen");
 		/* A reader that has lost the store asks the other readers meanwhile. */
-		if (!r->is_current && now_ms - r->started_ms > UNSERVED_MS) {
-			lagging_reader_skip(r, now_ms);
-			queries_advance(r, &readers, now_ms);
-		}
+		following_set(r, !r->is_current && now_ms - r->started_ms > UNSERVED_MS, now_ms);
+		if (r->is_following)
+			readers_ask(r, &readers, now_ms);
 		return;
 	}
-	if (!is_current(r, now_ms) && now_ms >= r->self_until_ms &&
-	    (are_readers_stale(r) || now_ms - MAX(r->served_ms, r->started_ms) > UNSERVED_MS))
+	following_set(r, true, now_ms);
+	readers_ask(r, &readers, now_ms);
+	if (now_ms >= r->self_until_ms && follower_needs_store(r->follower, now_ms))
 		r->self_until_ms = now_ms + SELF_READING_MS;
 	reading_set(r, now_ms < r->self_until_ms,
 		    now_ms < r->self_until_ms ? "no reader answers" : "a reader answers");
-	lagging_reader_skip(r, now_ms);
-	queries_advance(r, &readers, now_ms);
 }
 
 static void tick_handle(evutil_socket_t fd, short what, void *arg)
@@ -328,6 +264,7 @@
 		mirror_apply_listing(r->mirror, answer);
 	else
 		mirror_apply(r->mirror, answer);
+	follower_revision_set(r->follower, mirror_revision(r->mirror), clock_now_ms());
 }
 
 static void items_receive(struct relay *r, apr_feed_reply *reply)
@@ -346,34 +283,12 @@
 static void reply_receive(struct relay *r, const struct peer_reply *message)
 {
 	apr_feed_reply *reply = message->result;
-	uint64_t now_ms = clock_now_ms();
+	bool is_current = reply && reply->is_current;
 
-	for (unsigned int i = 0; i < QUERIES; i++) {
-		struct query *query = &r->queries[i];
-
-		if (!query->is_open || query->tag != message->tag)
-			continue;
-		query->is_open = false;
-		query->is_stale = !reply || !reply->is_current;
-		if (query->is_stale) {
-			r->n_skipped += i == QUERY_CHANGES;
-			query->next_ms =
-				now_ms + (i == QUERY_CHANGES ? RETRY_MS : REVISION_RETRY_MS);
-			return;
-		}
-		r->served_ms = now_ms;
-		if (i == QUERY_CHANGES) {
-			items_receive(r, reply);
-		} else if (reply->revision > r->reported_revision) {
-			r->reported_revision = reply->revision;
-			r->reported_ms = now_ms;
-		}
-		return;
-	}
-	if (reply && reply->items.items_len > 0)
-		log_event(LOG_LEVEL_INFO, "reader_answer_dropped",
-			  "revision=%" G_GUINT64_FORMAT " known=%" G_GUINT64_FORMAT " keys=%u",
-			  reply->revision, mirror_revision(r->mirror), reply->items.items_len);
+	follower_answered(r->follower, message->tag, is_current, is_current ? reply->revision : 0,
+			  clock_now_ms());
+	if (is_current)
+		items_receive(r, reply);
 }
 
 /* Takes in what the feed of this VM has read from the store. */
@@ -417,6 +332,7 @@
 
 	r->peer = kernel_service_find(s->kernel, "peer");
 	r->started_ms = clock_now_ms();
+	follower_restart(r->follower, false, r->started_ms);
 	event_add(r->tick, &period);
 	return TRUE;
 }
@@ -434,6 +350,7 @@
 	}
 	event_free(r->tick);
 	mirror_destroy(r->mirror);
+	follower_destroy(r->follower);
 	roster_put(r->roster);
 	g_free(r->dc);
 	g_free(r);
@@ -452,6 +369,7 @@
 	r->service.ops = &ops;
 	r->dc = g_strdup(dc);
 	r->mirror = mirror_create();
+	r->follower = follower_create(clock_now_ms());
 	list_init(&r->waiters);
 	r->tick = event_new(kernel_base(k), -1, EV_PERSIST, tick_handle, r);
 	return &r->service;
--- a/src/relay.h
+++ b/src/relay.h
@@ -1,7 +1,7 @@
 /*
  * Service "relay": passes on the content of the configuration store between VMs. A few VMs, the
- * readers, read the store. Every other VM asks one reader for changes and the others for their
- * revision, and reads the store itself only while no reader gives current answers.
+ * readers, read the store. Every other VM asks them for their revision and one of them for its
+ * changes, and reads the store itself only while it cannot rely on them; follower.h decides that.
  */
 #ifndef APRICOT_RELAY_H
 #define APRICOT_RELAY_H
--- /dev/null
+++ b/tests/follower_test.cc
@@ -0,0 +1,225 @@
+#include "follower.h"
+#include "script.h"
+
+#include <gtest/gtest.h>
+#include <random>
+
+namespace
+{
+#define STEP_MS 10
+#define N_READERS 3
+#define NEVER UINT64_MAX
+
+/* Reader as the follower sees it; it reads the store itself. Times in milliseconds. */
+struct reader {
+	uint64_t paused_ms = NEVER; /* answers nothing from then on */
+	uint64_t lost_ms = NEVER; /* the store answers it nothing from then on */
+	uint64_t notice_ms = 2700; /* time until it notices that */
+	uint64_t reading_ms = 0; /* time from a write until it has read it */
+	uint64_t changes_ms = 0; /* time that an answer with changes takes */
+	bool has_changes = true;
+};
+
+struct open_query {
+	size_t reader;
+	struct follower_query query;
+	uint64_t until_ms; /* held until then */
+	uint64_t timeout_ms; /* counts as lost then */
+	uint64_t due_ms; /* of the answer; 0: not known yet */
+	uint64_t revision; /* in the answer */
+};
+
+/* A follower, its readers and a store whose writes have revisions and times. */
+struct world {
+	struct follower *f = follower_create(0);
+	std::vector<reader> readers = std::vector<reader>(N_READERS);
+	std::vector<open_query> queries;
+	std::vector<std::pair<uint64_t, uint64_t>> writes; /* time and revision */
+	uint64_t now_ms = 0;
+	uint64_t known = 0;
+	bool needs_store = false;
+	std::string log; /* of queries for changes, and of what becomes known */
+
+	~world()
+	{
+		follower_destroy(f);
+	}
+
+	void line(const std::string &text)
+	{
+		log += std::to_string(now_ms) + " " + text + "\n";
+	}
+
+	uint64_t revision_of(const reader &r) const
+	{
+		uint64_t revision = 0;
+
+		for (const auto &w : writes)
+			if (w.first + r.reading_ms <= now_ms && w.first < r.lost_ms)
+				revision = std::max(revision, w.second);
+		return revision;
+	}
+
+	bool is_current(const reader &r) const
+	{
+		return r.lost_ms == NEVER || now_ms < r.lost_ms + r.notice_ms;
+	}
+
+	void learn(uint64_t revision)
+	{
+		known = std::max(known, revision);
+		follower_revision_set(f, known, now_ms);
+	}
+
+	/* Handles the query; true when it has ended. */
+	bool query_advance(open_query &q)
+	{
+		const reader &r = readers[q.reader];
+		uint64_t revision = revision_of(r);
+
+		if (now_ms < q.timeout_ms && r.paused_ms <= now_ms)
+			return false;
+		if (now_ms >= q.timeout_ms || !is_current(r)) {
+			follower_answered(f, q.query.tag, false, 0, now_ms);
+			return true;
+		}
+		if (!q.due_ms && revision > q.query.known_revision) {
+			q.revision = revision;
+			q.due_ms = now_ms + (q.query.wants_changes ? r.changes_ms : 0);
+			if (q.query.wants_changes)
+				line("r" + std::to_string(q.reader) + " changes since " +
+				     std::to_string(q.query.known_revision));
+		} else if (!q.due_ms && now_ms >= q.until_ms) {
+			q.revision = revision;
+			q.due_ms = now_ms;
+		}
+		if (!q.due_ms || now_ms < q.due_ms)
+			return false;
+		follower_answered(f, q.query.tag, true, q.revision, now_ms);
+		if (q.query.wants_changes && r.has_changes && q.revision > known) {
+			learn(q.revision);
+			line("known " + std::to_string(known));
+		}
+		return true;
+	}
+
+	void queries_advance()
+	{
+		std::vector<open_query> open;
+		struct follower_query query;
+
+		for (auto &q : queries)
+			if (!query_advance(q))
+				open.push_back(q);
+		queries = open;
+		while (follower_query_next(f, now_ms, &query))
+			queries.push_back({(size_t)(query.address[1] - '0'), query, now_ms + 2000,
+					   now_ms + (query.wants_changes ? 8000 : 2800), 0, 0});
+	}
+
+	void step()
+	{
+		static const char *const addresses[] = {"r0", "r1", "r2"};
+
+		follower_readers_set(f, addresses, N_READERS);
+		/* Twice, since an answer without wait arrives in the step of its query. */
+		queries_advance();
+		queries_advance();
+		if (follower_needs_store(f, now_ms) != needs_store) {
+			needs_store = !needs_store;
+			line(needs_store ? "needs store" : "store not needed");
+		}
+	}
+
+	/* The VM has this revision, and the readers have served it until now. */
+	void begin(uint64_t revision)
+	{
+		writes.emplace_back(0, revision);
+		follower_restart(f, true, now_ms);
+		learn(revision);
+	}
+};
+
+struct follower_script : script_interpreter {
+	struct world world;
+
+	struct reader &reader_of(const std::string &name)
+	{
+		return world.readers.at((size_t)(name[1] - '0'));
+	}
+
+	std::string run(const std::vector<std::string> &w) override
+	{
+		uint64_t at_ms = w.size() > 3 ? std::stoull(w[3]) : 0;
+
+		world.log.clear();
+		if (w[0] == "known") { /* known REVISION: by all */
+			world.begin(std::stoull(w[1]));
+		} else if (w[0] == "write") { /* write REVISION at MS */
+			world.writes.emplace_back(at_ms, std::stoull(w[1]));
+		} else if (w[0] == "changes-take") { /* changes-take MS: from any reader */
+			for (auto &r : world.readers)
+				r.changes_ms = std::stoull(w[1]);
+		} else if (w[0] == "pause") { /* pause READER at MS */
+			reader_of(w[1]).paused_ms = at_ms;
+		} else if (w[0] == "lose-store") { /* lose-store READER at MS; noticed later */
+			reader_of(w[1]).lost_ms = at_ms;
+		} else if (w[0] == "without-changes") { /* without-changes READER */
+			reader_of(w[1]).has_changes = false;
+		} else if (w[0] == "run") { /* run MS: until then */
+			for (; world.now_ms < std::stoull(w[1]); world.now_ms += STEP_MS)
+				world.step();
+		} else {
+			return "unknown step " + w[0] + "\n";
+		}
+		return world.log;
+	}
+};
+
+bool registered = script_register("follower", "follower.test",
+				  [] { return std::make_unique<follower_script>(); });
+} // namespace
+
+/*
+ * Guards against a VM that neither learns of a change nor reads the store within the strictest
+ * limit (3,000 ms). Each reader may have one fault shortly before or after the change: it pauses,
+ * loses the store, or its changes take up to 4 s. Readers learn of a write within 450 ms; a read of
+ * the store takes 150 ms.
+ */
+TEST(follower, change_is_known_in_time)
+{
+	for (unsigned seed = 0; seed < 20000; seed++) {
+		std::mt19937 rand(seed);
+		auto upto = [&](uint64_t n) { return (uint64_t)(rand() % n); };
+		struct world w;
+		uint64_t change_ms = 4000 + upto(2000);
+		uint64_t store_ms = 0; /* time for which the store has been needed */
+
+		w.begin(1);
+		for (auto &r : w.readers) {
+			uint64_t fault_ms = change_ms - 3000 + upto(3600);
+
+			r.reading_ms = upto(450);
+			switch (upto(4)) {
+			case 0:
+				r.paused_ms = fault_ms;
+				break;
+			case 1:
+				r.lost_ms = fault_ms;
+				break;
+			case 2:
+				r.changes_ms = upto(4000);
+				break;
+			}
+		}
+		w.writes.emplace_back(change_ms, 2);
+		while (w.known < 2 && w.now_ms < change_ms + 10000) {
+			w.step();
+			w.now_ms += STEP_MS;
+			store_ms = w.needs_store ? store_ms + STEP_MS : 0;
+			if (store_ms >= 150 && w.now_ms >= change_ms)
+				break;
+		}
+		ASSERT_LE(w.now_ms, change_ms + 3000) << "seed " << seed << "\n" << w.log;
+	}
+}
