Let an answer of the store that keeps arriving take its time

Callers would see: handled by version N or older (CONFIG). A watch returns every version missed, base64 and whole, so six versions of 260 KB over a slow link never arrive. Change: while more arrives within each 600 ms, an answer may take up to 10 s; the VM does not vouch for its content meanwhile.

--- a/src/feed.c
+++ b/src/feed.c
@@ -15,6 +15,11 @@
  * than the limit counts as lost.
  */
 #define ANSWER_TIMEOUT_MS 600
+/*
+ * An answer of which more arrives within each ANSWER_TIMEOUT_MS may take this long: six versions of
+ * a large configuration over a slow link take seconds. The store counts as lost meanwhile.
+ */
+#define TRANSFER_MAX_MS 10000
 /*
  * Pause after a watch call that returned changes, so that the next one returns many at once. The
  * pause delays changes; the strictest limit for one to be in force is three seconds.
@@ -57,6 +62,8 @@
 	uint64_t listing_revision; /* of the listing's first page */
 	uint64_t next_call_ms; /* earliest time of the next call */
 	uint64_t answer_by_ms; /* when the connection attempt or the call in progress times out */
+	uint64_t transfer_by_ms; /* as answer_by_ms, while the answer makes progress */
+	uint64_t received_bytes; /* on the connection, when answer_by_ms was set */
 	unsigned int failures; /* in a row */
 	uint64_t lost_since_ms; /* valid while store_is_lost */
 };
@@ -79,26 +86,31 @@
 	f->is_open = false;
 }
 
-static void feed_fail(struct feed *f, const char *why)
+static void store_lost(struct feed *f, const char *why)
 {
 	struct store_answer nothing = {0};
-	uint64_t now_ms = clock_now_ms();
-	GRand *rand = kernel_rand(f->service.kernel);
-	gint32 pause_ms = MIN(RETRY_FIRST_MS << MIN(f->failures, 8), RETRY_MAX_MS);
 
-	client_close(f);
-	f->failures++;
-	f->next_call_ms = now_ms + (uint64_t)g_rand_int_range(rand, pause_ms / 2, pause_ms);
-	counter_increment(kernel_counters(f->service.kernel), COUNTER_PLATFORM_FAILURES);
 	if (f->store_is_lost)
 		return;
 	f->store_is_lost = true;
-	f->lost_since_ms = now_ms;
+	f->lost_since_ms = clock_now_ms();
 	relay_send(f, &nothing, false);
 	log_event(LOG_LEVEL_WARNING, "store_lost", "why=\"%s\" revision=%" G_GUINT64_FORMAT, why,
 		  f->revision);
 }
 
+static void feed_fail(struct feed *f, const char *why)
+{
+	GRand *rand = kernel_rand(f->service.kernel);
+	gint32 pause_ms = MIN(RETRY_FIRST_MS << MIN(f->failures, 8), RETRY_MAX_MS);
+
+	client_close(f);
+	f->failures++;
+	f->next_call_ms = clock_now_ms() + (uint64_t)g_rand_int_range(rand, pause_ms / 2, pause_ms);
+	counter_increment(kernel_counters(f->service.kernel), COUNTER_PLATFORM_FAILURES);
+	store_lost(f, why);
+}
+
 static void store_answered(struct feed *f)
 {
 	uint64_t now_ms = clock_now_ms();
@@ -314,6 +326,8 @@
 		target = f->adapter->ops->watch_target(f->adapter, ALL_KEYS, f->revision, wait_ms);
 		f->answer_by_ms = now_ms + wait_ms + ANSWER_TIMEOUT_MS;
 	}
+	f->transfer_by_ms = now_ms + TRANSFER_MAX_MS;
+	f->received_bytes = http_conn_received_bytes(f->client);
 	request = g_strdup_printf("GET %s HTTP/1.1\r\nHost: %s\r\n\r\n", target,
 				  f->settings.store_address);
 	counter_increment(kernel_counters(f->service.kernel), COUNTER_PLATFORM_READS);
@@ -380,12 +394,25 @@
  */
 static const struct http_limits answer_limits = {.head_bytes = 65536, .body_bytes = 8u << 20};
 
+/* Gives an answer that has begun to arrive more time; false when it makes no progress. */
+static bool answer_extend(struct feed *f, uint64_t now_ms)
+{
+	uint64_t received_bytes = http_conn_received_bytes(f->client);
+
+	if (!f->is_open || received_bytes == f->received_bytes || now_ms >= f->transfer_by_ms)
+		return false;
+	f->received_bytes = received_bytes;
+	f->answer_by_ms = now_ms + ANSWER_TIMEOUT_MS;
+	store_lost(f, "slow answer");
+	return true;
+}
+
 static void feed_advance(struct feed *f, uint64_t now_ms)
 {
 	if (!f->reads_store)
 		return;
 	if (f->client && (f->has_call || !f->is_open)) {
-		if (now_ms >= f->answer_by_ms)
+		if (now_ms >= f->answer_by_ms && !answer_extend(f, now_ms))
 			feed_fail(f, f->is_open ? "no answer" : "no connection");
 		return;
 	}
--- a/src/httpconn.c
+++ b/src/httpconn.c
@@ -11,6 +11,7 @@
 	const struct http_conn_ops *ops;
 	void *arg;
 	struct http_reader *reader;
+	uint64_t received_bytes;
 	unsigned int n_skipped; /* answers to other requests, during the current call */
 	bool is_open;
 	bool has_call; /* a request was sent and its answer has not arrived */
@@ -73,6 +74,7 @@
 {
 	struct http_conn *c = list_entry(stream, struct http_conn, stream);
 
+	c->received_bytes += n;
 	while (n > 0) {
 		size_t used;
 		enum http_progress progress;
@@ -156,6 +158,11 @@
 	return stream_write(&c->stream, request, n);
 }
 
+uint64_t http_conn_received_bytes(const struct http_conn *c)
+{
+	return c->received_bytes;
+}
+
 const char *http_failure_name(enum http_failure failure)
 {
 	static const char *const names[] = {
--- a/src/httpconn.h
+++ b/src/httpconn.h
@@ -63,6 +63,8 @@
  * False when the connection is lost; ops->failed may still be called later, from the event loop.
  */
 bool http_conn_send(struct http_conn *c, const char *request, size_t n);
+/* Number of bytes received on the connection so far. */
+uint64_t http_conn_received_bytes(const struct http_conn *c);
 const char *http_failure_name(enum http_failure failure);
 
 G_END_DECLS
