Vouch for content only after the store has confirmed it

Cause: what the relay knew of its feed outlived the time for which the feed read the store. A VM that became a reader again vouched for its old content at once, for up to 3.2 s if the store was silent to it. Change: the mark is reset when reading begins, and the first watch after that does not wait, so that the store confirms what the VM knows within one round trip.

--- a/src/feed.c
+++ b/src/feed.c
@@ -54,6 +54,7 @@
 	bool has_call; /* a call is in progress */
 	bool is_open; /* the connection is established */
 	bool reads_store; /* this VM reads the store itself */
+	bool has_read; /* the store has answered since reads_store was set */
 	/* From a failure until an answer or reading_set; only the first failure is logged. */
 	bool store_is_lost;
 	GPtrArray *listed; /* items of the listing's pages so far, for the relay; NULL: none yet */
@@ -116,6 +117,7 @@
 	uint64_t now_ms = clock_now_ms();
 
 	f->failures = 0;
+	f->has_read = true;
 	if (!f->store_is_lost)
 		return;
 	f->store_is_lost = false;
@@ -319,9 +321,9 @@
 		/*
 		 * After a failure the store is asked to answer at once: it may never answer a call
 		 * that it received while it was silent, and without a wait the call times out after
-		 * ANSWER_TIMEOUT_MS.
+		 * ANSWER_TIMEOUT_MS. The first call confirms at once what this VM knows.
 		 */
-		unsigned int wait_ms = f->store_is_lost ? 0 : f->settings.wait_ms;
+		unsigned int wait_ms = f->store_is_lost || !f->has_read ? 0 : f->settings.wait_ms;
 
 		target = f->adapter->ops->watch_target(f->adapter, ALL_KEYS, f->revision, wait_ms);
 		f->answer_by_ms = now_ms + wait_ms + ANSWER_TIMEOUT_MS;
@@ -468,6 +470,7 @@
 static void reading_set(struct feed *f, bool reads_store)
 {
 	f->reads_store = reads_store;
+	f->has_read = false;
 	if (!reads_store)
 		client_close(f);
 	f->store_is_lost = false;
--- a/src/relay.c
+++ b/src/relay.c
@@ -43,7 +43,7 @@
 	uint64_t self_until_ms; /* this VM reads the store itself until then */
 	bool is_following; /* asks readers */
 	bool is_reading; /* the feed of this VM was told to read the store */
-	bool is_current; /* as in the last store_update of the feed */
+	bool is_current; /* as in the last store_update of the feed since it began to read */
 };
 
 static bool reads_itself(const struct relay *r)
@@ -168,6 +168,8 @@
 	if (r->is_reading == is_wanted)
 		return;
 	r->is_reading = is_wanted;
+	if (is_wanted)
+		r->is_current = false;
 	log_event(LOG_LEVEL_INFO, "store_reading",
 		  "reads=%s why=\"%s\" revision=%" G_GUINT64_FORMAT, is_wanted ? "self" : "peers",
 		  why, mirror_revision(r->mirror));
--- a/tests/relay_test.cc
+++ b/tests/relay_test.cc
@@ -33,11 +33,22 @@
 	};
 	std::vector<query> queries;
 	unsigned int changes_sent; /* answers with changes */
+	std::string reply; /* of the relay to a query of another VM; "": none yet */
 };
 
 void peer_receive(struct service *s, struct message *m)
 {
 	auto *p = reinterpret_cast<struct fake_peer *>(s);
+
+	if (m->kind == MESSAGE_PEER_REPLY) {
+		auto *reply = static_cast<apr_feed_reply *>(
+			reinterpret_cast<struct peer_reply *>(m)->result);
+
+		p->reply = (reply->is_current ? "current " : "not current ") +
+			   std::to_string(reply->revision) + "\n";
+		message_destroy(m);
+		return;
+	}
 	auto *call = reinterpret_cast<struct peer_call *>(m);
 	auto *args = static_cast<apr_feed_args *>(call->args);
 
@@ -134,8 +145,8 @@
 		event_base_free(base);
 	}
 
-	/* This VM has the least weight, so that the others are the readers. */
-	void roster_send(unsigned int n)
+	/* n other VMs of weight 500; the three VMs with the greatest weight are the readers. */
+	void roster_send(unsigned int n, unsigned int own_weight)
 	{
 		struct roster *roster = roster_create(n + 1, 1);
 
@@ -148,7 +159,7 @@
 			vm->rpc = g_strdup(name.c_str());
 			vm->http = g_strdup("");
 			vm->name_hash = rendezvous_name_hash(name.c_str());
-			vm->weight = i < n ? 500 : 120;
+			vm->weight = i < n ? 500 : own_weight;
 			vm->is_self = i == n;
 			vm->is_available = true;
 		}
@@ -173,11 +184,33 @@
 		return true;
 	}
 
+	void store_answer_send(uint64_t revision)
+	{
+		struct store_answer answer = {g_ptr_array_new_with_free_func(store_item_free),
+					      false, revision};
+		struct store_update *update = store_update_create(&answer, false);
+
+		update->is_current = true;
+		kernel_message_send(k, kernel_service_find(k, "relay"), &update->message);
+	}
+
+	std::string ask()
+	{
+		auto *args = static_cast<apr_feed_args *>(peer_args_create(APR_FEED));
+		struct peer_call *call = peer_call_create(APR_FEED, "", args, 0);
+
+		peer.reply = "";
+		call->reply_to = &peer.service;
+		kernel_message_send(k, kernel_service_find(k, "relay"), &call->message);
+		loop(1000, [&] { return !peer.reply.empty(); });
+		return peer.reply;
+	}
+
 	std::string run(const std::vector<std::string> &w) override
 	{
 		if (w[0] == "readers") { /* readers N REVISION */
 			readers.assign(std::stoul(w[1]), {std::stoull(w[2]), 0});
-			roster_send((unsigned int)readers.size());
+			roster_send((unsigned int)readers.size(), 120);
 		} else if (w[0] == "changes-take") { /* changes-take MS: from any reader */
 			for (auto &r : readers)
 				r.changes_ms = std::stoull(w[1]);
@@ -193,6 +226,14 @@
 				       : "no\n";
 		} else if (w[0] == "answers-at-most") { /* answers-at-most N: with changes */
 			return peer.changes_sent <= std::stoul(w[1]) ? "yes\n" : "no\n";
+		} else if (w[0] == "own-weight") { /* own-weight N: with three other VMs */
+			readers.resize(3);
+			roster_send(3, (unsigned int)std::stoul(w[1]));
+			loop(100, [] { return false; });
+		} else if (w[0] == "store-answers") { /* store-answers REVISION: to this VM */
+			store_answer_send(std::stoull(w[1]));
+		} else if (w[0] == "asked") { /* by another VM that knows nothing */
+			return ask();
 		} else if (w[0] == "reads-store") {
 			return feed.reads_store ? "yes\n" : "no\n";
 		} else {
