Keep the calls to a leaf below the limit that it names

Callers saw nothing; a back end got more than one and a half times the requests a second that it had named (LIMIT). Cause: the field was read nowhere, so a leaf in need got its usual load for as long as it answered as fast as before. The class: a bound for all VMs together that no VM keeps. Keeping it alone is not enough: on the grown sites each of 76 VMs sends a call now and then, so its share, and not only the rate, has to be small. Change: the adapter decodes the field; ratecap is a token bucket for each leaf, with this VM's share of the limit (vmshare: nine tenths divided among the entry VMs, the rest among the others; vmcount is taken out of repeats). A limited leaf costs the time until its next token, so other leaves are preferred; a call waits for a token only while it can still be in time, a hedge not at all. Leaves are chosen for all shards before any call is sent: a request that cannot be served is refused at once and told when to return. Events leaf_limited and leaf_unlimited. Evidence: check-routed limited_leaf fails on the code before and passes. ratecap.test replays 8 VMs, 76 VMs with a call each in the same second, small limits and a limit of 0. adapter.limit_is_a_decimal_number, two cases of leafset.test.

--- a/fakes/routed_site.py
+++ b/fakes/routed_site.py
@@ -230,6 +230,9 @@
       that are not HTTP and closes), "cut" (omits the last 3 bytes and closes), "twice" (sends the
       response twice)
 
+    fields are added to the head of every response of the leaf; arrival_times are those of its
+    requests (time.monotonic).
+
     work_s is the mean service time; each request takes 0.5 to 1.5 times as long. late_arrivals
     counts requests that arrive more than Site.drain_s after the leaf started to leave.
     """
@@ -240,6 +243,7 @@
         self.mode, self.rate, self.born_ms, self.runs = "ok", 1.0, int(time.time() * 1000), {}
         self.state, self.arrivals, self.late_arrivals = "ready", 0, 0
         self.leaving_since, self.readers = None, set()
+        self.fields, self.arrival_times = {}, []
 
     def entry(self):
         """The leaf's entry in the store, as JSON."""
@@ -251,6 +255,11 @@
         """Whether the fault mode is set and applies to the current request."""
         return self.mode == mode and random.random() < self.rate
 
+    def arrivals_most(self, seconds, since):
+        """Most requests within any span of so many seconds that begins at or after since."""
+        times = [t for t in self.arrival_times if t >= since]
+        return max((sum(start <= t < start + seconds for t in times) for start in times), default=0)
+
     def has_open_connections(self):
         return any(not reader.at_eof() for reader in self.readers)
 
@@ -265,11 +274,12 @@
                 writer.write(response_bytes(421, b"", {"X-Instance-Id": self.id}))
                 continue
             self.arrivals += 1
+            self.arrival_times.append(time.monotonic())
             if self.leaving_since and time.monotonic() - self.leaving_since > self.site.drain_s:
                 self.late_arrivals += 1
             request_id = fields.get("x-request-id", "")
             if self.has_fault("shed"):
-                writer.write(response_bytes(503, b"", {"X-Not-Executed": "1",
+                writer.write(response_bytes(503, b"", {"X-Not-Executed": "1", **self.fields,
                                                        "X-Request-Id": request_id}))
                 continue
             if self.has_fault("mute"):
@@ -282,7 +292,8 @@
                 return
             payload = self.site.make_payload(request_id, self)
             signature = self.site.sign(request_id, self, payload)
-            headers = {"X-Response-Signature": signature, "X-Request-Id": request_id}
+            headers = {"X-Response-Signature": signature, "X-Request-Id": request_id,
+                       **self.fields}
             if self.has_fault("error"):
                 writer.write(response_bytes(500, b"no", headers))
             elif self.has_fault("garbage"):
--- a/src/adapter.h
+++ b/src/adapter.h
@@ -8,6 +8,7 @@
 #ifndef APRICOT_ADAPTER_H
 #define APRICOT_ADAPTER_H
 
+#include "httpmsg.h"
 #include "leafset.h"
 #include "routemap.h"
 
@@ -69,6 +70,9 @@
 	 */
 	bool (*leaf_parse)(const struct adapter *adapter, const char *text, size_t n,
 			   struct leaf_report *out, GError **error);
+	/* Fills out with what a leaf says of itself in the head of an answer. */
+	void (*leaf_signals_parse)(const struct adapter *adapter, const struct http_reader *answer,
+				   struct leaf_signals *out);
 	/* Body of the answer that tells callers which addresses to use, and how long. */
 	char *(*entries_render)(const struct adapter *adapter, GPtrArray *addresses, double ttl_s);
 };
--- a/src/directory.c
+++ b/src/directory.c
@@ -20,7 +20,9 @@
 	struct http_server *ready_server; /* NULL: not served */
 	struct roster *roster;
 	struct entrychoice_vm *choice; /* one for each VM of the roster, in its order */
-	unsigned int n_chosen;
+	unsigned int n_chosen; /* this and the following as the gateway knows them */
+	unsigned int n_vms;
+	bool is_entry;
 	char **leaf_dcs; /* data centres of the leaves, ended by NULL; NULL: not known yet */
 	bool has_routes; /* a routing configuration is in force */
 	bool is_stopping;
@@ -41,11 +43,13 @@
 
 /*
  * Chooses the entry VMs again after a change of the roster, the leaves or this VM's state, and
- * tells the gateway if their number has changed.
+ * tells the gateway if what it needs to know of them has changed.
  */
 static void choice_update(struct directory *d)
 {
 	unsigned int n = d->roster ? d->roster->n_vms : 0;
+	unsigned int n_chosen;
+	bool is_entry = false;
 
 	g_free(d->choice);
 	d->choice = g_new0(struct entrychoice_vm, MAX(1, n));
@@ -59,14 +63,18 @@
 			.is_usable = vm->is_self ? is_ready(d) : vm->is_available && vm->has_config,
 		};
 	}
-	n = entrychoice_choose(d->choice, n, d->leaf_dcs);
-	if (n == d->n_chosen)
+	n_chosen = entrychoice_choose(d->choice, n, d->leaf_dcs);
+	for (unsigned int i = 0; i < n; i++)
+		is_entry = is_entry || (d->roster->vms[i].is_self && d->choice[i].is_chosen);
+	if (n_chosen == d->n_chosen && n == d->n_vms && is_entry == d->is_entry)
 		return;
-	d->n_chosen = n;
-	log_event(LOG_LEVEL_INFO, "entries_chosen", "entries=%u members=%u", n,
-		  d->roster ? d->roster->n_vms : 0);
+	if (n_chosen != d->n_chosen)
+		log_event(LOG_LEVEL_INFO, "entries_chosen", "entries=%u members=%u", n_chosen, n);
+	d->n_chosen = n_chosen;
+	d->n_vms = n;
+	d->is_entry = is_entry;
 	kernel_message_send(d->service.kernel, kernel_service_find(d->service.kernel, "gateway"),
-			    &entries_chosen_create(n)->message);
+			    &entries_chosen_create(n_chosen, n, is_entry)->message);
 }
 
 /* The value of a query parameter, "" when absent. The calling function frees it. */
--- a/src/gateway.c
+++ b/src/gateway.c
@@ -154,8 +154,11 @@
  */
 static void entries_apply(struct gateway *g, const struct entries_chosen *chosen)
 {
+	uint64_t now_us = clock_now_us();
+
 	upstream_set_vms(g->env.upstream, chosen->n_entries);
-	repeats_vms_set(g->env.repeats, chosen->n_entries + REPLACED_VMS_MAX, clock_now_us());
+	repeats_vms_set(g->env.repeats, chosen->n_entries + REPLACED_VMS_MAX, now_us);
+	vmshare_set(&g->env.vmshare, chosen->n_entries, chosen->n_vms, chosen->is_entry, now_us);
 }
 
 static void route_stats_add(json_t *routes, const char *key, const struct route_stats *stats)
@@ -327,6 +330,7 @@
 	g->env.leaves = leafset_create(settings->dc);
 	g->env.upstream = upstream_create(kernel_base(k));
 	g->env.repeats = repeats_create(&settings->repeats, clock_now_us());
+	vmshare_init(&g->env.vmshare, clock_now_us());
 	g->env.splits = splits_create();
 	g->env.stats = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, route_stats_free);
 	list_init(&g->env.jobs);
--- a/src/job.c
+++ b/src/job.c
@@ -208,6 +208,7 @@
 	const char *host = http_reader_field_find(message, "Host");
 	const char *id = http_reader_field_find(message, env->adapter->fields.request_id);
 	const struct route *route;
+	uint64_t wake_us;
 	struct job *j;
 
 	log_batch_add(LOG_BATCH_BEGUN, "%s", id ? id : "-");
@@ -230,9 +231,18 @@
 		j->shards[i].service = route->shards ? g_ptr_array_index(route->shards, i)
 						     : splits_next(env->splits, route);
 		repeats_request_add(env->repeats, j->shards[i].service, j->read_us);
-		if (!jobcall_send(j, i, j->read_us))
+		j->shards[i].first_leaf = jobcall_first_leaf(j, i, j->read_us);
+		if (!j->shards[i].first_leaf)
 			scatter_calls_exhausted(j->scatter, i);
 	}
+	/* No call is sent for a request that cannot be served. */
+	if (scatter_verdict(j->scatter, j->read_us, &wake_us) == SCATTER_FAILED) {
+		jobanswer_failed_send(j);
+		return;
+	}
+	for (unsigned int i = 0; i < j->n_shards; i++)
+		if (j->shards[i].first_leaf)
+			jobcall_first_send(j, i, j->shards[i].first_leaf, j->read_us);
 	/*
 	 * A request that must not run twice is logged at its start, so that there is a record of it
 	 * even if this VM loses power before it ends.
--- a/src/job.h
+++ b/src/job.h
@@ -18,6 +18,7 @@
 #include "routemap.h"
 #include "split.h"
 #include "upstream.h"
+#include "vmshare.h"
 
 G_BEGIN_DECLS
 
@@ -58,6 +59,7 @@
 	struct leafset *leaves;
 	struct upstream *upstream;
 	struct repeats *repeats;
+	struct vmshare vmshare; /* this VM's part of the leaves' limits */
 	struct splits *splits;
 	GHashTable *stats; /* a route's host and prefix, joined -> struct route_stats */
 	struct list_head jobs;
--- a/src/jobanswer.c
+++ b/src/jobanswer.c
@@ -107,17 +107,53 @@
 	jobanswer_finish(j, outcome, status, JOB_LINGER_US);
 }
 
-void jobanswer_refuse(struct job *j, enum retryafter_reason reason)
+static void refuse(struct job *j, double retry_after_s)
 {
-	uint64_t now_us = clock_now_us();
-	uint64_t left_ms = j->deadline_us > now_us ? (j->deadline_us - now_us) / 1000 : 1;
 	char fields[64];
 
-	g_snprintf(fields, sizeof(fields), "Retry-After: %.3f\r\n",
-		   retryafter_choose_s(reason, left_ms, 0, j->env->rand));
+	g_snprintf(fields, sizeof(fields), "Retry-After: %.3f\r\n", retry_after_s);
 	answer_send(j, JOB_REFUSED, 503, fields, "", 0);
 }
 
+/* How long the caller still waits, at least 1 ms. */
+static uint64_t caller_wait_ms(const struct job *j)
+{
+	uint64_t now_us = clock_now_us();
+
+	return j->deadline_us > now_us ? MAX(1, (j->deadline_us - now_us) / 1000) : 1;
+}
+
+void jobanswer_refuse(struct job *j, enum retryafter_reason reason)
+{
+	refuse(j, retryafter_choose_s(reason, caller_wait_ms(j), 0, j->env->rand));
+}
+
+/*
+ * Longest time until a shard's leaves may take a call; 0 when no shard has to wait for that. Shards
+ * without a leaf are left out.
+ */
+static uint64_t limit_wait_us(const struct job *j, uint64_t now_us)
+{
+	uint64_t longest_us = 0;
+	uint64_t wait_us;
+
+	for (unsigned int i = 0; i < j->n_shards; i++)
+		if (leafset_wait_us(j->env->leaves, j->shards[i].service, now_us, &wait_us))
+			longest_us = MAX(longest_us, wait_us);
+	return longest_us;
+}
+
+/* Refuses a request for which no call was sent. */
+static void unsent_refuse(struct job *j)
+{
+	uint64_t wait_us = limit_wait_us(j, clock_now_us());
+
+	if (wait_us > 0)
+		refuse(j, retryafter_choose_limited_s(wait_us, caller_wait_ms(j), j->env->rand));
+	else
+		jobanswer_refuse(j, RETRYAFTER_NO_LEAF);
+}
+
 void jobanswer_merged_send(struct job *j)
 {
 	const struct adapter_fields *names = &j->env->adapter->fields;
@@ -217,8 +253,10 @@
 
 void jobanswer_failed_send(struct job *j)
 {
-	if (!may_have_run(j))
-		jobanswer_refuse(j, j->n_calls == 0 ? RETRYAFTER_NO_LEAF : RETRYAFTER_LEAVES_FULL);
+	if (j->n_calls == 0)
+		unsent_refuse(j);
+	else if (!may_have_run(j))
+		jobanswer_refuse(j, RETRYAFTER_LEAVES_FULL);
 	else if (j->failure_fields && !job_is_sharded(j))
 		failure_send(j);
 	else
--- a/src/jobcall.c
+++ b/src/jobcall.c
@@ -1,6 +1,7 @@
 #include "jobstate.h"
 
 #include "clock.h"
+#include "log.h"
 
 #include <string.h>
 
@@ -145,19 +146,40 @@
 	job_advance(j, now_us);
 }
 
+/* Notes what the leaf says of itself. The answer must be its own. */
+static void signals_note(struct job *j, struct leaf *leaf, const struct http_reader *answer)
+{
+	const struct adapter *adapter = j->env->adapter;
+	uint64_t now_us = clock_now_us();
+	struct leaf_signals signals;
+
+	adapter->ops->leaf_signals_parse(adapter, answer, &signals);
+	if (!leaf_signals_apply(leaf, &signals, vmshare_get(&j->env->vmshare, now_us), j->env->rand,
+				now_us))
+		return;
+	if (signals.has_limit)
+		log_event(LOG_LEVEL_INFO, "leaf_limited",
+			  "leaf=%s service=%s limit_per_s=%g own_per_s=%g", leaf->id, leaf->service,
+			  signals.limit_per_s, leaf->ratecap.rate_per_s);
+	else
+		log_event(LOG_LEVEL_INFO, "leaf_unlimited", "leaf=%s service=%s", leaf->id,
+			  leaf->service);
+}
+
 static enum leaf_end call_done(struct leaf_call *call, enum leaf_end end,
 			       const struct http_reader *answer, bool was_sent)
 {
 	struct job_call *c = job_call_of(call);
 	struct job *j = c->job;
 	const struct adapter_fields *names = &j->env->adapter->fields;
-	const struct leaf *leaf = c->leaf;
+	struct leaf *leaf = c->leaf;
 	const char *signature;
 
 	if (!answer)
 		return call_lost(c, leaf, end, was_sent);
 	if (http_reader_status(answer) == 421)
 		return call_lost(c, leaf, LEAF_END_WRONG_LEAF, false);
+	signals_note(j, leaf, answer);
 	if (http_reader_field_find(answer, names->not_run))
 		return call_lost(c, leaf, LEAF_END_REFUSED, false);
 	signature = http_reader_field_find(answer, names->signature);
@@ -204,8 +226,8 @@
  * not go to a quarantined leaf: such a call costs budget and is rarely answered. A retry in a
  * request to a single service may go to one, since the request has no other way to be answered.
  */
-static struct leaf *shard_leaf_choose(struct job *j, const struct job_shard *sh, bool is_hedge,
-				      uint64_t now_us)
+static struct leaf *shard_leaf_choose(const struct job *j, const struct job_shard *sh,
+				      bool is_hedge, uint64_t now_us)
 {
 	const struct leafset *leaves = j->env->leaves;
 	bool is_last_resort = sh->n_tried == 0 || (!is_hedge && !job_is_sharded(j));
@@ -222,6 +244,31 @@
 			      : leafset_choose_healthy(leaves, sh->service, NULL, 0, now_us);
 }
 
+/* How long a call of the job may wait for a leaf's limit and still be answered in time. */
+static uint64_t wait_longest_us(const struct job *j, uint64_t now_us)
+{
+	uint64_t until_us = j->useful_us ? j->read_us + j->useful_us : j->deadline_us;
+	uint64_t usual_us = hist_quantile(j->stats->call_us, 0.5);
+
+	return until_us > now_us + usual_us ? until_us - now_us - usual_us : 0;
+}
+
+struct leaf *jobcall_first_leaf(const struct job *j, unsigned int shard, uint64_t now_us)
+{
+	struct leaf *leaf = shard_leaf_choose(j, &j->shards[shard], false, now_us);
+
+	if (j->deadline_us < now_us + CALL_MIN_US)
+		return NULL;
+	return leaf && leaf_wait_us(leaf, now_us) <= wait_longest_us(j, now_us) ? leaf : NULL;
+}
+
+void jobcall_first_send(struct job *j, unsigned int shard, struct leaf *leaf, uint64_t now_us)
+{
+	if (!job_is_sharded(j))
+		jobanswer_trace_add(j, "call", j->shards[shard].service, leaf, NULL, now_us);
+	call_start(j, shard, leaf, now_us);
+}
+
 bool jobcall_send(struct job *j, unsigned int shard, uint64_t now_us)
 {
 	struct job_shard *sh = &j->shards[shard];
@@ -232,7 +279,8 @@
 	    j->deadline_us < now_us + CALL_MIN_US)
 		return false;
 	leaf = shard_leaf_choose(j, sh, is_hedge, now_us);
-	if (!leaf)
+	/* A hedge does not wait: it would take the call of another request. */
+	if (!leaf || leaf_wait_us(leaf, now_us) > (is_hedge ? 0 : wait_longest_us(j, now_us)))
 		return false;
 	if (sh->n_sent > 0 && !repeats_spend(j->env->repeats, sh->service,
 					     is_hedge ? REPEATS_HEDGE : REPEATS_RECOVERY, now_us)) {
@@ -240,9 +288,7 @@
 		jobanswer_trace_add(j, "denied", sh->service, leaf, "budget", now_us);
 		return false;
 	}
-	if (sh->n_tried > 0 || !job_is_sharded(j))
-		jobanswer_trace_add(j, is_hedge ? "hedge" : "call", sh->service, leaf, NULL,
-				    now_us);
+	jobanswer_trace_add(j, is_hedge ? "hedge" : "call", sh->service, leaf, NULL, now_us);
 	call_start(j, shard, leaf, now_us);
 	return true;
 }
--- a/src/jobstate.h
+++ b/src/jobstate.h
@@ -20,7 +20,7 @@
 
 struct job_call {
 	struct leaf_call call;
-	const struct leaf *leaf; /* borrowed; job_shard.tried holds the reference */
+	struct leaf *leaf; /* borrowed; job_shard.tried holds the reference */
 	struct list_head node; /* in job.calls */
 	struct job *job;
 	unsigned int shard;
@@ -29,6 +29,7 @@
 
 struct job_shard {
 	const char *service;
+	struct leaf *first_leaf; /* chosen for the first call; borrowed, used by job_start only */
 	struct leaf *tried[JOB_TRIED_MAX]; /* leaf of each call so far, with a reference */
 	unsigned int n_tried;
 	unsigned int n_maybe_run; /* ended calls that the leaf has run or may have run */
@@ -91,8 +92,15 @@
 /* jobcall.c */
 
 /*
- * Starts one call of the shard: sends it, or queues it until a connection is free. False when the
- * shard has no leaf, no attempt, no time or no budget left.
+ * The leaf for the first call of the shard, or NULL if there is none that is expected to answer in
+ * time (borrowed).
+ */
+struct leaf *jobcall_first_leaf(const struct job *j, unsigned int shard, uint64_t now_us);
+/* Starts the first call of the shard: sends it, or queues it until the leaf can take it. */
+void jobcall_first_send(struct job *j, unsigned int shard, struct leaf *leaf, uint64_t now_us);
+/*
+ * Starts a further call of the shard. False when the shard has no leaf, no attempt, no time or no
+ * budget left.
  */
 bool jobcall_send(struct job *j, unsigned int shard, uint64_t now_us);
 /* For each overdue shard: sends a hedge, or gives a call that is not sent yet to another leaf. */
--- a/src/leafset.c
+++ b/src/leafset.c
@@ -246,7 +246,12 @@
 		cost_us *= WARMUP_FACTOR;
 	if (strcmp(l->dc, own_dc) != 0)
 		cost_us += REMOTE_DC_COST_US;
-	return cost_us;
+	return cost_us + (double)leaf_wait_us(l, now_us);
+}
+
+uint64_t leaf_wait_us(const struct leaf *l, uint64_t now_us)
+{
+	return ratecap_wait_us(&l->ratecap, l->waiting, now_us);
 }
 
 bool leafset_is_faster(const struct leafset *s, const struct leaf *a, const struct leaf *b,
@@ -268,6 +273,42 @@
 	return false;
 }
 
+/* False when no call may be sent to the leaf. */
+static bool leaf_is_usable(const struct leaf *l)
+{
+	return l->state == LEAF_READY && !l->is_address_taken;
+}
+
+bool leafset_wait_us(const struct leafset *s, const char *service, uint64_t now_us,
+		     uint64_t *wait_us)
+{
+	const GPtrArray *list = g_hash_table_lookup(s->services, service);
+	bool is_found = false;
+
+	for (guint i = 0; list && i < list->len; i++) {
+		const struct leaf *l = g_ptr_array_index(list, i);
+		uint64_t leaf_us = leaf_wait_us(l, now_us);
+
+		if (!leaf_is_usable(l))
+			continue;
+		*wait_us = is_found ? MIN(*wait_us, leaf_us) : leaf_us;
+		is_found = true;
+	}
+	return is_found;
+}
+
+bool leaf_signals_apply(struct leaf *l, const struct leaf_signals *signals, double share,
+			GRand *rand, uint64_t now_us)
+{
+	bool was_limited = l->ratecap.is_limited;
+
+	if (signals->has_limit)
+		ratecap_limit(&l->ratecap, signals->limit_per_s, share, rand, now_us);
+	else
+		ratecap_lift(&l->ratecap);
+	return was_limited != signals->has_limit;
+}
+
 struct leaf *leafset_choose(const struct leafset *s, const char *service, struct leaf *const *tried,
 			    unsigned int n_tried, uint64_t now_us)
 {
@@ -281,7 +322,7 @@
 		bool is_quarantined = leaf_is_quarantined(l, now_us);
 		double cost_us;
 
-		if (l->state != LEAF_READY || l->is_address_taken || is_tried(l, tried, n_tried))
+		if (!leaf_is_usable(l) || is_tried(l, tried, n_tried))
 			continue;
 		cost_us = leaf_cost_us(l, s->own_dc, now_us);
 		if (best && (is_quarantined > best_is_quarantined ||
--- a/src/leafset.h
+++ b/src/leafset.h
@@ -12,6 +12,8 @@
 #ifndef APRICOT_LEAFSET_H
 #define APRICOT_LEAFSET_H
 
+#include "ratecap.h"
+
 #include <glib.h>
 #include <netinet/in.h>
 #include <stdbool.h>
@@ -59,6 +61,12 @@
 	uint64_t process_start_ms; /* start of the process, wall clock; 0: unknown */
 };
 
+/* What a leaf says of itself in an answer. */
+struct leaf_signals {
+	bool has_limit; /* it takes limit_per_s calls per second, of all VMs together */
+	double limit_per_s;
+};
+
 struct leaf {
 	grefcount refs;
 	char *id;
@@ -71,7 +79,9 @@
 	uint64_t warmup_until_us; /* end of the warm-up */
 	uint64_t process_start_ms;
 
+	struct ratecap ratecap;
 	unsigned int outstanding; /* calls that have not ended */
+	unsigned int waiting; /* of these, calls that were not sent yet */
 	/*
 	 * When a call was last answered, refused or lost, or when outstanding rose from 0 if that
 	 * was later.
@@ -141,6 +151,19 @@
 /* True if a is expected to answer sooner than b if the call is sent now. */
 bool leafset_is_faster(const struct leafset *s, const struct leaf *a, const struct leaf *b,
 		       uint64_t now_us);
+/* Time until the leaf's limit allows the next call, after those that wait already; 0: now. */
+uint64_t leaf_wait_us(const struct leaf *l, uint64_t now_us);
+/*
+ * Shortest leaf_wait_us of the leaves of the service that can be chosen; false when there is none.
+ */
+bool leafset_wait_us(const struct leafset *s, const char *service, uint64_t now_us,
+		     uint64_t *wait_us);
+/*
+ * Notes what the leaf says of itself. share: this VM's part of a limit. Returns true when the leaf
+ * begins or ceases to have one.
+ */
+bool leaf_signals_apply(struct leaf *l, const struct leaf_signals *signals, double share,
+			GRand *rand, uint64_t now_us);
 /* True while the leaf is avoided because calls to it have failed. */
 bool leaf_is_quarantined(const struct leaf *l, uint64_t now_us);
 
--- a/src/message.c
+++ b/src/message.c
@@ -348,12 +348,15 @@
 	return changed;
 }
 
-struct entries_chosen *entries_chosen_create(unsigned int n_entries)
+struct entries_chosen *entries_chosen_create(unsigned int n_entries, unsigned int n_vms,
+					     bool is_entry)
 {
 	struct entries_chosen *chosen = g_new0(struct entries_chosen, 1);
 
 	chosen->message.kind = MESSAGE_ENTRIES_CHOSEN;
 	chosen->n_entries = n_entries;
+	chosen->n_vms = n_vms;
+	chosen->is_entry = is_entry;
 	return chosen;
 }
 
--- a/src/message.h
+++ b/src/message.h
@@ -163,10 +163,12 @@
 	char **dcs; /* in alphabetical order; ends with NULL */
 };
 
-/* The number of entry VMs, those whose addresses callers get, has changed. */
+/* The choice of the entry VMs, those whose addresses callers get, or the number of VMs changed. */
 struct entries_chosen {
 	struct message message;
 	unsigned int n_entries;
+	unsigned int n_vms; /* all of them */
+	bool is_entry; /* this VM was chosen */
 };
 
 /* An answer of the store, read by this VM ("feed" to "relay") or by a peer ("relay" to "feed"). */
@@ -211,7 +213,8 @@
 /* Takes a reference to the list. */
 struct vms_read *vms_read_create(json_t *vms, uint64_t version);
 struct leaf_dcs_changed *leaf_dcs_changed_create(char **dcs);
-struct entries_chosen *entries_chosen_create(unsigned int n_entries);
+struct entries_chosen *entries_chosen_create(unsigned int n_entries, unsigned int n_vms,
+					     bool is_entry);
 /* Takes over the content of the answer and clears *answer; sets is_current. */
 struct store_update *store_update_create(struct store_answer *answer, bool is_listing);
 
--- a/src/repeats.c
+++ b/src/repeats.c
@@ -1,5 +1,7 @@
 #include "repeats.h"
 
+#include "vmcount.h"
+
 /*
  * The sliding window is divided into buckets of equal length, and one more bucket holds the time
  * that is just leaving the window. Repeats are summed over all of them, so that no time span of a
@@ -14,13 +16,6 @@
  * counted one window late.
  */
 #define SPENDABLE_SHARE 0.8
-/*
- * A VM that has just started does not know the others: if all started at once, each would take the
- * whole slack. So it assumes at least ASSUMED_VMS until DISCOVERY_US after its start. Discovering
- * the members takes about three seconds.
- */
-#define DISCOVERY_US 5000000
-#define ASSUMED_VMS 24
 /* Share of the budget that is reserved for recoveries. */
 #define RECOVERY_SHARE 0.25
 
@@ -33,9 +28,7 @@
 struct repeats {
 	struct repeats_limits limits;
 	GHashTable *services;
-	uint64_t started_us;
-	unsigned int n_vms;
-	uint64_t n_vms_set_at_us;
+	struct vmcount vms;
 };
 
 struct repeats *repeats_create(const struct repeats_limits *limits, uint64_t now_us)
@@ -43,8 +36,7 @@
 	struct repeats *r = g_new0(struct repeats, 1);
 
 	r->limits = *limits;
-	r->started_us = now_us;
-	r->n_vms = 1;
+	vmcount_init(&r->vms, now_us);
 	r->services = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
 	return r;
 }
@@ -66,10 +58,7 @@
 
 void repeats_vms_set(struct repeats *r, unsigned int n, uint64_t now_us)
 {
-	if (n < r->n_vms && now_us - r->n_vms_set_at_us < 2 * r->limits.window_us)
-		return;
-	r->n_vms = MAX(1, n);
-	r->n_vms_set_at_us = now_us;
+	vmcount_set(&r->vms, n, 2 * r->limits.window_us, now_us);
 }
 
 /* The counts of the service, created if missing, with the buckets advanced to now_us. */
@@ -99,11 +88,6 @@
 	usage->requests[usage->bucket % N_BUCKETS]++;
 }
 
-static unsigned int vms_sharing(const struct repeats *r, uint64_t now_us)
-{
-	return now_us - r->started_us < DISCOVERY_US ? MAX(ASSUMED_VMS, r->n_vms) : r->n_vms;
-}
-
 static double purpose_share(enum repeats_purpose purpose)
 {
 	return purpose == REPEATS_HEDGE ? 1 - RECOVERY_SHARE : 1;
@@ -113,7 +97,7 @@
 static double usage_allowed(const struct repeats *r, const struct service_usage *usage,
 			    enum repeats_purpose purpose, uint64_t now_us)
 {
-	double slack = r->limits.slack / vms_sharing(r, now_us);
+	double slack = r->limits.slack / vmcount_get(&r->vms, now_us);
 	double requests = 0;
 
 	for (unsigned int i = 0; i < N_BUCKETS; i++)
--- a/src/retryafter.c
+++ b/src/retryafter.c
@@ -28,15 +28,26 @@
 /* Assumed for a caller that does not say how long it will wait. */
 #define UNKNOWN_WAIT_MS 1500
 
+/* Longest useful delay of a caller. */
+static double longest_s(uint64_t caller_wait_ms)
+{
+	return (double)(caller_wait_ms ? caller_wait_ms : UNKNOWN_WAIT_MS) / 1000 / WAIT_DIVISOR;
+}
+
+double retryafter_choose_limited_s(uint64_t leaf_wait_us, uint64_t caller_wait_ms, GRand *rand)
+{
+	double wait_s = MAX(LEAVES_FULL_MIN_S, (double)leaf_wait_us / 1e6);
+
+	return MIN(longest_s(caller_wait_ms), wait_s * g_rand_double_range(rand, 1, 2));
+}
+
 double retryafter_choose_s(enum retryafter_reason reason, uint64_t caller_wait_ms,
 			   uint64_t uptime_ms, GRand *rand)
 {
-	double longest_s =
-		(double)(caller_wait_ms ? caller_wait_ms : UNKNOWN_WAIT_MS) / 1000 / WAIT_DIVISOR;
-
 	if (reason == RETRYAFTER_LEAVES_FULL)
 		return g_rand_double_range(rand, LEAVES_FULL_MIN_S, LEAVES_FULL_MAX_S);
 	if (reason == RETRYAFTER_NO_CONFIG && uptime_ms < STARTING_MS)
 		return g_rand_double_range(rand, STARTING_MIN_S, STARTING_MAX_S);
-	return MIN(longest_s, OUTAGE_MAX_S) * g_rand_double_range(rand, OUTAGE_JITTER_MIN, 1);
+	return MIN(longest_s(caller_wait_ms), OUTAGE_MAX_S) *
+	       g_rand_double_range(rand, OUTAGE_JITTER_MIN, 1);
 }
--- a/src/upstream.c
+++ b/src/upstream.c
@@ -64,7 +64,6 @@
 	unsigned int n_conns;
 	unsigned int n_connecting;
 	unsigned int n_busy;
-	unsigned int n_queued;
 	struct window window; /* bounds the calls in flight */
 	unsigned int max_connections; /* the leaf's cap, for all VMs together */
 	unsigned int conn_limit; /* limit of this VM's own connections, adjusted at runtime */
@@ -148,7 +147,7 @@
 static void queue_remove(struct upstream *u, struct leaf_link *link, struct leaf_call *call)
 {
 	list_del(&call->node);
-	link->n_queued--;
+	link->leaf->waiting--;
 	u->stats.queued--;
 }
 
@@ -177,7 +176,7 @@
 /* Called by the sweep only, so that no link is freed while a callback uses it. */
 static void link_destroy_if_unused(struct leaf_link *link)
 {
-	if (link->n_conns > 0 || link->n_queued > 0 || link->leaf->state != LEAF_GONE)
+	if (link->n_conns > 0 || link->leaf->waiting > 0 || link->leaf->state != LEAF_GONE)
 		return;
 	list_del(&link->node);
 	link->leaf->link = NULL;
@@ -409,16 +408,22 @@
 
 static void queue_serve(struct upstream *u, struct leaf_link *link, uint64_t now_us)
 {
-	while (link->n_queued > 0 && link->n_busy < window_size(&link->window)) {
+	struct ratecap *ratecap = &link->leaf->ratecap;
+
+	while (link->leaf->waiting > 0 && link->n_busy < window_size(&link->window) &&
+	       ratecap_wait_us(ratecap, 0, now_us) == 0) {
 		struct leaf_call *call = queue_next(link);
 		struct leaf_conn *conn = idle_pick(link, call, now_us);
 
 		if (!conn)
 			break;
 		queue_remove(u, link, call);
+		ratecap_take(ratecap, now_us);
 		call_send(conn, call, now_us);
 	}
-	while (link->n_queued > link->n_connecting &&
+	if (ratecap_wait_us(ratecap, 0, now_us) > 0)
+		return;
+	while (link->leaf->waiting > link->n_connecting &&
 	       link->n_busy + link->n_connecting < window_size(&link->window)) {
 		idle_evict(u, link);
 		if (link->n_conns >= conns_allowed(u, link))
@@ -462,7 +467,7 @@
 	call->sent_us = 0;
 	leaf_call_started(leaf, now_us);
 	list_add_tail(&call->node, &link->queue);
-	link->n_queued++;
+	leaf->waiting++;
 	u->stats.queued++;
 	queue_serve(u, link, now_us);
 }
@@ -500,6 +505,7 @@
 {
 	struct list_head *pos;
 	struct list_head *next;
+	bool is_unreachable = false;
 
 	list_for_each_safe (pos, next, &link->idle) {
 		struct leaf_conn *conn = list_entry(pos, struct leaf_conn, node);
@@ -516,11 +522,14 @@
 			continue;
 		conn_destroy(conn);
 		u->stats.connect_failures++;
+		is_unreachable = link->n_conns == 0;
 	}
-	if (link->n_conns == 0 && link->n_queued > 0)
-		queue_fail(u, link, LEAF_END_UNREACHABLE);
-	else
+	if (!is_unreachable)
 		queue_serve(u, link, now_us);
+	/* Calls that wait for the leaf's limit need no connection yet. */
+	if (link->n_conns == 0 && link->leaf->waiting > 0 &&
+	    (is_unreachable || ratecap_wait_us(&link->leaf->ratecap, 0, now_us) == 0))
+		queue_fail(u, link, LEAF_END_UNREACHABLE);
 	link_destroy_if_unused(link);
 }
 
--- /dev/null
+++ b/tests/adapter_test.cc
@@ -0,0 +1,35 @@
+#include "adapter_platform.h"
+#include "httpmsg.h"
+
+#include <gtest/gtest.h>
+#include <string>
+
+namespace
+{
+struct leaf_signals signals_of(const std::string &fields)
+{
+	const struct adapter *adapter = adapter_platform();
+	const struct http_limits limits = {65536, 65536};
+	struct http_reader *r = http_reader_create(HTTP_MESSAGE_ANSWER, &limits);
+	std::string text = "HTTP/1.1 200 OK\r\n" + fields + "Content-Length: 0\r\n\r\n";
+	struct leaf_signals signals = {};
+	size_t used;
+
+	EXPECT_EQ(http_reader_feed(r, text.data(), text.size(), &used), HTTP_COMPLETE) << fields;
+	adapter->ops->leaf_signals_parse(adapter, r, &signals);
+	http_reader_destroy(r);
+	return signals;
+}
+} // namespace
+
+/* Guards against a limit that is not noticed, or read from a field that holds no number. */
+TEST(adapter, limit_is_a_decimal_number)
+{
+	EXPECT_TRUE(signals_of("Server-Limit: 14.6\r\n").has_limit);
+	EXPECT_DOUBLE_EQ(signals_of("server-limit: 14.6\r\n").limit_per_s, 14.6);
+	EXPECT_TRUE(signals_of("Server-Limit: 0\r\n").has_limit);
+	EXPECT_FALSE(signals_of("").has_limit);
+	for (const char *text : {"", "many", "-1", "3 per s", "inf", "nan", "1e9", "0x10"})
+		EXPECT_FALSE(signals_of(std::string("Server-Limit: ") + text + "\r\n").has_limit)
+			<< text;
+}
--- a/tests/leafset_test.cc
+++ b/tests/leafset_test.cc
@@ -16,9 +16,11 @@
 	struct leafset *s = leafset_create("a");
 	std::vector<struct leaf *> calls;
 	uint64_t now_us = 0;
+	GRand *rand = g_rand_new_with_seed(1);
 
 	~leafset_script() override
 	{
+		g_rand_free(rand);
 		for (struct leaf *l : calls) {
 			leaf_call_ended(l, LEAF_END_CANCELLED, 0, now_us);
 			leaf_put(l);
@@ -79,6 +81,27 @@
 			}
 			return "";
 		}
+		if (w[0] == "limit" ||
+		    w[0] == "unlimit") { /* limit ID PER_S: all of it for this VM */
+			struct leaf_signals signals = {};
+
+			signals.has_limit = w[0] == "limit";
+			signals.limit_per_s = signals.has_limit ? std::stod(w[2]) : 0;
+			leaf_signals_apply(leafset_find(s, w[1].c_str()), &signals, 1, rand,
+					   now_us);
+			return "";
+		}
+		if (w[0] == "sent") { /* sent ID: a call */
+			ratecap_take(&leafset_find(s, w[1].c_str())->ratecap, now_us);
+			return "";
+		}
+		if (w[0] == "wait") { /* wait SERVICE: ms until a leaf of it may be called */
+			uint64_t wait_us = 0;
+
+			return leafset_wait_us(s, w[1].c_str(), now_us, &wait_us)
+				       ? std::to_string(wait_us / 1000) + "\n"
+				       : "none\n";
+		}
 		if (w[0] == "major_dcs") {
 			g_auto(GStrv) dcs = leafset_major_dcs(s);
 			g_autofree char *text = g_strjoinv(" ", dcs);
