Answer every request before a planned stop ends

Callers saw (reported by operators of systems like ours): requests that came late in a planned stop were sent to a leaf and cut off without an answer when the process ended, among them requests that must not be repeated (LOST). Cause: a routed VM accepted requests until its last moment, whatever time they had, and counted those in flight up to 50 ms before it ended, so that a request accepted in between was cut even in calm. Change: a request whose route usually takes longer than the stop has left is refused as not run, with a short Retry-After; the deadline of all others ends 0.1 s before the process does. stop passes through a new state, closing, in which new requests are refused and those in flight are counted once more.

--- a/src/gateway.c
+++ b/src/gateway.c
@@ -14,6 +14,9 @@
  */
 #define REPLACED_VMS_MAX 2
 
+/* In a planned stop, requests are answered at least this long before the process ends. */
+#define ANSWER_WRITE_MS 100
+
 struct gateway {
 	struct service service;
 	struct job_env env;
@@ -23,34 +26,54 @@
 	uint64_t inputs_refused; /* inputs that were not a valid request */
 	uint64_t requests_not_ready; /* requests that came before the first configuration */
 	uint64_t started_ms;
+	uint64_t stop_limit_ms;
+	bool is_refusing; /* a planned stop ends: new requests are refused */
 };
 
-/* Refuses a request that arrives before the first configuration. */
-static void not_ready_refuse(struct gateway *g, struct http_request *request)
+/* Refuses a request that no leaf has seen; why is a key and value for the log. */
+static void request_refuse(struct gateway *g, struct http_request *request,
+			   enum retryafter_reason reason, const char *why)
 {
 	const struct http_reader *message = http_request_message(request);
 	const char *id = http_reader_field_find(message, g->env.adapter->fields.request_id);
 	const char *wait = http_reader_field_find(message, g->env.adapter->fields.deadline_ms);
 	char fields[64];
 
-	g->requests_not_ready++;
-	if (!log_request(LOG_LEVEL_WARNING, id, "request_refused",
-			 "status=503 lacks=configuration"))
+	if (!log_request(LOG_LEVEL_WARNING, id, "request_refused", "status=503 %s", why))
 		log_batch_add(LOG_BATCH_BRIEF, "%s:refused:503:0/0", id ? id : "-");
 	g_snprintf(fields, sizeof(fields), "Retry-After: %.3f\r\n",
-		   retryafter_choose_s(RETRYAFTER_NO_CONFIG, http_milliseconds_parse(wait),
+		   retryafter_choose_s(reason, http_milliseconds_parse(wait),
 				       clock_now_ms() - g->started_ms, g->env.rand));
 	http_request_answer(request, 503, fields, "", 0);
 }
 
+static void stop_announced(struct gateway *g)
+{
+	uint64_t now_us = clock_now_us();
+
+	http_server_drain(g->server);
+	job_answer_by_set(&g->env, now_us + (g->stop_limit_ms - ANSWER_WRITE_MS) * CLOCK_US_PER_MS,
+			  now_us);
+}
+
+static void new_requests_refuse(struct gateway *g)
+{
+	g->is_refusing = true;
+	http_server_stop_accepting(g->server);
+}
+
 static void server_request(void *arg, struct http_request *request)
 {
 	struct gateway *g = arg;
 
-	if (g->map)
+	if (g->is_refusing) {
+		request_refuse(g, request, RETRYAFTER_STOPPING, "why=stopping");
+	} else if (!g->map) {
+		g->requests_not_ready++;
+		request_refuse(g, request, RETRYAFTER_NO_CONFIG, "lacks=configuration");
+	} else {
 		job_start(&g->env, g->map, request);
-	else
-		not_ready_refuse(g, request);
+	}
 }
 
 static void server_disconnected(void *arg, struct http_request *request)
@@ -279,7 +302,10 @@
 		settings_apply(g, (struct settings_read *)m);
 		break;
 	case MESSAGE_STOP_ANNOUNCED:
-		http_server_drain(g->server);
+		stop_announced(g);
+		break;
+	case MESSAGE_NEW_REQUESTS_REFUSED:
+		new_requests_refuse(g);
 		break;
 	case MESSAGE_STATUS_REQUEST:
 		if (strcmp(((struct status_request *)m)->topic, "metrics") == 0)
@@ -326,6 +352,7 @@
 	g->env.base = kernel_base(k);
 	g->env.rand = kernel_rand(k);
 	g->started_ms = clock_now_ms();
+	g->stop_limit_ms = MAX(settings->stop_limit_ms, ANSWER_WRITE_MS);
 	g->env.adapter = adapter;
 	g->env.leaves = leafset_create(settings->dc);
 	g->env.upstream = upstream_create(kernel_base(k));
--- a/src/gateway.h
+++ b/src/gateway.h
@@ -15,6 +15,7 @@
 	const char *address; /* IP:PORT on which callers connect */
 	const char *dc; /* data centre of this VM */
 	struct repeats_limits repeats;
+	uint64_t stop_limit_ms; /* from the announcement of a planned stop until the process ends */
 };
 
 /* NULL with an error if listening on the address fails. adapter is borrowed. */
--- a/src/job.c
+++ b/src/job.c
@@ -11,6 +11,9 @@
  */
 #define CALLER_LEFT_LINGER_US 200000
 
+/* Fewer answered requests of a route tell little about how long they take. */
+#define USUAL_SAMPLES_MIN 20
+
 struct route_stats *route_stats_find(struct job_env *env, const struct route *route)
 {
 	g_autofree char *key = g_strconcat(route->host, route->prefix, NULL);
@@ -158,6 +161,41 @@
 	policy->hedge_last_at_us = scatter_hedge_last_at_us(j->stats->call_us, policy->goal_at_us);
 }
 
+/* Time within which nearly all requests of the route are answered. */
+static uint64_t usual_longest_us(const struct route *route, const struct route_stats *stats)
+{
+	if (hist_count(stats->answer_us) >= USUAL_SAMPLES_MIN)
+		return hist_quantile(stats->answer_us, 0.99);
+	return (uint64_t)(route->goal_ms ? route->goal_ms : route->timeout_ms) * CLOCK_US_PER_MS;
+}
+
+/* True when the request would probably not be answered before a planned stop ends. */
+static bool is_too_late(const struct job *j)
+{
+	return j->env->answer_by_us &&
+	       j->read_us + usual_longest_us(j->route, j->stats) > j->env->answer_by_us;
+}
+
+static void deadline_cap(struct job *j, uint64_t at_us)
+{
+	j->deadline_us = MIN(j->deadline_us, at_us);
+	scatter_deadline_cap(j->scatter, at_us);
+}
+
+void job_answer_by_set(struct job_env *env, uint64_t at_us, uint64_t now_us)
+{
+	struct list_head *pos;
+	struct list_head *next;
+
+	env->answer_by_us = at_us;
+	list_for_each_safe (pos, next, &env->jobs) {
+		struct job *j = list_entry(pos, struct job, node);
+
+		deadline_cap(j, at_us);
+		job_advance(j, now_us);
+	}
+}
+
 static struct job *job_create(struct job_env *env, struct routemap *map, const struct route *route,
 			      struct http_request *request)
 {
@@ -185,6 +223,8 @@
 	head_render(j, message);
 	times_set(j, &policy, http_reader_field_find(message, env->adapter->fields.deadline_ms));
 	j->scatter = scatter_create(&policy);
+	if (env->answer_by_us)
+		deadline_cap(j, env->answer_by_us);
 	j->timer = evtimer_new(env->base, timer_handle, j);
 	if (route->shards) {
 		j->top = topk_create(route->top_k);
@@ -227,6 +267,10 @@
 	}
 	j = job_create(env, map, route, request);
 	http_request_set_data(request, j);
+	if (is_too_late(j)) {
+		jobanswer_refuse(j, RETRYAFTER_STOPPING);
+		return;
+	}
 	for (unsigned int i = 0; i < j->n_shards; i++) {
 		j->shards[i].service = route->shards ? g_ptr_array_index(route->shards, i)
 						     : splits_next(env->splits, route);
--- a/src/job.h
+++ b/src/job.h
@@ -64,12 +64,18 @@
 	GHashTable *stats; /* a route's host and prefix, joined -> struct route_stats */
 	struct list_head jobs;
 	unsigned int n_jobs;
+	uint64_t answer_by_us; /* a planned stop ends then; 0: none */
 };
 
 /* Takes over the request and answers it now or later. The job keeps a reference to the map. */
 void job_start(struct job_env *env, struct routemap *map, struct http_request *request);
 /* The caller has closed its connection: ends the request without an answer. */
 void job_caller_left(struct http_request *request);
+/*
+ * Has all requests answered by then, since a planned stop ends. A request that usually takes longer
+ * is refused from now on.
+ */
+void job_answer_by_set(struct job_env *env, uint64_t at_us, uint64_t now_us);
 /* Cancels all calls and frees all jobs; their callers get no answer. */
 void job_end_all(struct job_env *env);
 
--- a/src/main.c
+++ b/src/main.c
@@ -78,9 +78,11 @@
 {
 	const struct adapter *adapter = adapter_platform();
 	struct membership_settings membership = membership_settings(settings, settings->gateway);
+	uint64_t limit_ms = MAX(settings->stop_ms, (uint64_t)2 * STOP_MARGIN_MS) - STOP_MARGIN_MS;
 	struct gateway_settings gateway = {
 		.address = settings->gateway,
 		.dc = settings->dc,
+		.stop_limit_ms = limit_ms,
 		.repeats = {.ratio = (double)settings->repeat_pct / 100,
 			    .slack = (double)settings->repeat_slack,
 			    .window_us = settings->repeat_window_ms * CLOCK_US_PER_MS},
@@ -97,7 +99,6 @@
 	};
 	uint64_t lists_expire_ms =
 		settings->entry_ttl_ms * ROUTED_TTL_FACTOR + ROUTED_STOP_SPREAD_MS;
-	uint64_t limit_ms = MAX(settings->stop_ms, (uint64_t)2 * STOP_MARGIN_MS) - STOP_MARGIN_MS;
 
 	return service_add(k, peer_create(k, settings->rpc, error)) &&
 	       service_add(k, front_create(k, settings->http, error)) &&
--- a/src/retryafter.c
+++ b/src/retryafter.c
@@ -6,6 +6,9 @@
  */
 #define LEAVES_FULL_MIN_S 0.05
 #define LEAVES_FULL_MAX_S 0.3
+/* Spreads the callers of a stopping VM over the others. */
+#define STOPPING_MIN_S 0.01
+#define STOPPING_MAX_S 0.05
 /* Within about this time after its start, a process has its configuration. */
 #define STARTING_MS 1000
 #define STARTING_MIN_S 0.1
@@ -46,6 +49,8 @@
 {
 	if (reason == RETRYAFTER_LEAVES_FULL)
 		return g_rand_double_range(rand, LEAVES_FULL_MIN_S, LEAVES_FULL_MAX_S);
+	if (reason == RETRYAFTER_STOPPING)
+		return g_rand_double_range(rand, STOPPING_MIN_S, STOPPING_MAX_S);
 	if (reason == RETRYAFTER_NO_CONFIG && uptime_ms < STARTING_MS)
 		return g_rand_double_range(rand, STARTING_MIN_S, STARTING_MAX_S);
 	return MIN(longest_s(caller_wait_ms), OUTAGE_MAX_S) *
--- a/src/scatter.c
+++ b/src/scatter.c
@@ -72,6 +72,11 @@
 	g_free(s);
 }
 
+void scatter_deadline_cap(struct scatter *s, uint64_t at_us)
+{
+	s->policy.deadline_us = MIN(s->policy.deadline_us, at_us);
+}
+
 static bool shard_is_lost(const struct shard *shard)
 {
 	return !shard->is_answered && shard->n_open == 0 && shard->is_exhausted;
--- a/src/scatter.h
+++ b/src/scatter.h
@@ -47,6 +47,9 @@
 struct scatter *scatter_create(const struct scatter_policy *policy);
 void scatter_destroy(struct scatter *s);
 
+/* Brings the deadline forward to at_us, unless it is earlier. */
+void scatter_deadline_cap(struct scatter *s, uint64_t at_us);
+
 /* A call of the shard was sent or is queued to be sent. */
 void scatter_call_started(struct scatter *s, unsigned int shard, uint64_t now_us);
 /* A call of the shard ended without a usable answer. */
--- a/src/stop.c
+++ b/src/stop.c
@@ -55,9 +55,11 @@
 {
 	if (s->state == STOP_ANNOUNCED && now_ms >= s->requested_ms + s->lists_expire_ms)
 		s->state = STOP_DRAINING;
-	if (s->state == STOP_DRAINING && in_flight == 0)
+	if (s->state == STOP_CLOSING && in_flight == 0)
 		stop_finish(s, "all requests finished", 0);
-	if ((s->state == STOP_ANNOUNCED || s->state == STOP_DRAINING) &&
+	if (s->state == STOP_DRAINING && in_flight == 0)
+		s->state = STOP_CLOSING;
+	if (s->state != STOP_RUNNING && s->state != STOP_DONE &&
 	    now_ms >= s->requested_ms + s->limit_ms)
 		stop_finish(s,
 			    in_flight ? "time limit, requests in flight"
@@ -75,7 +77,7 @@
 {
 	if (s->state == STOP_RUNNING)
 		return true;
-	return s->state != STOP_DONE && now_ms + longest_ms < s->requested_ms + s->limit_ms;
+	return s->state < STOP_CLOSING && now_ms + longest_ms < s->requested_ms + s->limit_ms;
 }
 
 const char *stop_reason(const struct stop *s)
--- a/src/stop.h
+++ b/src/stop.h
@@ -18,6 +18,7 @@
 	X(RUNNING, "running")     \
 	X(ANNOUNCED, "announced") \
 	X(DRAINING, "draining")   \
+	X(CLOSING, "closing")     \
 	X(DONE, "done")
 
 enum stop_state {
@@ -42,8 +43,9 @@
 
 /*
  * Advances and returns the state. In ANNOUNCED and DRAINING new requests are still served while
- * stop_accepts returns true. in_flight: requests of callers and calls of other VMs that are not
- * answered yet.
+ * stop_accepts returns true; from CLOSING on they are refused. in_flight: requests of callers and
+ * calls of other VMs that are not answered yet; in CLOSING it must have been counted after the
+ * refusal began, so that no request is accepted between the count and the end.
  */
 enum stop_state stop_tick(struct stop *s, unsigned int in_flight, uint64_t now_ms);
 
--- a/src/stopper.c
+++ b/src/stopper.c
@@ -22,6 +22,8 @@
 
 /* Asked in each round how many requests they have in flight. */
 static const char *const working_services[] = {"front", "holder", "commander", "gateway"};
+/* Told to refuse new requests. */
+static const char *const accepting_services[] = {"front", "gateway"};
 /* Told at the start of the stop. */
 static const char *const announced_services[] = {"membership", "gateway", "directory"};
 
@@ -64,7 +66,10 @@
 	st->round_is_complete = true;
 }
 
-/* Close to the limit a new request might not finish, so it is refused as not run instead. */
+/*
+ * Has new requests refused as not run once the stop accepts none: close to the limit they might not
+ * finish, and before the end none may arrive unnoticed.
+ */
 static void refuse_if_late(struct stopper *st)
 {
 	struct kernel *k = st->service.kernel;
@@ -72,8 +77,9 @@
 	if (st->is_refusing || stop_accepts(st->stop, st->longest_deadline_ms, clock_now_ms()))
 		return;
 	st->is_refusing = true;
-	kernel_message_send(k, kernel_service_find(k, "front"),
-			    message_create(MESSAGE_NEW_REQUESTS_REFUSED));
+	for (size_t i = 0; i < G_N_ELEMENTS(accepting_services); i++)
+		kernel_message_send(k, kernel_service_find(k, accepting_services[i]),
+				    message_create(MESSAGE_NEW_REQUESTS_REFUSED));
 }
 
 static void longest_deadline_set(struct stopper *st, const struct manifest *m)
@@ -95,8 +101,8 @@
 	 */
 	unsigned int in_flight = st->round_is_complete ? st->in_flight : 1;
 
-	refuse_if_late(st);
 	if (stop_tick(st->stop, in_flight, clock_now_ms()) != STOP_DONE) {
+		refuse_if_late(st);
 		st->round_is_complete = false;
 		round_start(st);
 		return;
--- a/tests/retryafter_test.cc
+++ b/tests/retryafter_test.cc
@@ -8,21 +8,26 @@
 namespace
 {
 struct retryafter_script : script_interpreter {
-	/* choose REASON wait MS uptime MS: lowest and highest of many draws, s, two digits. */
+	/* choose REASON wait MS uptime|leaf MS: lowest and highest of many draws, s, two digits. */
 	std::string run(const std::vector<std::string> &w) override
 	{
 		static const std::map<std::string, enum retryafter_reason> reasons = {
 			{"full", RETRYAFTER_LEAVES_FULL},
 			{"no_leaf", RETRYAFTER_NO_LEAF},
-			{"no_config", RETRYAFTER_NO_CONFIG}};
+			{"no_config", RETRYAFTER_NO_CONFIG},
+			{"stopping", RETRYAFTER_STOPPING}};
 		GRand *rand = g_rand_new_with_seed(1);
 		double low = 1e9;
 		double high = 0;
 		char text[64];
 
 		for (int i = 0; i < 20000; i++) {
-			double s = retryafter_choose_s(reasons.at(w[1]), std::stoull(w[3]),
-						       std::stoull(w[5]), rand);
+			double s =
+				w[1] == "limited"
+					? retryafter_choose_limited_s(std::stoull(w[5]) * 1000,
+								      std::stoull(w[3]), rand)
+					: retryafter_choose_s(reasons.at(w[1]), std::stoull(w[3]),
+							      std::stoull(w[5]), rand);
 
 			low = std::min(low, s);
 			high = std::max(high, s);
