Refuse an answer that consists of interim answers without end

Callers would see nothing: the call ended at the request's deadline; until then the VM parsed whatever the leaf sent. Bytes without end in a head, fields, chunk extensions, trailers or a body were refused already. An answer that ends within its head was malformed already at each of its bytes and reached no caller. Cause: each interim answer (1xx) reset the count of the head's bytes, so their number had no bound. Change: more than 16 interim answers make the answer malformed.

--- a/fakes/routed_site.py
+++ b/fakes/routed_site.py
@@ -228,7 +228,8 @@
     - before the work: "shed" (responds 503 with X-Not-Executed), "mute" (never responds)
     - after the work: "lose" (aborts the connection), "error" (responds 500), "garbage" (sends bytes
       that are not HTTP and closes), "cut" (omits the last 3 bytes and closes), "twice" (sends the
-      response twice)
+      response twice), "short_head" (closes within the head), "endless_head", "endless_interim" and
+      "endless_body" (go on until the connection is closed)
 
     fields are added to the head of every response of the leaf; arrival_times are those of its
     requests (time.monotonic).
@@ -237,6 +238,11 @@
     counts requests that arrive more than Site.drain_s after the leaf started to leave.
     """
 
+    # Modes that send without end: the begin of the response, and what is repeated.
+    ENDLESS = {"endless_head": (b"HTTP/1.1 200 OK\r\nX-A: ", b"x" * 4096),
+               "endless_interim": (b"", b"HTTP/1.1 100 Continue\r\n\r\n" * 160),
+               "endless_body": (b"HTTP/1.1 200 OK\r\nX-Response-Signature: s\r\n\r\n", b"x" * 4096)}
+
     def __init__(self, site, leaf_id, service, dc="a", work_s=0.003):
         super().__init__()
         self.site, self.id, self.service, self.dc, self.work_s = site, leaf_id, service, dc, work_s
@@ -244,6 +250,7 @@
         self.state, self.arrivals, self.late_arrivals = "ready", 0, 0
         self.leaving_since, self.readers = None, set()
         self.fields, self.arrival_times = {}, []
+        self.endless = 0  # responses without end that are being sent
 
     def entry(self):
         """The leaf's entry in the store, as JSON."""
@@ -255,6 +262,16 @@
         """Whether the fault mode is set and applies to the current request."""
         return self.mode == mode and random.random() < self.rate
 
+    async def _send_endlessly(self, writer, head, block):
+        self.endless += 1
+        writer.write(head)
+        try:
+            while True:
+                writer.write(block)
+                await writer.drain()
+        finally:
+            self.endless -= 1
+
     def arrivals_most(self, seconds, since):
         """Most requests within any span of so many seconds that begins at or after since."""
         times = [t for t in self.arrival_times if t >= since]
@@ -299,6 +316,13 @@
             elif self.has_fault("garbage"):
                 writer.write(b"\x00\x01 this is no answer\r\n\r\n")
                 return
+            elif self.has_fault("short_head"):
+                text = response_bytes(200, payload, headers)
+                writer.write(text[:random.randrange(1, text.index(b"\r\n\r\n") + 4)])
+                return
+            elif self.mode in self.ENDLESS and self.has_fault(self.mode):
+                await self._send_endlessly(writer, *self.ENDLESS[self.mode])
+                return
             elif self.has_fault("cut"):
                 writer.write(response_bytes(200, payload, headers)[:-3])
                 return
--- a/src/httpmsg.c
+++ b/src/httpmsg.c
@@ -5,6 +5,9 @@
 
 #define FIELDS_MAX 128 /* more than usual callers send; bounds the work for one message */
 
+/* A sender that goes on with interim answers beyond this many never sends the answer itself. */
+#define INTERIM_MAX 16
+
 /* Offsets of a field's strings in http_reader.text. */
 struct field_offsets {
 	uint32_t name;
@@ -19,6 +22,7 @@
 	GByteArray *body;
 	struct field_offsets fields[FIELDS_MAX];
 	unsigned int n_fields;
+	unsigned int n_interim; /* interim answers before this one */
 	size_t head_bytes; /* bytes of the head that were read so far */
 	enum http_progress progress;
 	bool is_answer_to_head; /* the message answers a HEAD request */
@@ -119,6 +123,8 @@
 	struct http_reader *r = p->data;
 
 	if (is_interim(r)) {
+		if (++r->n_interim > INTERIM_MAX)
+			return stop_with(r, HTTP_MALFORMED);
 		g_string_truncate(r->text, 0);
 		r->n_fields = 0;
 		r->in_value = false;
@@ -169,6 +175,7 @@
 	g_string_truncate(r->text, 0);
 	g_byte_array_set_size(r->body, 0);
 	r->n_fields = 0;
+	r->n_interim = 0;
 	r->head_bytes = 0;
 	r->progress = HTTP_INCOMPLETE;
 	r->is_answer_to_head = is_answer_to_head;
--- a/src/httpmsg.h
+++ b/src/httpmsg.h
@@ -54,7 +54,7 @@
 /*
  * Reads up to n bytes. When a message is complete, *used is the number of these bytes that belong
  * to it. After any result but HTTP_INCOMPLETE the reader must be reset before it can read on.
- * Interim answers (1xx) are skipped.
+ * Interim answers (1xx) are skipped; too many of them are malformed.
  */
 enum http_progress http_reader_feed(struct http_reader *r, const char *data, size_t n,
 				    size_t *used);
--- a/tests/httpmsg_test.cc
+++ b/tests/httpmsg_test.cc
@@ -2,6 +2,7 @@
 
 #include <gtest/gtest.h>
 #include <string>
+#include <vector>
 
 namespace
 {
@@ -99,3 +100,66 @@
 	EXPECT_FALSE(http_reader_keeps_alive(r));
 	http_reader_destroy(r);
 }
+
+/* Guards against a success with an empty or short body, made of an answer whose head ends early. */
+TEST(httpmsg, answer_that_ends_early_is_malformed)
+{
+	const std::string with_length = "HTTP/1.1 200 OK\r\nX-A: b\r\nContent-Length: 2\r\n\r\nok";
+	const std::string chunked =
+		"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nok\r\n0\r\n\r\n";
+	const std::string interim = "HTTP/1.1 100 Continue\r\n\r\n" + with_length;
+	const std::string without_length_head = "HTTP/1.1 200 OK\r\nX-A: b\r\n\r\n";
+
+	for (const std::string &text : {with_length, chunked, interim, without_length_head})
+		for (size_t n = 0; n < text.size(); n++) {
+			struct http_reader *r = http_reader_create(HTTP_MESSAGE_ANSWER, &limits);
+			size_t used;
+
+			EXPECT_EQ(http_reader_feed(r, text.data(), n, &used), HTTP_INCOMPLETE);
+			EXPECT_EQ(http_reader_end(r), HTTP_MALFORMED) << text.substr(0, n);
+			http_reader_destroy(r);
+		}
+}
+
+/*
+ * Guards against an answer that is read without end: each of these goes on until the reader refuses
+ * it, and it must do so within 1 MB.
+ */
+TEST(httpmsg, answer_without_end_is_refused)
+{
+	const std::string head = "HTTP/1.1 200 OK\r\n";
+	const std::string chunked = head + "Transfer-Encoding: chunked\r\n\r\n";
+	const std::vector<std::pair<std::string, std::string>> answers = {
+		{"", "\r\n"},
+		{"HTTP/1.1 200 ", "OK "},
+		{head + "X-A: ", "value "},
+		{head, "X-A: b\r\n"},
+		{head + "X-", "name"},
+		{"", "HTTP/1.1 100 Continue\r\n\r\n"},
+		{head + "\r\n", "body "},
+		{chunked, "1\r\nx\r\n"},
+		{chunked + "1", ";extension=1"},
+		{chunked, "0"},
+		{chunked + "0\r\n", "X-Trailer: a\r\n"},
+		{chunked + "0\r\nX-Trailer: ", "value "},
+	};
+
+	for (const auto &answer : answers) {
+		struct http_reader *r = http_reader_create(HTTP_MESSAGE_ANSWER, &limits);
+		std::string more;
+		size_t total = 0;
+		size_t used;
+		enum http_progress progress;
+
+		while (more.size() < 4096)
+			more += answer.second;
+		progress = http_reader_feed(r, answer.first.data(), answer.first.size(), &used);
+		while (progress == HTTP_INCOMPLETE && total < (1u << 20)) {
+			progress = http_reader_feed(r, more.data(), more.size(), &used);
+			total += more.size();
+		}
+		EXPECT_NE(progress, HTTP_INCOMPLETE) << answer.first << answer.second;
+		EXPECT_NE(progress, HTTP_COMPLETE) << answer.first << answer.second;
+		http_reader_destroy(r);
+	}
+}
