--- a/src/jobcall.c
+++ b/src/jobcall.c
@@ -152,18 +152,21 @@
 	const struct adapter *adapter = j->env->adapter;
 	uint64_t now_us = clock_now_us();
 	struct leaf_signals signals;
+	unsigned int changes;
 
 	adapter->ops->leaf_signals_parse(adapter, answer, &signals);
-	if (!leaf_signals_apply(leaf, &signals, vmshare_get(&j->env->vmshare, now_us), j->env->rand,
-				now_us))
-		return;
-	if (signals.has_limit)
+	changes = leaf_signals_apply(leaf, &signals, vmshare_get(&j->env->vmshare, now_us),
+				     j->env->rand, now_us);
+	if (changes & LEAF_SIGNALS_LIMIT && signals.has_limit)
 		log_event(LOG_LEVEL_INFO, "leaf_limited",
 			  "leaf=%s service=%s limit_per_s=%g own_per_s=%g", leaf->id, leaf->service,
 			  signals.limit_per_s, leaf->ratecap.rate_per_s);
-	else
+	else if (changes & LEAF_SIGNALS_LIMIT)
 		log_event(LOG_LEVEL_INFO, "leaf_unlimited", "leaf=%s service=%s", leaf->id,
 			  leaf->service);
+	if (changes & LEAF_SIGNALS_LEAVING)
+		log_event(LOG_LEVEL_INFO, "leaf_leaving", "leaf=%s service=%s", leaf->id,
+			  leaf->service);
 }
 
 static enum leaf_end call_done(struct leaf_call *call, enum leaf_end end,
--- a/src/leafset.c
+++ b/src/leafset.c
@@ -273,10 +273,9 @@
 	return false;
 }
 
-/* False when no call may be sent to the leaf. */
-static bool leaf_is_usable(const struct leaf *l)
+bool leaf_is_usable(const struct leaf *l)
 {
-	return l->state == LEAF_READY && !l->is_address_taken;
+	return l->state == LEAF_READY && !l->is_address_taken && !l->is_leaving;
 }
 
 bool leafset_wait_us(const struct leafset *s, const char *service, uint64_t now_us,
@@ -297,16 +296,21 @@
 	return is_found;
 }
 
-bool leaf_signals_apply(struct leaf *l, const struct leaf_signals *signals, double share,
-			GRand *rand, uint64_t now_us)
+unsigned int leaf_signals_apply(struct leaf *l, const struct leaf_signals *signals, double share,
+				GRand *rand, uint64_t now_us)
 {
-	bool was_limited = l->ratecap.is_limited;
+	unsigned int changes = 0;
 
+	if (l->ratecap.is_limited != signals->has_limit)
+		changes |= LEAF_SIGNALS_LIMIT;
 	if (signals->has_limit)
 		ratecap_limit(&l->ratecap, signals->limit_per_s, share, rand, now_us);
 	else
 		ratecap_lift(&l->ratecap);
-	return was_limited != signals->has_limit;
+	if (signals->is_leaving && !l->is_leaving)
+		changes |= LEAF_SIGNALS_LEAVING;
+	l->is_leaving = l->is_leaving || signals->is_leaving;
+	return changes;
 }
 
 struct leaf *leafset_choose(const struct leafset *s, const char *service, struct leaf *const *tried,
--- a/src/leafset.h
+++ b/src/leafset.h
@@ -65,6 +65,13 @@
 struct leaf_signals {
 	bool has_limit; /* it takes limit_per_s calls per second, of all VMs together */
 	double limit_per_s;
+	bool is_leaving; /* it drains and ends soon */
+};
+
+/* What leaf_signals_apply() has changed; may be combined. */
+enum leaf_signals_change {
+	LEAF_SIGNALS_LIMIT = 1, /* the leaf begins or ceases to have a limit */
+	LEAF_SIGNALS_LEAVING = 2,
 };
 
 struct leaf {
@@ -80,6 +87,7 @@
 	uint64_t process_start_ms;
 
 	struct ratecap ratecap;
+	bool is_leaving; /* as it says itself; its entry may still say ready */
 	unsigned int outstanding; /* calls that have not ended */
 	unsigned int waiting; /* of these, calls that were not sent yet */
 	/*
@@ -159,11 +167,13 @@
 bool leafset_wait_us(const struct leafset *s, const char *service, uint64_t now_us,
 		     uint64_t *wait_us);
 /*
- * Notes what the leaf says of itself. share: this VM's part of a limit. Returns true when the leaf
- * begins or ceases to have one.
+ * Notes what the leaf says of itself. share: this VM's part of a limit. Returns the changes, of
+ * enum leaf_signals_change. A leaf that has said that it leaves gets no call any more.
  */
-bool leaf_signals_apply(struct leaf *l, const struct leaf_signals *signals, double share,
-			GRand *rand, uint64_t now_us);
+unsigned int leaf_signals_apply(struct leaf *l, const struct leaf_signals *signals, double share,
+				GRand *rand, uint64_t now_us);
+/* False when no call may be sent to the leaf. */
+bool leaf_is_usable(const struct leaf *l);
 /* True while the leaf is avoided because calls to it have failed. */
 bool leaf_is_quarantined(const struct leaf *l, uint64_t now_us);
 
--- a/tests/adapter_test.cc
+++ b/tests/adapter_test.cc
@@ -33,3 +33,11 @@
 		EXPECT_FALSE(signals_of(std::string("Server-Limit: ") + text + "\r\n").has_limit)
 			<< text;
 }
+
+/* Guards against a leaf that is taken out of use by a field that says the contrary. */
+TEST(adapter, leaving_is_said_by_one)
+{
+	EXPECT_TRUE(signals_of("Server-Leaving: 1\r\n").is_leaving);
+	EXPECT_FALSE(signals_of("Server-Leaving: 0\r\n").is_leaving);
+	EXPECT_FALSE(signals_of("").is_leaving);
+}
--- a/tests/leafset_test.cc
+++ b/tests/leafset_test.cc
@@ -81,12 +81,16 @@
 			}
 			return "";
 		}
-		if (w[0] == "limit" ||
-		    w[0] == "unlimit") { /* limit ID PER_S: all of it for this VM */
+		if (w[0] == "says") { /* says ID [limit PER_S] [leaving]: in an answer */
 			struct leaf_signals signals = {};
 
-			signals.has_limit = w[0] == "limit";
-			signals.limit_per_s = signals.has_limit ? std::stod(w[2]) : 0;
+			for (size_t i = 2; i < w.size(); i++) {
+				signals.is_leaving = signals.is_leaving || w[i] == "leaving";
+				if (w[i] != "limit")
+					continue;
+				signals.has_limit = true;
+				signals.limit_per_s = std::stod(w[++i]);
+			}
 			leaf_signals_apply(leafset_find(s, w[1].c_str()), &signals, 1, rand,
 					   now_us);
 			return "";
