Draw the delay of a caller that a leaf's limit refuses once

Cause: the macro MIN evaluated the random draw twice, so the value returned was not the one compared.

--- a/src/retryafter.c
+++ b/src/retryafter.c
@@ -40,8 +40,9 @@
 double retryafter_choose_limited_s(uint64_t leaf_wait_us, uint64_t caller_wait_ms, GRand *rand)
 {
 	double wait_s = MAX(LEAVES_FULL_MIN_S, (double)leaf_wait_us / 1e6);
+	double spread_s = wait_s * g_rand_double_range(rand, 1, 2);
 
-	return MIN(longest_s(caller_wait_ms), wait_s * g_rand_double_range(rand, 1, 2));
+	return MIN(longest_s(caller_wait_ms), spread_s);
 }
 
 double retryafter_choose_s(enum retryafter_reason reason, uint64_t caller_wait_ms,
