Send no call to a leaf during the pause that it asks for

Cause: the Retry-After of a leaf's 503 was not read; a refusal only made the window of calls in flight smaller. Change: the adapter decodes the field of a 503; the leaf gets no call until the end of that time, of the longest one if it names several. Event leaf_paused.

--- a/src/jobcall.c
+++ b/src/jobcall.c
@@ -164,6 +164,9 @@
 	else if (changes & LEAF_SIGNALS_LIMIT)
 		log_event(LOG_LEVEL_INFO, "leaf_unlimited", "leaf=%s service=%s", leaf->id,
 			  leaf->service);
+	if (changes & LEAF_SIGNALS_PAUSE)
+		log_event(LOG_LEVEL_INFO, "leaf_paused", "leaf=%s service=%s for_s=%g", leaf->id,
+			  leaf->service, signals.pause_s);
 	if (changes & LEAF_SIGNALS_LEAVING)
 		log_event(LOG_LEVEL_INFO, "leaf_leaving", "leaf=%s service=%s", leaf->id,
 			  leaf->service);
--- a/src/leafset.c
+++ b/src/leafset.c
@@ -28,6 +28,8 @@
 #define PAUSE_MIN_US 25000.0
 /* Expected remaining time of a pause: half of the 200 ms that the deployments state. */
 #define PAUSE_REMAINING_US 100000.0
+/* Longest pause that a leaf can ask for, in case that it names a senseless one. */
+#define PAUSE_MAX_S 3600.0
 /* How much slower a leaf works during its warm-up, as the deployments state it. */
 #define WARMUP_FACTOR 1.6
 /*
@@ -251,7 +253,9 @@
 
 uint64_t leaf_wait_us(const struct leaf *l, uint64_t now_us)
 {
-	return ratecap_wait_us(&l->ratecap, l->waiting, now_us);
+	uint64_t paused_us = l->paused_until_us > now_us ? l->paused_until_us - now_us : 0;
+
+	return MAX(paused_us, ratecap_wait_us(&l->ratecap, l->waiting, now_us));
 }
 
 bool leafset_is_faster(const struct leafset *s, const struct leaf *a, const struct leaf *b,
@@ -273,11 +277,17 @@
 	return false;
 }
 
-bool leaf_is_usable(const struct leaf *l)
+/* True when calls may be sent to the leaf, now or after a pause. */
+static bool leaf_is_in_service(const struct leaf *l)
 {
 	return l->state == LEAF_READY && !l->is_address_taken && !l->is_leaving;
 }
 
+bool leaf_is_usable(const struct leaf *l, uint64_t now_us)
+{
+	return leaf_is_in_service(l) && now_us >= l->paused_until_us;
+}
+
 bool leafset_wait_us(const struct leafset *s, const char *service, uint64_t now_us,
 		     uint64_t *wait_us)
 {
@@ -288,7 +298,7 @@
 		const struct leaf *l = g_ptr_array_index(list, i);
 		uint64_t leaf_us = leaf_wait_us(l, now_us);
 
-		if (!leaf_is_usable(l))
+		if (!leaf_is_in_service(l))
 			continue;
 		*wait_us = is_found ? MIN(*wait_us, leaf_us) : leaf_us;
 		is_found = true;
@@ -310,6 +320,12 @@
 	if (signals->is_leaving && !l->is_leaving)
 		changes |= LEAF_SIGNALS_LEAVING;
 	l->is_leaving = l->is_leaving || signals->is_leaving;
+	if (signals->pause_s > 0) {
+		uint64_t pause_us = (uint64_t)(MIN(signals->pause_s, PAUSE_MAX_S) * 1e6);
+
+		l->paused_until_us = MAX(l->paused_until_us, now_us + pause_us);
+		changes |= LEAF_SIGNALS_PAUSE;
+	}
 	return changes;
 }
 
@@ -326,7 +342,7 @@
 		bool is_quarantined = leaf_is_quarantined(l, now_us);
 		double cost_us;
 
-		if (!leaf_is_usable(l) || is_tried(l, tried, n_tried))
+		if (!leaf_is_usable(l, now_us) || is_tried(l, tried, n_tried))
 			continue;
 		cost_us = leaf_cost_us(l, s->own_dc, now_us);
 		if (best && (is_quarantined > best_is_quarantined ||
--- a/src/leafset.h
+++ b/src/leafset.h
@@ -66,12 +66,15 @@
 	bool has_limit; /* it takes limit_per_s calls per second, of all VMs together */
 	double limit_per_s;
 	bool is_leaving; /* it drains and ends soon */
+	double pause_s; /* it refuses calls and wants none of this VM for so long; 0: no such wish
+			 */
 };
 
 /* What leaf_signals_apply() has changed; may be combined. */
 enum leaf_signals_change {
 	LEAF_SIGNALS_LIMIT = 1, /* the leaf begins or ceases to have a limit */
 	LEAF_SIGNALS_LEAVING = 2,
+	LEAF_SIGNALS_PAUSE = 4, /* a pause begins or is prolonged */
 };
 
 struct leaf {
@@ -88,6 +91,7 @@
 
 	struct ratecap ratecap;
 	bool is_leaving; /* as it says itself; its entry may still say ready */
+	uint64_t paused_until_us; /* it wants no calls before */
 	unsigned int outstanding; /* calls that have not ended */
 	unsigned int waiting; /* of these, calls that were not sent yet */
 	/*
@@ -159,10 +163,11 @@
 /* True if a is expected to answer sooner than b if the call is sent now. */
 bool leafset_is_faster(const struct leafset *s, const struct leaf *a, const struct leaf *b,
 		       uint64_t now_us);
-/* Time until the leaf's limit allows the next call, after those that wait already; 0: now. */
+/* Time until the leaf's limit and pause allow a call, after those that wait already; 0: now. */
 uint64_t leaf_wait_us(const struct leaf *l, uint64_t now_us);
 /*
- * Shortest leaf_wait_us of the leaves of the service that can be chosen; false when there is none.
+ * Shortest leaf_wait_us of the leaves of the service that can be chosen now or after a pause; false
+ * when there is none.
  */
 bool leafset_wait_us(const struct leafset *s, const char *service, uint64_t now_us,
 		     uint64_t *wait_us);
@@ -172,8 +177,8 @@
  */
 unsigned int leaf_signals_apply(struct leaf *l, const struct leaf_signals *signals, double share,
 				GRand *rand, uint64_t now_us);
-/* False when no call may be sent to the leaf. */
-bool leaf_is_usable(const struct leaf *l);
+/* False when no call may be sent to the leaf now. */
+bool leaf_is_usable(const struct leaf *l, uint64_t now_us);
 /* True while the leaf is avoided because calls to it have failed. */
 bool leaf_is_quarantined(const struct leaf *l, uint64_t now_us);
 
--- a/src/logevent.h
+++ b/src/logevent.h
@@ -29,6 +29,7 @@
 	X("leaf_changed", "a leaf is new, has restarted, or changed its state")                   \
 	X("leaf_limited", "a leaf names a limit of calls per second; this VM's part of it")       \
 	X("leaf_unlimited", "a leaf no longer names a limit")                                     \
+	X("leaf_paused", "a leaf refused a call and wants none for a time")                       \
 	X("leaf_leaving", "a leaf says in an answer that it leaves; it gets no further calls")    \
 	X("leaf_gone", "a leaf was removed or its entry became unusable; the store's revision")   \
 	X("leaf_doubted", "a leaf is quarantined for a time or its address is another's; why")    \
--- a/src/upstream.c
+++ b/src/upstream.c
@@ -291,7 +291,7 @@
 		list_add_tail(&conn->node, &link->idle);
 	}
 	call_end(u, call, LEAF_END_ANSWERED, answer, true);
-	if (leaf_is_usable(link->leaf))
+	if (leaf_is_usable(link->leaf, now_us))
 		queue_serve(u, link, now_us);
 	else
 		upstream_leaf_retire(u, link->leaf);
--- a/src/upstream.h
+++ b/src/upstream.h
@@ -70,7 +70,7 @@
 		     uint64_t now_us);
 
 /*
- * The leaf drains, is gone or cannot be used: closes its idle connections and those being opened,
+ * The leaf drains, pauses or is gone: closes its idle connections and those being opened,
  * and ends its queued calls as not sent. Calls that were sent go on.
  */
 void upstream_leaf_retire(struct upstream *u, struct leaf *leaf);
--- a/tests/adapter_test.cc
+++ b/tests/adapter_test.cc
@@ -6,12 +6,13 @@
 
 namespace
 {
-struct leaf_signals signals_of(const std::string &fields)
+struct leaf_signals signals_of(const std::string &fields, unsigned int status = 200)
 {
 	const struct adapter *adapter = adapter_platform();
 	const struct http_limits limits = {65536, 65536};
 	struct http_reader *r = http_reader_create(HTTP_MESSAGE_ANSWER, &limits);
-	std::string text = "HTTP/1.1 200 OK\r\n" + fields + "Content-Length: 0\r\n\r\n";
+	std::string text = "HTTP/1.1 " + std::to_string(status) + " X\r\n" + fields +
+			   "Content-Length: 0\r\n\r\n";
 	struct leaf_signals signals = {};
 	size_t used;
 
@@ -41,3 +42,14 @@
 	EXPECT_FALSE(signals_of("Server-Leaving: 0\r\n").is_leaving);
 	EXPECT_FALSE(signals_of("").is_leaving);
 }
+
+/* Guards against a pause that is taken from an answer which refuses nothing, or from a date. */
+TEST(adapter, pause_is_asked_for_by_a_refusal)
+{
+	EXPECT_DOUBLE_EQ(signals_of("Retry-After: 2.5\r\n", 503).pause_s, 2.5);
+	EXPECT_DOUBLE_EQ(signals_of("Retry-After: 2\r\n", 200).pause_s, 0);
+	EXPECT_DOUBLE_EQ(signals_of("Retry-After: 2\r\n", 500).pause_s, 0);
+	EXPECT_DOUBLE_EQ(signals_of("Retry-After: Fri, 4 Dec 2026 23:55:10 GMT\r\n", 503).pause_s,
+			 0);
+	EXPECT_DOUBLE_EQ(signals_of("", 503).pause_s, 0);
+}
--- a/tests/leafset_test.cc
+++ b/tests/leafset_test.cc
@@ -81,15 +81,18 @@
 			}
 			return "";
 		}
-		if (w[0] == "says") { /* says ID [limit PER_S] [leaving]: in an answer */
+		if (w[0] == "says") { /* says ID [limit PER_S] [leaving] [pause S]: in an answer */
 			struct leaf_signals signals = {};
 
 			for (size_t i = 2; i < w.size(); i++) {
-				signals.is_leaving = signals.is_leaving || w[i] == "leaving";
-				if (w[i] != "limit")
-					continue;
-				signals.has_limit = true;
-				signals.limit_per_s = std::stod(w[++i]);
+				if (w[i] == "leaving") {
+					signals.is_leaving = true;
+				} else if (w[i] == "pause") {
+					signals.pause_s = std::stod(w[++i]);
+				} else if (w[i] == "limit") {
+					signals.has_limit = true;
+					signals.limit_per_s = std::stod(w[++i]);
+				}
 			}
 			leaf_signals_apply(leafset_find(s, w[1].c_str()), &signals, 1, rand,
 					   now_us);
