Ask other VMs for changes while the store answers no reader

Callers would see: requests handled by an older version at VMs that the store turns away, for as long as it turns all three readers away as well (CONFIG). Cause: the readers were the only VMs to ask, also when they had lost the store and others read it. Change: a VM that neither the store nor a reader answers asks three other VMs at a time and the readers every third turn, 0.4 s each, until one answers as current. Evidence: relay.other_vms_are_asked_when_all_readers_have_lost_the_store fails on the code before; readers.test.

--- a/src/follower.c
+++ b/src/follower.c
@@ -240,8 +240,7 @@
 	}
 }
 
-/* True when no reader is left whose last query was answered as current. */
-static bool are_readers_lost(const struct follower *f, uint64_t now_ms)
+bool follower_is_lost(const struct follower *f, uint64_t now_ms)
 {
 	for (unsigned int i = 0; i < READERS_MAX; i++)
 		if (f->slots[i].address && !slot_is_lost(&f->slots[i], now_ms))
@@ -254,6 +253,6 @@
 	bool is_starting = !f->was_served || f->revision == 0;
 
 	return now_ms - f->served_ms >= (is_starting ? FIRST_ANSWER_MS : CURRENT_MS) ||
-	       (f->was_served && are_readers_lost(f, now_ms)) ||
+	       (f->was_served && follower_is_lost(f, now_ms)) ||
 	       behind_ms(f, now_ms) >= BEHIND_MAX_MS;
 }
--- a/src/readers.c
+++ b/src/readers.c
@@ -59,6 +59,24 @@
 	return r;
 }
 
+struct readers readers_others(const struct roster *roster, const struct readers *readers,
+			      unsigned int round)
+{
+	struct readers r = {0};
+	uint64_t first = (uint64_t)round * READERS_MAX;
+
+	for (unsigned int i = 0; i < roster->n_vms; i++)
+		if (roster->vms[i].is_self)
+			first += roster->vms[i].name_hash % roster->n_vms;
+	for (unsigned int i = 0; i < roster->n_vms && r.n < READERS_MAX; i++) {
+		const struct roster_vm *vm = &roster->vms[(first + i) % roster->n_vms];
+
+		if (vm->is_available && !vm->is_self && !readers_have_vm(readers, vm))
+			r.vms[r.n++] = vm;
+	}
+	return r;
+}
+
 unsigned int readers_first(const struct readers *readers, const char *own_dc)
 {
 	for (unsigned int i = 0; i < readers->n; i++)
--- a/src/readers.h
+++ b/src/readers.h
@@ -34,6 +34,14 @@
  */
 unsigned int readers_first(const struct readers *readers, const char *own_dc);
 
+/*
+ * Chooses up to READERS_MAX other available VMs, to be asked while no reader answers: one of them
+ * may read the store itself. Each round names the next ones, beginning at a different VM for each
+ * asking VM. is_self is false.
+ */
+struct readers readers_others(const struct roster *roster, const struct readers *readers,
+			      unsigned int round);
+
 G_END_DECLS
 
 #endif
--- a/src/relay.c
+++ b/src/relay.c
@@ -21,6 +21,12 @@
 #define UNSERVED_MS 700
 /* A VM that starts to read the store itself does so for this long, to avoid frequent switching. */
 #define SELF_READING_MS 5000
+/*
+ * While neither the store nor a reader answers, the VM asks a few other VMs at a time, and the
+ * readers every third time. Time until it turns to the next ones.
+ */
+#define SEARCH_MS 400
+#define SEARCH_TURNS 3
 #define TICK_MS 50
 
 /* A query of another VM that is held open until there are changes. */
@@ -42,6 +48,8 @@
 	uint64_t started_ms;
 	uint64_t self_until_ms; /* this VM reads the store itself until then */
 	bool is_following; /* asks readers */
+	unsigned int search_turn; /* a multiple of SEARCH_TURNS: the readers are asked */
+	uint64_t search_next_ms; /* when the next turn may begin */
 	bool is_reading; /* the feed of this VM was told to read the store */
 	bool is_current; /* as in the last store_update of the feed since it began to read */
 };
@@ -193,11 +201,26 @@
 	follower_readers_set(r->follower, addresses, n);
 }
 
+/* Turns to other VMs, or back to the readers, while none of those asked answers as current. */
+static void search_advance(struct relay *r, uint64_t now_ms)
+{
+	if (r->is_current || now_ms < r->search_next_ms || !follower_is_lost(r->follower, now_ms))
+		return;
+	r->search_turn++;
+	r->search_next_ms = now_ms + SEARCH_MS;
+}
+
 static void readers_ask(struct relay *r, const struct readers *readers, uint64_t now_ms)
 {
 	struct follower_query query;
-
-	follower_readers_update(r, readers);
+	struct readers others;
+	unsigned int n_reader_turns;
+
+	search_advance(r, now_ms);
+	n_reader_turns = (r->search_turn + SEARCH_TURNS - 1) / SEARCH_TURNS;
+	others = readers_others(r->roster, readers, r->search_turn - n_reader_turns);
+	follower_readers_update(r, r->search_turn % SEARCH_TURNS > 0 && others.n > 0 ? &others
+										     : readers);
 	while (follower_query_next(r->follower, now_ms, &query))
 		query_send(r, &query);
 }
--- a/tests/relay_test.cc
+++ b/tests/relay_test.cc
@@ -1,6 +1,7 @@
 #include "clock.h"
 #include "message.h"
 #include "procedure.h"
+#include "readers.h"
 #include "relay.h"
 #include "rendezvous.h"
 #include "script.h"
@@ -12,10 +13,11 @@
 {
 #define STEP_MS 5
 
-/* How each of the readers behaves; they are named r0, r1 and so on. */
+/* How each of the other VMs behaves; they are named r0, r1 and so on. */
 struct reader {
 	uint64_t revision;
 	uint64_t changes_ms; /* time that an answer with changes takes */
+	bool has_lost_store;
 };
 
 /* Stands for the other VMs: answers queries as readers do, each after its time. */
@@ -62,9 +64,10 @@
 {
 	uint64_t revision = (*p->readers)[q.reader].revision;
 	auto *result = static_cast<apr_feed_reply *>(peer_result_create(APR_FEED));
-	bool has_items = q.wants_items && revision > q.known;
+	bool has_items =
+		q.wants_items && revision > q.known && !(*p->readers)[q.reader].has_lost_store;
 
-	result->is_current = TRUE;
+	result->is_current = !(*p->readers)[q.reader].has_lost_store;
 	result->revision = revision;
 	result->items.items_val = g_new0(apr_feed_item, 1);
 	result->items.items_len = has_items;
@@ -89,7 +92,8 @@
 
 		if (!q.due_ms && r.revision > q.known)
 			q.due_ms = now_ms + (q.wants_items ? r.changes_ms : 0);
-		if ((q.due_ms && now_ms >= q.due_ms) || (!q.due_ms && now_ms >= q.until_ms))
+		if (r.has_lost_store || (q.due_ms && now_ms >= q.due_ms) ||
+		    (!q.due_ms && now_ms >= q.until_ms))
 			query_answer(p, q);
 		else
 			open.push_back(q);
@@ -122,6 +126,7 @@
 	struct fake_peer peer = {};
 	struct fake_feed feed = {};
 	std::vector<struct reader> readers;
+	struct roster *roster = nullptr;
 
 	relay_script()
 	{
@@ -143,12 +148,14 @@
 	{
 		kernel_destroy(k);
 		event_base_free(base);
+		roster_put(roster);
 	}
 
 	/* n other VMs of weight 500; the three VMs with the greatest weight are the readers. */
 	void roster_send(unsigned int n, unsigned int own_weight)
 	{
-		struct roster *roster = roster_create(n + 1, 1);
+		roster_put(roster);
+		roster = roster_create(n + 1, 1);
 
 		for (unsigned int i = 0; i <= n; i++) {
 			struct roster_vm *vm = &roster->vms[i];
@@ -165,7 +172,6 @@
 		}
 		kernel_message_send(k, kernel_service_find(k, "relay"),
 				    &roster_changed_create(roster)->message);
-		roster_put(roster);
 	}
 
 	/* Runs until done() or for at most limit_ms; false in the latter case. */
@@ -209,7 +215,7 @@
 	std::string run(const std::vector<std::string> &w) override
 	{
 		if (w[0] == "readers") { /* readers N REVISION */
-			readers.assign(std::stoul(w[1]), {std::stoull(w[2]), 0});
+			readers.assign(std::stoul(w[1]), {std::stoull(w[2]), 0, false});
 			roster_send((unsigned int)readers.size(), 120);
 		} else if (w[0] == "changes-take") { /* changes-take MS: from any reader */
 			for (auto &r : readers)
@@ -226,6 +232,12 @@
 				       : "no\n";
 		} else if (w[0] == "answers-at-most") { /* answers-at-most N: with changes */
 			return peer.changes_sent <= std::stoul(w[1]) ? "yes\n" : "no\n";
+		} else if (w[0] == "readers-lose-store") { /* this VM as well */
+			struct readers chosen = readers_choose(roster);
+
+			for (unsigned int i = 0; i < chosen.n; i++)
+				readers.at((size_t)(chosen.vms[i]->rpc[1] - '0')).has_lost_store =
+					true;
 		} else if (w[0] == "own-weight") { /* own-weight N: with three other VMs */
 			readers.resize(3);
 			roster_send(3, (unsigned int)std::stoul(w[1]));
