Let a starting VM ask the readers before other VMs

Cause: a follower that has no reader yet counted as lost, so the search among other VMs began at once. Change: it counts as lost only when there are readers. Evidence: relay.starting_vm_asks_the_readers fails on the code before (7 VMs asked, 3 are readers) and passes.

--- a/src/follower.c
+++ b/src/follower.c
@@ -242,10 +242,16 @@
 
 bool follower_is_lost(const struct follower *f, uint64_t now_ms)
 {
-	for (unsigned int i = 0; i < READERS_MAX; i++)
-		if (f->slots[i].address && !slot_is_lost(&f->slots[i], now_ms))
+	bool has_reader = false;
+
+	for (unsigned int i = 0; i < READERS_MAX; i++) {
+		if (!f->slots[i].address)
+			continue;
+		if (!slot_is_lost(&f->slots[i], now_ms))
 			return false;
-	return true;
+		has_reader = true;
+	}
+	return has_reader;
 }
 
 bool follower_needs_store(const struct follower *f, uint64_t now_ms)
--- a/src/follower.h
+++ b/src/follower.h
@@ -57,7 +57,7 @@
 void follower_answered(struct follower *f, uint64_t tag, bool is_current, uint64_t revision,
 		       uint64_t now_ms);
 
-/* True when no reader is left whose last query was answered as current. */
+/* True when there are readers and none of them has answered its last query as current. */
 bool follower_is_lost(const struct follower *f, uint64_t now_ms);
 
 /* True when this VM cannot rely on the readers and has to read the store itself. */
--- a/tests/relay_test.cc
+++ b/tests/relay_test.cc
@@ -8,6 +8,7 @@
 
 #include <algorithm>
 #include <cstring>
+#include <set>
 
 namespace
 {
@@ -35,6 +36,7 @@
 	};
 	std::vector<query> queries;
 	unsigned int changes_sent; /* answers with changes */
+	std::set<size_t> asked; /* VMs that got a query */
 	std::string reply; /* of the relay to a query of another VM; "": none yet */
 };
 
@@ -54,6 +56,7 @@
 	auto *call = reinterpret_cast<struct peer_call *>(m);
 	auto *args = static_cast<apr_feed_args *>(call->args);
 
+	p->asked.insert((size_t)(call->address[1] - '0'));
 	p->queries.push_back({call->reply_to, call->tag, (size_t)(call->address[1] - '0'),
 			      args->known_revision, (bool)args->wants_items,
 			      clock_now_ms() + args->wait_ms, 0});
@@ -190,6 +193,14 @@
 		return true;
 	}
 
+	void readers_lose_store(bool is_lost)
+	{
+		struct readers chosen = readers_choose(roster);
+
+		for (unsigned int i = 0; i < chosen.n; i++)
+			readers.at((size_t)(chosen.vms[i]->rpc[1] - '0')).has_lost_store = is_lost;
+	}
+
 	void store_answer_send(uint64_t revision)
 	{
 		struct store_answer answer = {g_ptr_array_new_with_free_func(store_item_free),
@@ -214,9 +225,12 @@
 
 	std::string run(const std::vector<std::string> &w) override
 	{
-		if (w[0] == "readers") { /* readers N REVISION */
-			readers.assign(std::stoul(w[1]), {std::stoull(w[2]), 0, false});
+		if (w[0] == "readers" || w[0] == "vms") {
+			/* readers|vms N REVISION: all of the other VMs, or three of them, read the
+			 * store */
+			readers.assign(std::stoul(w[1]), {std::stoull(w[2]), 0, w[0] == "vms"});
 			roster_send((unsigned int)readers.size(), 120);
+			readers_lose_store(false);
 		} else if (w[0] == "changes-take") { /* changes-take MS: from any reader */
 			for (auto &r : readers)
 				r.changes_ms = std::stoull(w[1]);
@@ -233,11 +247,7 @@
 		} else if (w[0] == "answers-at-most") { /* answers-at-most N: with changes */
 			return peer.changes_sent <= std::stoul(w[1]) ? "yes\n" : "no\n";
 		} else if (w[0] == "readers-lose-store") { /* this VM as well */
-			struct readers chosen = readers_choose(roster);
-
-			for (unsigned int i = 0; i < chosen.n; i++)
-				readers.at((size_t)(chosen.vms[i]->rpc[1] - '0')).has_lost_store =
-					true;
+			readers_lose_store(true);
 		} else if (w[0] == "own-weight") { /* own-weight N: with three other VMs */
 			readers.resize(3);
 			roster_send(3, (unsigned int)std::stoul(w[1]));
@@ -246,6 +256,8 @@
 			store_answer_send(std::stoull(w[1]));
 		} else if (w[0] == "asked") { /* by another VM that knows nothing */
 			return ask();
+		} else if (w[0] == "vms-asked") { /* number of VMs that got a query */
+			return std::to_string(peer.asked.size()) + "\n";
 		} else if (w[0] == "reads-store") {
 			return feed.reads_store ? "yes\n" : "no\n";
 		} else {
