State directly when other VMs are searched for changes

It asks now whether this VM reads the store and its last read was current. No behaviour changes, since a VM without readers begins to read at once, which resets the report; relay.other_vms_are_asked_after_reading_the_store covers it and passes on the code before, too. Two comments name the pause of a leaf beside its limit.

--- a/src/leafset.h
+++ b/src/leafset.h
@@ -66,8 +66,7 @@
 	bool has_limit; /* it takes limit_per_s calls per second, of all VMs together */
 	double limit_per_s;
 	bool is_leaving; /* it drains and ends soon */
-	double pause_s; /* it refuses calls and wants none of this VM for so long; 0: no such wish
-			 */
+	double pause_s; /* it refuses calls and wants none of this VM for so long; 0: none */
 };
 
 /* What leaf_signals_apply() has changed; may be combined. */
--- a/src/relay.c
+++ b/src/relay.c
@@ -204,7 +204,7 @@
 /* Turns to other VMs, or back to the readers, while none of those asked answers as current. */
 static void search_advance(struct relay *r, uint64_t now_ms)
 {
-	if (r->is_current || now_ms < r->search_next_ms || !follower_is_lost(r->follower, now_ms))
+	if (reads_itself(r) || now_ms < r->search_next_ms || !follower_is_lost(r->follower, now_ms))
 		return;
 	r->search_turn++;
 	r->search_next_ms = now_ms + SEARCH_MS;
--- a/src/retryafter.h
+++ b/src/retryafter.h
@@ -5,8 +5,8 @@
  * at once. A VM that has just started gets its configuration soon. If it is still missing later, or
  * if no leaf of a service is known, the store is taken to be unreachable for an unknown time, and a
  * caller that has few attempts left should make them late. Callers refused because of a leaf's
- * limit return once it allows a call, spread over as long again, since other requests take their
- * turn as well.
+ * limit or pause return once it allows a call, spread over as long again, since other requests take
+ * their turn as well.
  */
 #ifndef APRICOT_RETRYAFTER_H
 #define APRICOT_RETRYAFTER_H
@@ -32,8 +32,8 @@
 			   uint64_t uptime_ms, GRand *rand);
 
 /*
- * The same for a request that no leaf may take yet, since their limits are used up: the first of
- * them may take a call in leaf_wait_us.
+ * The same for a request that no leaf takes yet because of its limit or a pause: the first of them
+ * takes a call in leaf_wait_us.
  */
 double retryafter_choose_limited_s(uint64_t leaf_wait_us, uint64_t caller_wait_ms, GRand *rand);
 
