List the store after an answer that cannot be read

Callers would see: handled by version N or older (CONFIG), until the store drops its history. Cause: a watch returns every version since the known revision. When these exceed the largest answer that is read, 8 MB, the same watch was repeated without end. Change: after such an answer the keys are listed, which returns the last version of each only. Evidence: check-routed more_versions_than_an_answer_holds (32 versions of 260 KB) fails on the code before and passes.

--- a/src/feed.c
+++ b/src/feed.c
@@ -381,6 +381,12 @@
 		client_close(f);
 		return;
 	}
+	/*
+	 * The answer is malformed or too large: a watch returns every version since the known
+	 * revision, a listing only the last one of each key.
+	 */
+	if (why == HTTP_FAILURE_GARBAGE && f->state == FEED_WATCHING)
+		listing_start(f);
 	feed_fail(f, http_failure_name(why));
 }
 
