Give new readers the time to read the store after a start

Cause: after a start of all at once the choice of readers changes with each member that is found. The new ones answered not current, or held a query while the last answer grew old, so all VMs read the store for 5 s, twice before the traffic. Change: a reader that has never answered as current has 400 ms before it counts as lost and is asked every 150 ms; its first query is answered at once; an answer of a reader that is not asked any more counts as well. Changes without a key raise the revision, instead of leaving the VM behind until it reads the store. Evidence: follower.readers_have_just_started failed on the code before; relay.revision_rises_without_a_change was not run on it. follower.change_is_known_in_time passes. check-routed silent_readers, few_store_calls, reader_without_store, store_outage and slow_link_to_store pass.

--- a/src/follower.c
+++ b/src/follower.c
@@ -22,6 +22,12 @@
 #define BEHIND_MAX_MS 1500
 /* Pause after an answer that is not current or brings no progress, before the next such query. */
 #define RETRY_MS 500
+/*
+ * A reader that is new to this VM may have been chosen just now. It has this time to read the store
+ * before it counts as lost, and is asked more often meanwhile.
+ */
+#define NEW_READER_MS 400
+#define NEW_READER_RETRY_MS 150
 
 struct query {
 	bool is_open; /* waits for its answer */
@@ -34,6 +40,7 @@
 	char *address; /* NULL: no reader */
 	struct query revision_query;
 	struct query changes_query;
+	uint64_t added_ms;
 	bool is_stale; /* the last query got no answer, or one that is not current */
 	uint64_t revision; /* highest one reported */
 	uint64_t ahead_ms; /* since when that is above the revision of this VM, or its last progress
@@ -83,7 +90,7 @@
 }
 
 /* Moves the slot of the address out of the slots, or returns a new one. */
-static struct slot slot_take(struct slot *slots, const char *address)
+static struct slot slot_take(struct slot *slots, const char *address, uint64_t now_ms)
 {
 	struct slot taken = {0};
 
@@ -94,15 +101,17 @@
 			return taken;
 		}
 	taken.address = g_strdup(address);
+	taken.added_ms = now_ms;
 	return taken;
 }
 
-void follower_readers_set(struct follower *f, const char *const *addresses, unsigned int n)
+void follower_readers_set(struct follower *f, const char *const *addresses, unsigned int n,
+			  uint64_t now_ms)
 {
 	struct slot slots[READERS_MAX] = {0};
 
 	for (unsigned int i = 0; i < n && i < READERS_MAX; i++)
-		slots[i] = slot_take(f->slots, addresses[i]);
+		slots[i] = slot_take(f->slots, addresses[i], now_ms);
 	for (unsigned int i = 0; i < READERS_MAX; i++)
 		slot_clear(&f->slots[i]);
 	memcpy(f->slots, slots, sizeof(slots));
@@ -119,9 +128,15 @@
 	}
 }
 
+/* True while the reader has never answered as current and may still begin to. */
+static bool slot_is_new(const struct slot *s, uint64_t now_ms)
+{
+	return s->revision == 0 && now_ms - s->added_ms < NEW_READER_MS;
+}
+
 static bool slot_is_lost(const struct slot *s, uint64_t now_ms)
 {
-	return s->is_stale ||
+	return (s->is_stale && !slot_is_new(s, now_ms)) ||
 	       (s->revision_query.is_open && now_ms - s->revision_query.asked_ms > CURRENT_MS);
 }
 
@@ -159,7 +174,8 @@
 	*out = (struct follower_query){
 		.address = s->address,
 		.tag = q->tag,
-		.known_revision = MAX(f->revision, s->revision),
+		/* A reader that has not answered as current yet is to answer at once. */
+		.known_revision = s->revision && !s->is_stale ? MAX(f->revision, s->revision) : 0,
 	};
 	return true;
 }
@@ -211,9 +227,13 @@
 		f->repeat_ms = CLAMP(2 * behind_ms(f, now_ms), REPEAT_MIN_MS, REPEAT_MAX_MS);
 }
 
-void follower_answered(struct follower *f, uint64_t tag, bool is_current, uint64_t revision,
+bool follower_answered(struct follower *f, uint64_t tag, bool is_current, uint64_t revision,
 		       uint64_t now_ms)
 {
+	if (is_current) {
+		f->was_served = true;
+		f->served_ms = now_ms;
+	}
 	for (unsigned int i = 0; i < READERS_MAX; i++) {
 		struct slot *s = &f->slots[i];
 		bool is_changes = s->changes_query.is_open && s->changes_query.tag == tag;
@@ -224,11 +244,10 @@
 		q->is_open = false;
 		s->is_stale = !is_current;
 		if (!is_current) {
-			q->next_ms = now_ms + RETRY_MS;
-			return;
+			q->next_ms =
+				now_ms + (slot_is_new(s, now_ms) ? NEW_READER_RETRY_MS : RETRY_MS);
+			return is_changes;
 		}
-		f->was_served = true;
-		f->served_ms = now_ms;
 		if (is_changes)
 			changes_answered(f, s, revision, now_ms);
 		if (revision > s->revision) {
@@ -236,8 +255,9 @@
 				s->ahead_ms = now_ms;
 			s->revision = revision;
 		}
-		return;
+		return is_changes;
 	}
+	return false;
 }
 
 bool follower_is_lost(const struct follower *f, uint64_t now_ms)
--- a/src/follower.h
+++ b/src/follower.h
@@ -42,7 +42,8 @@
 void follower_restart(struct follower *f, bool is_served, uint64_t now_ms);
 
 /* Sets the addresses of the readers in order of preference; n is at most READERS_MAX. */
-void follower_readers_set(struct follower *f, const char *const *addresses, unsigned int n);
+void follower_readers_set(struct follower *f, const char *const *addresses, unsigned int n,
+			  uint64_t now_ms);
 
 /* Notes the revision of this VM's content. */
 void follower_revision_set(struct follower *f, uint64_t revision, uint64_t now_ms);
@@ -52,9 +53,10 @@
 
 /*
  * Notes the end of a query, before follower_revision_set for the changes in the answer. is_current:
- * the reader answered and vouches for the revision. A tag that is not of an open query is ignored.
+ * the reader answered and vouches for the revision. Returns true when the query asked for changes,
+ * and false when it did not or its reader is not asked any more.
  */
-void follower_answered(struct follower *f, uint64_t tag, bool is_current, uint64_t revision,
+bool follower_answered(struct follower *f, uint64_t tag, bool is_current, uint64_t revision,
 		       uint64_t now_ms);
 
 /* True when there are readers and none of them has answered its last query as current. */
--- a/src/relay.c
+++ b/src/relay.c
@@ -186,7 +186,7 @@
 }
 
 /* Tells the follower the readers other than this VM, the one in its own data centre first. */
-static void follower_readers_update(struct relay *r, const struct readers *readers)
+static void follower_readers_update(struct relay *r, const struct readers *readers, uint64_t now_ms)
 {
 	const char *addresses[READERS_MAX];
 	unsigned int first = readers_first(readers, r->dc);
@@ -198,7 +198,7 @@
 		if (!vm->is_self)
 			addresses[n++] = vm->rpc;
 	}
-	follower_readers_set(r->follower, addresses, n);
+	follower_readers_set(r->follower, addresses, n, now_ms);
 }
 
 /* Turns to other VMs, or back to the readers, while none of those asked answers as current. */
@@ -219,8 +219,9 @@
 	search_advance(r, now_ms);
 	n_reader_turns = (r->search_turn + SEARCH_TURNS - 1) / SEARCH_TURNS;
 	others = readers_others(r->roster, readers, r->search_turn - n_reader_turns);
-	follower_readers_update(r, r->search_turn % SEARCH_TURNS > 0 && others.n > 0 ? &others
-										     : readers);
+	if (r->search_turn % SEARCH_TURNS > 0 && others.n > 0)
+		readers = &others;
+	follower_readers_update(r, readers, now_ms);
 	while (follower_query_next(r->follower, now_ms, &query))
 		query_send(r, &query);
 }
@@ -292,12 +293,12 @@
 	follower_revision_set(r->follower, mirror_revision(r->mirror), clock_now_ms());
 }
 
-static void items_receive(struct relay *r, apr_feed_reply *reply)
+static void changes_receive(struct relay *r, apr_feed_reply *reply)
 {
 	struct kernel *k = r->service.kernel;
 	struct store_answer answer = {0};
 
-	if (reply->revision <= mirror_revision(r->mirror) || reply->items.items_len == 0)
+	if (reply->revision <= mirror_revision(r->mirror))
 		return;
 	items_decode(&answer, reply);
 	mirror_update(r, &answer, reply->is_full);
@@ -309,11 +310,12 @@
 {
 	apr_feed_reply *reply = message->result;
 	bool is_current = reply && reply->is_current;
+	bool asked_changes = follower_answered(r->follower, message->tag, is_current,
+					       is_current ? reply->revision : 0, clock_now_ms());
 
-	follower_answered(r->follower, message->tag, is_current, is_current ? reply->revision : 0,
-			  clock_now_ms());
-	if (is_current)
-		items_receive(r, reply);
+	/* The revision of the store can rise without a change of a key. */
+	if (is_current && (asked_changes || reply->items.items_len > 0))
+		changes_receive(r, reply);
 }
 
 /* Takes in what the feed of this VM has read from the store. */
--- a/tests/follower_test.cc
+++ b/tests/follower_test.cc
@@ -15,6 +15,7 @@
 	uint64_t paused_ms = NEVER; /* answers nothing from then on */
 	uint64_t lost_ms = NEVER; /* the store answers it nothing from then on */
 	uint64_t notice_ms = 2700; /* time until it notices that */
+	uint64_t current_ms = 0; /* vouches for nothing before */
 	uint64_t reading_ms = 0; /* time from a write until it has read it */
 	uint64_t changes_ms = 0; /* time that an answer with changes takes */
 	bool has_changes = true;
@@ -62,7 +63,8 @@
 
 	bool is_current(const reader &r) const
 	{
-		return r.lost_ms == NEVER || now_ms < r.lost_ms + r.notice_ms;
+		return now_ms >= r.current_ms &&
+		       (r.lost_ms == NEVER || now_ms < r.lost_ms + r.notice_ms);
 	}
 
 	void learn(uint64_t revision)
@@ -121,7 +123,7 @@
 	{
 		static const char *const addresses[] = {"r0", "r1", "r2"};
 
-		follower_readers_set(f, addresses, N_READERS);
+		follower_readers_set(f, addresses, N_READERS, now_ms);
 		/* Twice, since an answer without wait arrives in the step of its query. */
 		queries_advance();
 		queries_advance();
@@ -164,6 +166,9 @@
 			reader_of(w[1]).paused_ms = at_ms;
 		} else if (w[0] == "lose-store") { /* lose-store READER at MS; noticed later */
 			reader_of(w[1]).lost_ms = at_ms;
+		} else if (w[0] == "reads-from") { /* reads-from MS: any reader, after its start */
+			for (auto &r : world.readers)
+				r.current_ms = std::stoull(w[1]);
 		} else if (w[0] == "without-changes") { /* without-changes READER */
 			reader_of(w[1]).has_changes = false;
 		} else if (w[0] == "run") { /* run MS: until then */
--- a/tests/relay_test.cc
+++ b/tests/relay_test.cc
@@ -19,6 +19,7 @@
 	uint64_t revision;
 	uint64_t changes_ms; /* time that an answer with changes takes */
 	bool has_lost_store;
+	uint64_t key_revision; /* of the last change of a key; that of the store may be later */
 };
 
 /* Stands for the other VMs: answers queries as readers do, each after its time. */
@@ -67,8 +68,8 @@
 {
 	uint64_t revision = (*p->readers)[q.reader].revision;
 	auto *result = static_cast<apr_feed_reply *>(peer_result_create(APR_FEED));
-	bool has_items =
-		q.wants_items && revision > q.known && !(*p->readers)[q.reader].has_lost_store;
+	bool has_items = q.wants_items && (*p->readers)[q.reader].key_revision > q.known &&
+			 !(*p->readers)[q.reader].has_lost_store;
 
 	result->is_current = !(*p->readers)[q.reader].has_lost_store;
 	result->revision = revision;
@@ -228,15 +229,19 @@
 		if (w[0] == "readers" || w[0] == "vms") {
 			/* readers|vms N REVISION: all of the other VMs, or three of them, read the
 			 * store */
-			readers.assign(std::stoul(w[1]), {std::stoull(w[2]), 0, w[0] == "vms"});
+			readers.assign(std::stoul(w[1]),
+				       {std::stoull(w[2]), 0, w[0] == "vms", std::stoull(w[2])});
 			roster_send((unsigned int)readers.size(), 120);
 			readers_lose_store(false);
 		} else if (w[0] == "changes-take") { /* changes-take MS: from any reader */
 			for (auto &r : readers)
 				r.changes_ms = std::stoull(w[1]);
-		} else if (w[0] == "write") { /* write REVISION: all readers have read it */
-			for (auto &r : readers)
+		} else if (w[0] == "write" || w[0] == "write-nothing") {
+			/* write|write-nothing REVISION: with or without a key; all have read it */
+			for (auto &r : readers) {
 				r.revision = std::stoull(w[1]);
+				r.key_revision = w[0] == "write" ? r.revision : r.key_revision;
+			}
 			peer.changes_sent = 0;
 		} else if (w[0] == "known") { /* known REVISION within MS */
 			uint64_t revision = std::stoull(w[1]);
