--- a/tests/system_test.cc
+++ b/tests/system_test.cc
@@ -96,6 +96,7 @@
 			{"gets_work", &deployment::gets_work},
 			{"searches_complete", &deployment::searches_complete},
 			{"ready", &deployment::ready},
+			{"ready_within", &deployment::ready_within},
 			{"vm_list_set", &deployment::vm_list_set},
 			{"post", &deployment::post},
 			{"wait", &deployment::wait_step},
@@ -195,14 +196,16 @@
 		wait_until([&] { return http_connection(port).is_open(); });
 	}
 
-	bool ready_wait(const std::string &name)
+	bool ready_wait(const std::string &name, int timeout_ms = 5000)
 	{
-		return wait_until([&] {
-			json_ref status(http_get(programs.at(name).port, "/status").body);
+		return wait_until(
+			[&] {
+				json_ref status(http_get(programs.at(name).port, "/status").body);
 
-			return json_is_true(
-				json_object_get(json_object_get(status.json, "config"), "ready"));
-		});
+				return json_is_true(json_object_get(
+					json_object_get(status.json, "config"), "ready"));
+			},
+			timeout_ms);
 	}
 
 	static std::string missing_shards_text(const json_t *missing)
@@ -307,6 +310,12 @@
 		return json_is_true(json_object_get(config, "ready")) ? "yes\n" : "no\n";
 	}
 
+	/* ready_within MS ENTRY: waits up to MS until the entry says so; prints as ready does. */
+	std::string ready_within(const std::vector<std::string> &words)
+	{
+		return ready_wait(words[2], std::stoi(words[1])) ? "yes\n" : "no\n";
+	}
+
 	std::string command_send(const std::string &entry, const std::string &service,
 				 const std::string &id)
 	{
