--- a/tests/adapter_test.cc
+++ b/tests/adapter_test.cc
@@ -2,7 +2,10 @@
 #include "httpmsg.h"
 
 #include <gtest/gtest.h>
+#include <map>
 #include <string>
+#include <utility>
+#include <vector>
 
 namespace
 {
@@ -21,8 +24,80 @@
 	http_reader_destroy(r);
 	return signals;
 }
+
+/* The entry of a leaf with one field replaced by JSON text; "": the field is left out. */
+std::string entry_with(const std::string &name, const std::string &value)
+{
+	std::map<std::string, std::string> fields = {{"service", "\"catalogue\""},
+						     {"address", "\"10.0.0.1:8080\""},
+						     {"zone", "\"a\""},
+						     {"version", "\"v1\""},
+						     {"capacity", "2"},
+						     {"state", "\"ready\""},
+						     {"warmupRemainingMs", "0"},
+						     {"sequence", "4"},
+						     {"born", "1796443200000"}};
+	std::string out;
+
+	fields[name] = value;
+	for (const auto &field : fields)
+		if (!field.second.empty())
+			out += (out.empty() ? "{\"" : ",\"") + field.first + "\":" + field.second;
+	return out + "}";
+}
+
+bool leaf_is_read(const std::string &text)
+{
+	const struct adapter *adapter = adapter_platform();
+	struct leaf_report report = {};
+	GError *error = nullptr;
+	bool is_read = adapter->ops->leaf_parse(adapter, text.data(), text.size(), &report, &error);
+
+	EXPECT_EQ(is_read, error == nullptr) << text;
+	g_clear_error(&error);
+	leaf_report_clear(&report);
+	return is_read;
+}
+
+/* An answer of the store, cleared at the end. */
+struct answer_ref {
+	struct store_answer answer = {};
+	bool is_read;
+
+	explicit answer_ref(const std::string &text)
+	{
+		const struct adapter *adapter = adapter_platform();
+		GError *error = nullptr;
+
+		is_read = adapter->ops->answer_parse(adapter, text.data(), text.size(), &answer,
+						     &error);
+		g_clear_error(&error);
+	}
+	~answer_ref()
+	{
+		store_answer_clear(&answer);
+	}
+	const struct store_item *item(guint i) const
+	{
+		return static_cast<const struct store_item *>(g_ptr_array_index(answer.items, i));
+	}
+};
 } // namespace
 
+/* Guards against an address whose port was cut to 16 bits or followed by other text. */
+TEST(adapter, leaf_address_is_ip_and_port)
+{
+	EXPECT_TRUE(leaf_is_read(entry_with("address", "\"10.0.0.1:65535\"")));
+	for (const char *address :
+	     {"", "10.0.0.1", "10.0.0.1:", "10.0.0.1:0", "10.0.0.1:65536", "10.0.0.1:-1",
+	      "10.0.0.1:99999999999", "10.0.0.1:4294975376", "10.0.0.1:8080x", "10.0.0.1:+8080",
+	      "10.0.0.1: 8080", "10.0.0.1:8080:1", ":8080", "10.0.0:8080", "10.0.0.256:8080",
+	      "[::1]:8080", "leaf:8080"})
+		EXPECT_FALSE(
+			leaf_is_read(entry_with("address", std::string("\"") + address + "\"")))
+			<< address;
+}
+
 /* Guards against a limit that is not noticed, or read from a field that holds no number. */
 TEST(adapter, limit_is_a_decimal_number)
 {
