Follow the store past an entry that has no usable key

What callers saw: after another writer had put a key with a NUL among those of the leaves, no VM could read the store any more; VMs that started later answered 503 to every request. Cause: the whole answer was refused when one key held a NUL. Apart from that, a page of which no item could be used counted as the last one, so that the leaves of the pages behind it were dropped; and items without a key, a value or a revision vanished without a log line. Change: such items are left out, counted (store_entries_refused) and logged (store_entries_unreadable). An item whose value is no base64 text gets an empty value, so that an earlier entry of that leaf is not used on. The next page begins behind the last key of the page, also if that item is left out; a page that has none is read again later. After a watch that cannot be read the store is listed.

--- a/src/adapter.c
+++ b/src/adapter.c
@@ -13,5 +13,6 @@
 {
 	if (a->items)
 		g_ptr_array_free(a->items, TRUE);
+	g_free(a->next);
 	*a = (struct store_answer){0};
 }
--- a/src/adapter.h
+++ b/src/adapter.h
@@ -31,6 +31,8 @@
 	GPtrArray *items; /* struct store_item, in the order of the answer; owned */
 	bool has_more; /* the listing has more pages, after the last key of this one */
 	uint64_t revision; /* of the store when it answered */
+	char *next; /* where the listing's next page begins, for list_target; NULL: unknown */
+	unsigned int n_unreadable; /* entries left out since they lack a usable key or revision */
 };
 
 /* Names of the header fields of requests and answers. */
@@ -47,8 +49,11 @@
 struct adapter;
 
 struct adapter_ops {
-	/* Request target that lists the keys of a prefix which follow the key after; "": all. */
-	char *(*list_target)(const struct adapter *adapter, const char *prefix, const char *after);
+	/*
+	 * Request target that lists the keys of a prefix: from the first on if next is "",
+	 * otherwise from where the page with this store_answer.next ended.
+	 */
+	char *(*list_target)(const struct adapter *adapter, const char *prefix, const char *next);
 	/*
 	 * Request target that returns the changes after a revision; when there are none the store
 	 * waits for one for up to wait_ms.
@@ -57,7 +62,7 @@
 			      unsigned int wait_ms);
 	/*
 	 * False with an error when the text is not a valid answer of the store. Fills out, which
-	 * store_answer_clear frees; malformed items are left out.
+	 * store_answer_clear frees. An item whose value cannot be decoded gets an empty value.
 	 */
 	bool (*answer_parse)(const struct adapter *adapter, const char *text, size_t n,
 			     struct store_answer *out, GError **error);
--- a/src/counter.h
+++ b/src/counter.h
@@ -50,6 +50,7 @@
 	X(PLATFORM_FAILURES, "platform_failures", "reads of the platform without an answer")      \
 	X(CONFIG_APPLIED, "config_applied", "configuration versions put in force")                \
 	X(CONFIG_REFUSED, "config_refused", "configuration versions refused")                     \
+	X(STORE_ENTRIES_REFUSED, "store_entries_refused", "malformed entries of the platform")    \
 	X(MEMBER_CHANGES, "member_changes", "changes of state of member VMs")                     \
 	X(PAUSES, "pauses", "gaps of the event loop longer than the lease")
 
--- a/src/feed.c
+++ b/src/feed.c
@@ -58,7 +58,7 @@
 	/* From a failure until an answer or reading_set; only the first failure is logged. */
 	bool store_is_lost;
 	GPtrArray *listed; /* items of the listing's pages so far, for the relay; NULL: none yet */
-	char *last_key; /* of the listing's previous page; "" before the first page */
+	char *next_page; /* where the listing goes on; "" before the first page */
 	uint64_t revision; /* of the store; all changes up to it are known */
 	uint64_t listing_revision; /* of the listing's first page */
 	uint64_t next_call_ms; /* earliest time of the next call */
@@ -149,6 +149,13 @@
 	routemap_put(map);
 }
 
+static void entry_refuse(struct feed *f, const char *key, uint64_t revision, const char *why)
+{
+	counter_increment(kernel_counters(f->service.kernel), COUNTER_STORE_ENTRIES_REFUSED);
+	log_event(LOG_LEVEL_WARNING, "leaf_entry_refused",
+		  "key=%.200s revision=%" G_GUINT64_FORMAT " reason=\"%s\"", key, revision, why);
+}
+
 /* Adds the leaf to the updates; as removed if its entry is malformed, so that it gets no calls. */
 static void leaf_apply(struct feed *f, struct leaf_updates *updates, const struct store_item *item)
 {
@@ -160,9 +167,7 @@
 					&error))
 		return;
 	entry->is_removed = true;
-	log_event(LOG_LEVEL_WARNING, "leaf_entry_refused",
-		  "leaf=%s revision=%" G_GUINT64_FORMAT " reason=\"%s\"", id, item->revision,
-		  error->message);
+	entry_refuse(f, item->key, item->revision, error->message);
 	g_error_free(error);
 }
 
@@ -246,17 +251,14 @@
 {
 	struct store_answer whole = {0};
 
-	if (!*f->last_key) {
+	if (!*f->next_page) {
 		registry_listing_begin(f->registry);
 		f->listing_revision = answer->revision;
 	}
 	items_apply(f, answer);
-	if (answer->has_more && answer->items->len > 0) {
-		const struct store_item *last =
-			g_ptr_array_index(answer->items, answer->items->len - 1);
-
-		g_free(f->last_key);
-		f->last_key = g_strdup(last->key);
+	if (answer->has_more) {
+		g_free(f->next_page);
+		f->next_page = g_steal_pointer(&answer->next);
 		listed_append(f, answer);
 		return;
 	}
@@ -280,8 +282,18 @@
 	f->state = FEED_LISTING;
 	if (f->listed)
 		g_ptr_array_free(g_steal_pointer(&f->listed), TRUE);
-	g_free(f->last_key);
-	f->last_key = g_strdup("");
+	g_free(f->next_page);
+	f->next_page = g_strdup("");
+}
+
+/* Counts and logs the entries of an answer that have no usable key or revision. */
+static void entries_unreadable(struct feed *f, const struct store_answer *answer)
+{
+	for (unsigned int i = 0; i < answer->n_unreadable; i++)
+		counter_increment(kernel_counters(f->service.kernel),
+				  COUNTER_STORE_ENTRIES_REFUSED);
+	log_event(LOG_LEVEL_WARNING, "store_entries_unreadable",
+		  "entries=%u revision=%" G_GUINT64_FORMAT, answer->n_unreadable, answer->revision);
 }
 
 static void answer_apply(struct feed *f, const struct http_reader *message)
@@ -292,11 +304,20 @@
 	const char *body = http_reader_body(message, &n);
 
 	if (!f->adapter->ops->answer_parse(f->adapter, body, n, &answer, &error)) {
+		if (f->state == FEED_WATCHING)
+			listing_start(f);
 		feed_fail(f, error->message);
 		g_error_free(error);
 		return;
 	}
+	if (f->state == FEED_LISTING && answer.has_more && !answer.next) {
+		feed_fail(f, "page without a key");
+		store_answer_clear(&answer);
+		return;
+	}
 	store_answered(f);
+	if (answer.n_unreadable > 0)
+		entries_unreadable(f, &answer);
 	if (f->state == FEED_LISTING) {
 		listing_page_apply(f, &answer);
 	} else {
@@ -315,7 +336,7 @@
 	g_autofree char *request = NULL;
 
 	if (f->state == FEED_LISTING) {
-		target = f->adapter->ops->list_target(f->adapter, ALL_KEYS, f->last_key);
+		target = f->adapter->ops->list_target(f->adapter, ALL_KEYS, f->next_page);
 		f->answer_by_ms = now_ms + ANSWER_TIMEOUT_MS;
 	} else {
 		/*
@@ -505,7 +526,7 @@
 	event_free(f->tick);
 	if (f->listed)
 		g_ptr_array_free(f->listed, TRUE);
-	g_free(f->last_key);
+	g_free(f->next_page);
 	g_free((char *)f->settings.store_address);
 	g_free(f);
 }
--- a/tests/adapter_test.cc
+++ b/tests/adapter_test.cc
@@ -98,6 +98,32 @@
 			<< address;
 }
 
+/*
+ * Guards against one entry of another writer that makes a whole answer unreadable, or ends a
+ * listing before its last page.
+ */
+TEST(adapter, odd_entry_leaves_the_others)
+{
+	answer_ref listing("{\"items\":[{\"key\":\"a\",\"value\":\"e30=\",\"revision\":1},7,"
+			   "{\"key\":\"b\",\"value\":7,\"revision\":2},"
+			   "{\"key\":\"c\",\"value\":\"e30\",\"revision\":3},"
+			   "{\"key\":\"d\",\"value\":\"\",\"revision\":-1},"
+			   "{\"value\":\"\",\"revision\":5},"
+			   "{\"key\":\"e \\u0000\",\"value\":\"\",\"revision\":6},"
+			   "{\"key\":9,\"value\":\"\",\"revision\":7}],"
+			   "\"hasMore\":true,\"storeRevision\":9}");
+
+	ASSERT_TRUE(listing.is_read);
+	ASSERT_EQ(listing.answer.items->len, 3u);
+	EXPECT_EQ(listing.item(0)->n_value, 2u);
+	for (guint i = 1; i < 3; i++) {
+		EXPECT_NE(listing.item(i)->value, nullptr);
+		EXPECT_EQ(listing.item(i)->n_value, 0u);
+	}
+	EXPECT_EQ(listing.answer.n_unreadable, 5u);
+	EXPECT_STREQ(listing.answer.next, "e%20%00");
+}
+
 /* Guards against a limit that is not noticed, or read from a field that holds no number. */
 TEST(adapter, limit_is_a_decimal_number)
 {
--- a/tests/relay_test.cc
+++ b/tests/relay_test.cc
@@ -205,7 +205,7 @@
 	void store_answer_send(uint64_t revision)
 	{
 		struct store_answer answer = {g_ptr_array_new_with_free_func(store_item_free),
-					      false, revision};
+					      false, revision, nullptr, 0};
 		struct store_update *update = store_update_create(&answer, false);
 
 		update->is_current = true;
