Use no leaf whose entry has a number or a text out of its range

Cause: capacity was cut to 32 bits, so 2^32 + 1 counted as 1, 2^32 as 0 and 2^31 - 1 made the limit of connections overflow to 0; a negative born became a late start; sequence and version were not looked at; numbers below zero counted as 0. The id and the names were not checked: an id with a line break put a header field of the other writer into every request to that address. An id that cannot be sent in a header field is refused. An entry above 16 KB is not used, and readers do not send its value on to the other VMs. Unknown fields are still ignored, however deeply nested the parser reads them.

--- a/fakes/routed_site.py
+++ b/fakes/routed_site.py
@@ -13,6 +13,7 @@
 import signal
 import socket
 import time
+import urllib.parse
 
 RECORD_BYTES = 16
 
@@ -98,15 +99,20 @@
         self.changed = asyncio.Event()
 
     def put(self, key, value):
+        self.put_text(key, base64.b64encode(value).decode())
+
+    def put_text(self, key, value, fields=None):
+        """Stores a value that is base64 text already, or is none; fields replace those of the item."""
         self.revision += 1
-        self.items[key] = {"key": key, "value": base64.b64encode(value).decode(),
-                           "revision": self.revision, "createRevision": self.revision, "lease": 0}
-        self._history_append(self.items[key])
+        self.items[key] = {"key": key, "value": value, "revision": self.revision,
+                           "createRevision": self.revision, "lease": 0, **(fields or {})}
+        self._history_append({**self.items[key], "at": self.revision})
 
     def remove(self, key):
         if self.items.pop(key, None):
             self.revision += 1
-            self._history_append({"key": key, "revision": self.revision, "tombstone": True})
+            self._history_append({"key": key, "revision": self.revision, "tombstone": True,
+                                  "at": self.revision})
 
     def _history_append(self, event):
         self.history.append(event)
@@ -133,7 +139,8 @@
                 writer.write(response_bytes(503))
                 continue
             path, _, query = message[0].split(" ")[1].partition("?")
-            arguments = dict(pair.split("=", 1) for pair in query.split("&") if "=" in pair)
+            arguments = {name: urllib.parse.unquote(value) for name, _, value in
+                         (pair.partition("=") for pair in query.split("&"))}
             status, body = await self._respond(path, arguments)
             writer.write(response_bytes(status, json.dumps(body).encode(),
                                         {"Content-Type": "application/json"}))
@@ -166,7 +173,8 @@
         while True:
             if after < self.compacted_revision:
                 return 410, {}
-            events = [e for e in self.history if e["revision"] > after]
+            events = [{name: value for name, value in e.items() if name != "at"}
+                      for e in self.history if e["at"] > after]
             remaining_s = deadline - time.monotonic()
             if events or remaining_s <= 0:
                 return 200, {"events": events, "storeRevision": self.revision}
@@ -235,7 +243,8 @@
     requests (time.monotonic).
 
     work_s is the mean service time; each request takes 0.5 to 1.5 times as long. late_arrivals
-    counts requests that arrive more than Site.drain_s after the leaf started to leave.
+    counts requests that arrive more than Site.drain_s after the leaf started to leave. With accepts_any
+    it also runs requests to another leaf.
     """
 
     # Modes that send without end: the begin of the response, and what is repeated.
@@ -247,7 +256,7 @@
         super().__init__()
         self.site, self.id, self.service, self.dc, self.work_s = site, leaf_id, service, dc, work_s
         self.mode, self.rate, self.born_ms, self.runs = "ok", 1.0, int(time.time() * 1000), {}
-        self.state, self.arrivals, self.late_arrivals = "ready", 0, 0
+        self.state, self.arrivals, self.late_arrivals, self.accepts_any = "ready", 0, 0, False
         self.leaving_since, self.readers = None, set()
         self.fields, self.arrival_times = {}, []
         self.endless = 0  # responses without end that are being sent
@@ -287,7 +296,7 @@
             if message is None:
                 return
             line, fields, body = message
-            if fields.get("x-target-instance") not in (None, self.id):
+            if fields.get("x-target-instance") not in (None, self.id) and not self.accepts_any:
                 writer.write(response_bytes(421, b"", {"X-Instance-Id": self.id}))
                 continue
             self.arrivals += 1
@@ -333,6 +342,45 @@
             await writer.drain()
 
 
+def odd_entries(address, service):
+    """Entries of leaves as another writer may leave them, by name: (name, bytes).
+
+    Each is the entry of a ready leaf at the address with one fault, so that a reader that overlooks the
+    fault calls that address.
+    """
+    fields = {"service": service, "address": address, "zone": "a", "version": "v1", "capacity": 2,
+              "state": "ready", "warmupRemainingMs": 0, "sequence": 1, "born": 1}
+    text = json.dumps(fields)
+    ip, port = address.split(":")
+    for depth in (10, 2047, 2048, 100000):
+        # Those of fewer levels can be parsed, so they get a second fault.
+        state = "ready" if depth > 2047 else "unknown"
+        nested = json.dumps({**fields, "state": state, "x": "@"})
+        yield f"nested-{depth}", nested.replace('"@"', "[" * depth + "]" * depth).encode()
+        yield f"open-{depth}", b"[" * depth
+    for name in ("capacity", "warmupRemainingMs", "sequence", "born"):
+        numbers = ["1e400", "-1", "9" * 20, "9" * 400, str(1 << 64), "\"2\"", "null", "[2]"]
+        if name == "capacity":
+            numbers += ["0", str(1 << 31), str((1 << 31) - 1), str(1 << 32), str((1 << 32) + 1), "2.5"]
+        for number in numbers:
+            odd = json.dumps({**fields, name: "@"}).replace('"@"', number)
+            yield f"{name}-{number[:24]}", odd.encode()
+    for odd_port in ("0", "65536", "-1", "99999999999", str((1 << 32) + int(port)), f"{port}x",
+                     f"+{port}", f" {port}", "", port + ":1"):
+        yield f"port-{odd_port}", json.dumps({**fields, "address": f"{ip}:{odd_port}"}).encode()
+    for name in ("service", "address", "zone", "state", "capacity"):
+        for value in (None, "", True, ["x"], {}):
+            yield f"{name}-{value}", json.dumps({**fields, name: value}).encode()
+        yield f"{name}-missing", json.dumps({k: v for k, v in fields.items() if k != name}).encode()
+    yield "address-missing-port", json.dumps({**fields, "address": ip}).encode()
+    yield "service-line", json.dumps({**fields, "service": service + "\r\nX-Evil: 1"}).encode()
+    yield "twice", (text[:-1] + ', "state": "ready"}').encode()
+    yield "megabyte", (text[:-1] + ', "x": "' + "x" * (1 << 20) + '"}').encode()[:1 << 20]
+    for name, value in (("nul", b"\x00" + text.encode()), ("text", b"ready"), ("array", b"[]"),
+                        ("null", b"null"), ("empty", b""), ("latin", b'{"service": "\xe9"}')):
+        yield name, value
+
+
 class Daemon:
     """One apricotd process. Its ports are fixed, so that a restart keeps them.
 
--- a/src/feed.c
+++ b/src/feed.c
@@ -36,6 +36,8 @@
  * unreachable, so the removals are held back.
  */
 #define REMOVALS_HELD_MIN 3
+/* A leaf's entry takes some hundred bytes; a larger one is neither used nor passed on. */
+#define LEAF_ENTRY_BYTES_MAX 16384
 #define TICK_MS 100
 /* Prefix of every key of the store. */
 #define ALL_KEYS ""
@@ -163,8 +165,13 @@
 	struct leaf_updates_item *entry = leaf_updates_add(updates, id, item->revision);
 	GError *error = NULL;
 
-	if (f->adapter->ops->leaf_parse(f->adapter, item->value, item->n_value, &entry->report,
-					&error))
+	if (!http_field_value_is_token(id))
+		g_set_error(&error, RESULT_ERROR, RESULT_BAD_MANIFEST, "id cannot be sent");
+	else if (item->n_value > LEAF_ENTRY_BYTES_MAX)
+		g_set_error(&error, RESULT_ERROR, RESULT_BAD_MANIFEST, "leaf entry has %zu bytes",
+			    item->n_value);
+	else if (f->adapter->ops->leaf_parse(f->adapter, item->value, item->n_value, &entry->report,
+					     &error))
 		return;
 	entry->is_removed = true;
 	entry_refuse(f, item->key, item->revision, error->message);
@@ -238,6 +245,18 @@
 	leaf_updates_send(f, updates);
 }
 
+/* Empties the values that no VM uses, so that the relay does not send them to all VMs. */
+static void items_trim(const struct feed *f, struct store_answer *answer)
+{
+	for (guint i = 0; i < answer->items->len; i++) {
+		struct store_item *item = g_ptr_array_index(answer->items, i);
+
+		if (item->value && item->n_value > LEAF_ENTRY_BYTES_MAX &&
+		    strcmp(item->key, f->adapter->routes_key) != 0)
+			item->n_value = 0;
+	}
+}
+
 /* Appends the items of a page to those of the listing; takes them over. */
 static void listed_append(struct feed *f, struct store_answer *answer)
 {
@@ -256,6 +275,7 @@
 		f->listing_revision = answer->revision;
 	}
 	items_apply(f, answer);
+	items_trim(f, answer);
 	if (answer->has_more) {
 		g_free(f->next_page);
 		f->next_page = g_steal_pointer(&answer->next);
@@ -322,6 +342,7 @@
 		listing_page_apply(f, &answer);
 	} else {
 		items_apply(f, &answer);
+		items_trim(f, &answer);
 		f->revision = MAX(f->revision, answer.revision);
 		if (answer.items->len > 0)
 			f->next_call_ms = clock_now_ms() + WATCH_PAUSE_MS;
--- a/src/httpmsg.c
+++ b/src/httpmsg.c
@@ -5,6 +5,8 @@
 
 #define FIELDS_MAX 128 /* more than usual callers send; bounds the work for one message */
 
+#define TOKEN_BYTES_MAX 256
+
 /* A sender that goes on with interim answers beyond this many never sends the answer itself. */
 #define INTERIM_MAX 16
 
@@ -359,6 +361,16 @@
 	return false;
 }
 
+bool http_field_value_is_token(const char *text)
+{
+	size_t n = strlen(text);
+
+	for (size_t i = 0; i < n; i++)
+		if ((unsigned char)text[i] <= ' ' || text[i] == 0x7f)
+			return false;
+	return n > 0 && n <= TOKEN_BYTES_MAX;
+}
+
 /* X(number, text): the statuses that this program generates */
 #define STATUS_LIST(X)                            \
 	X(200, "OK")                              \
--- a/src/httpmsg.h
+++ b/src/httpmsg.h
@@ -96,6 +96,12 @@
 /* Parses a field's value in whole milliseconds; 0 when text is NULL or not a positive number. */
 uint64_t http_milliseconds_parse(const char *text);
 
+/*
+ * True for text of 1 to 256 bytes without control characters and blanks, which can be sent as the
+ * value of a field and logged without quotes.
+ */
+bool http_field_value_is_token(const char *text);
+
 G_END_DECLS
 
 #endif
--- a/tests/adapter_test.cc
+++ b/tests/adapter_test.cc
@@ -84,6 +84,36 @@
 };
 } // namespace
 
+/* Guards against a leaf whose numbers were cut to another size or whose fields are of another type.
+ */
+TEST(adapter, leaf_entry_is_in_range)
+{
+	const std::string nested = std::string(3000, '[') + std::string(3000, ']');
+	const std::pair<const char *, std::vector<std::string>> odd[] = {
+		{"capacity",
+		 {"", "0", "-1", "2.5", "\"2\"", "null", "65537", "2147483647", "4294967296",
+		  "4294967297", "18446744073709551616", "1e400", std::string(400, '9')}},
+		{"warmupRemainingMs", {"-1", "1e400", "4294967296", "\"0\"", "null"}},
+		{"sequence", {"-1", "1e400", "2.5", "\"0\"", std::string(20, '9')}},
+		{"born", {"-1", "1e400", "2.5", "\"0\"", std::string(20, '9')}},
+		{"version", {"1", "null", "[]"}},
+		{"service", {"", "\"\"", "1", "null", "\"a b\"", "\"a\\r\\nX: 1\""}},
+		{"zone", {"", "\"\"", "1", "\"\\n\""}},
+		{"state", {"", "1", "\"gone\"", "\"READY\""}},
+		{"other", {nested, "1e400", std::string(400, '9'), "[", "\"\\u0000\""}}};
+
+	EXPECT_TRUE(leaf_is_read(entry_with("other", "[[[[[[[[[[1]]]]]]]]]]")));
+	EXPECT_TRUE(leaf_is_read(entry_with("born", "")));
+	EXPECT_TRUE(leaf_is_read(entry_with("capacity", "65536")));
+	for (const auto &field : odd)
+		for (const std::string &value : field.second)
+			EXPECT_FALSE(leaf_is_read(entry_with(field.first, value)))
+				<< field.first << " " << value.substr(0, 40);
+	for (const char *text : {"", "[]", "null", "7", "{", "\x00"})
+		EXPECT_FALSE(leaf_is_read(text)) << text;
+	EXPECT_FALSE(leaf_is_read("{\"state\":\"ready\"," + entry_with("other", "1").substr(1)));
+}
+
 /* Guards against an address whose port was cut to 16 bits or followed by other text. */
 TEST(adapter, leaf_address_is_ip_and_port)
 {
