Read a request alike wherever its bytes are split behind blank lines

What callers saw: a request with blank lines before it was refused with 400 when a packet ended right behind its method ("\n", "\n\nPOST", " /a HTTP/1.1..."), and accepted otherwise. Cause: the check for folded fields took the blank lines for a complete first line as soon as one piece held nothing else, so a space at the begin of the next piece counted as a folded field. Change: the first line is complete only after a byte of it was read.

--- a/src/httpmsg.c
+++ b/src/httpmsg.c
@@ -30,6 +30,7 @@
 	bool is_answer_to_head; /* the message answers a HEAD request */
 	bool has_head; /* the whole head was read */
 	bool has_begun; /* a byte of the message was read */
+	bool has_text; /* a byte of the first line was read; blank lines may precede it */
 	bool keeps_alive;
 	bool in_value; /* the last field's value was read in part or whole */
 	bool at_line_start; /* the last byte of the head so far was a line feed */
@@ -183,6 +184,7 @@
 	r->is_answer_to_head = is_answer_to_head;
 	r->has_head = false;
 	r->has_begun = false;
+	r->has_text = false;
 	r->keeps_alive = false;
 	r->in_value = false;
 	r->at_line_start = false;
@@ -212,14 +214,14 @@
 		if (c == '\n') {
 			if (r->has_line && (r->at_line_start || r->in_blank_line))
 				return i + 1;
-			r->has_line = r->has_line || r->has_begun;
+			r->has_line = r->has_line || r->has_text;
 			r->at_line_start = true;
 			r->in_blank_line = false;
 		} else if (c == '\r') {
 			r->in_blank_line = r->at_line_start;
 			r->at_line_start = false;
 		} else {
-			r->has_begun = true;
+			r->has_text = true;
 			r->at_line_start = false;
 			r->in_blank_line = false;
 		}
--- a/tests/httpmsg_test.cc
+++ b/tests/httpmsg_test.cc
@@ -40,6 +40,29 @@
 	EXPECT_EQ(request_feed("Content-Length: -1\r\n\r\n"), HTTP_MALFORMED);
 }
 
+/*
+ * Guards against a request that is refused because of the place at which its bytes were split, here
+ * behind blank lines that precede it.
+ */
+TEST(httpmsg, blank_lines_before_a_request)
+{
+	const std::string text = "\n\n\nPOST /a HTTP/1.1\r\nHost: h\r\n\r\n";
+
+	for (size_t first = 1; first < text.size(); first++)
+		for (size_t second = first + 1; second < text.size(); second++) {
+			struct http_reader *r = http_reader_create(HTTP_MESSAGE_REQUEST, &limits);
+			size_t used;
+
+			http_reader_feed(r, text.data(), first, &used);
+			http_reader_feed(r, text.data() + first, second - first, &used);
+			EXPECT_EQ(http_reader_feed(r, text.data() + second, text.size() - second,
+						   &used),
+				  HTTP_COMPLETE)
+				<< "split behind bytes " << first << " and " << second;
+			http_reader_destroy(r);
+		}
+}
+
 /* Guards against limits that are applied only to a head that arrives in several pieces. */
 TEST(httpmsg, limits)
 {
