Take an answer without an id only as the first one of a connection

What callers saw: a leaf sent the second copy of an answer late, without the request's id, on a connection that was in use again. The next caller got that answer, or a search got that part, and a late copy of a refusal made a request that must not be repeated run again. Cause: an answer without an id was taken to belong to the call in progress. Copies that repeat the id were skipped already. Change: only the first answer of a connection, which cannot be a copy, may lack the id. The stand-in leaf repeats the id with 421, too, as the leaves do.

--- a/fakes/routed_site.py
+++ b/fakes/routed_site.py
@@ -10,8 +10,10 @@
 import json
 import os
 import random
+import re
 import signal
 import socket
+import struct
 import time
 import urllib.parse
 
@@ -50,6 +52,26 @@
     return ("\r\n".join(lines) + "\r\n\r\n").encode("latin-1") + body
 
 
+def framed_response(payload, fields, framing):
+    """Formats a 200 response whose body has a "length", is "chunked" or ends with the "connection"."""
+    head = "".join(f"{name}: {value}\r\n" for name, value in fields.items())
+    if framing == "length":
+        return response_bytes(200, payload, fields)
+    if framing == "connection":
+        return f"HTTP/1.1 200 X\r\n{head}Connection: close\r\n\r\n".encode() + payload
+    chunks = b"".join(b"%x\r\n%s\r\n" % (len(part), part)
+                      for part in (payload[:20], payload[20:]) if part)
+    return f"HTTP/1.1 200 X\r\n{head}Transfer-Encoding: chunked\r\n\r\n".encode() + \
+        chunks + b"0\r\n\r\n"
+
+
+def connection_reset(writer):
+    """Ends the connection with a reset, also when all data was read."""
+    linger = struct.pack("ii", 1, 0)
+    writer.get_extra_info("socket").setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, linger)
+    writer.transport.abort()
+
+
 class Server:
     """Accepts TCP connections; a subclass handles each of them in serve()."""
 
@@ -239,6 +261,13 @@
       response twice), "short_head" (closes within the head), "endless_head", "endless_interim" and
       "endless_body" (go on until the connection is closed)
 
+    copies sends each response of a connection a second time. "whole": right before the next response on
+    it; "unnamed": the same without the request's id; "halves": the first half at once, the second half
+    before the next response.
+
+    cut is (framing, number of bytes, whether the connection is reset then) of a response that breaks off;
+    framing is one of framed_response().
+
     fields are added to the head of every response of the leaf; arrival_times are those of its
     requests (time.monotonic).
 
@@ -260,6 +289,7 @@
         self.leaving_since, self.readers = None, set()
         self.fields, self.arrival_times = {}, []
         self.endless = 0  # responses without end that are being sent
+        self.copies, self.cut = None, None
 
     def entry(self):
         """The leaf's entry in the store, as JSON."""
@@ -289,15 +319,38 @@
     def has_open_connections(self):
         return any(not reader.at_eof() for reader in self.readers)
 
+    async def _send_cut(self, writer, payload, headers):
+        framing, n_bytes, has_reset = self.cut
+        writer.write(framed_response(payload, headers, framing)[:n_bytes])
+        await writer.drain()
+        if has_reset:
+            await asyncio.sleep(0.005)  # what was sent arrives before the reset
+            connection_reset(writer)
+
+    async def _send_copy(self, writer, response):
+        """Sends a part of the response once more; returns what is due before the next response."""
+        if self.copies == "unnamed":
+            return re.sub(b"X-Request-Id: [^\r]*\r\n", b"", response)
+        if self.copies == "halves":
+            await writer.drain()
+            await asyncio.sleep(0.002)
+            writer.write(response[:len(response) // 2])
+            return response[len(response) // 2:]
+        return response if self.copies else b""
+
     async def serve(self, reader, writer):
         self.readers.add(reader)
+        copy = b""
         while True:
             message = await read_message(reader)
             if message is None:
                 return
+            writer.write(copy)
+            copy = b""
             line, fields, body = message
             if fields.get("x-target-instance") not in (None, self.id) and not self.accepts_any:
-                writer.write(response_bytes(421, b"", {"X-Instance-Id": self.id}))
+                writer.write(response_bytes(421, b"", {
+                    "X-Instance-Id": self.id, "X-Request-Id": fields.get("x-request-id", "")}))
                 continue
             self.arrivals += 1
             self.arrival_times.append(time.monotonic())
@@ -305,8 +358,10 @@
                 self.late_arrivals += 1
             request_id = fields.get("x-request-id", "")
             if self.has_fault("shed"):
-                writer.write(response_bytes(503, b"", {"X-Not-Executed": "1", **self.fields,
-                                                       "X-Request-Id": request_id}))
+                response = response_bytes(503, b"", {"X-Not-Executed": "1", **self.fields,
+                                                     "X-Request-Id": request_id})
+                writer.write(response)
+                copy = await self._send_copy(writer, response)
                 continue
             if self.has_fault("mute"):
                 await asyncio.sleep(3600)
@@ -320,6 +375,9 @@
             signature = self.site.sign(request_id, self, payload)
             headers = {"X-Response-Signature": signature, "X-Request-Id": request_id,
                        **self.fields}
+            if self.cut:
+                await self._send_cut(writer, payload, headers)
+                return
             if self.has_fault("error"):
                 writer.write(response_bytes(500, b"no", headers))
             elif self.has_fault("garbage"):
@@ -337,6 +395,7 @@
                 return
             else:
                 writer.write(response_bytes(200, payload, headers))
+                copy = await self._send_copy(writer, response_bytes(200, payload, headers))
             if self.has_fault("twice"):
                 writer.write(response_bytes(200, payload, headers))
             await writer.drain()
@@ -476,6 +535,10 @@
         route.update(more)
         self.routes = [r for r in self.routes if r["prefix"] != prefix] + [route]
 
+    def route_of(self, path):
+        """The route of a path, or None."""
+        return next((r for r in self.routes if path.startswith(r["prefix"])), None)
+
     def publish(self):
         """Stores the routes as a configuration with a higher version."""
         self.version += 3
--- a/src/jobcall.c
+++ b/src/jobcall.c
@@ -70,12 +70,12 @@
 	g_string_append_len(out, (const char *)j->body->data, j->body->len);
 }
 
-static bool call_matches(struct leaf_call *call, const struct http_reader *answer)
+static bool call_matches(struct leaf_call *call, const struct http_reader *answer, bool is_first)
 {
 	const struct job *j = job_call_of(call)->job;
 	const char *id = http_reader_field_find(answer, j->env->adapter->fields.request_id);
 
-	return !id || strcmp(id, j->id) == 0;
+	return id ? strcmp(id, j->id) == 0 : is_first;
 }
 
 /* Retries the shard after a lost call, unless it has been answered or has another call open. */
--- a/src/upstream.c
+++ b/src/upstream.c
@@ -277,7 +277,7 @@
 	struct leaf_call *call = conn->call;
 	uint64_t now_us = clock_now_us();
 
-	if (!call->ops->matches(call, answer))
+	if (!call->ops->matches(call, answer, !conn->has_answered))
 		return false;
 	conn->call = NULL;
 	link->n_busy--;
--- a/src/upstream.h
+++ b/src/upstream.h
@@ -24,8 +24,11 @@
 struct leaf_call_ops {
 	/* Writes the request to out; called when it is sent. */
 	void (*render)(struct leaf_call *call, GString *out);
-	/* True when the answer belongs to this call. */
-	bool (*matches)(struct leaf_call *call, const struct http_reader *answer);
+	/*
+	 * True when the answer belongs to this call. is_first: the connection has carried no other
+	 * answer, so this one cannot be a late copy of an earlier one.
+	 */
+	bool (*matches)(struct leaf_call *call, const struct http_reader *answer, bool is_first);
 	/*
 	 * The call has ended. answer is NULL unless end is LEAF_END_ANSWERED, and valid only inside
 	 * this function. was_sent: bytes of the request may have reached the leaf.
