Call a leaf again only on a connection without earlier answers

What callers saw: a leaf refused a request that must not be repeated ("not run"), and sent a second copy of that refusal late. The request was sent to the same leaf again, on the same connection; the copy arrived before the answer. The request ran twice, or was answered 503 ("has not run") although it had run. Cause: the copy carries the id of the same request, so the id does not tell it from the answer. Change: a call to a leaf that the request has called before uses a connection that has carried no answer. This happens only when no other leaf is left, so it costs few connections.

--- a/fakes/routed_site.py
+++ b/fakes/routed_site.py
@@ -255,7 +255,8 @@
     """One leaf of a service, with faults. A run is counted when the work begins.
 
     mode, applied to a request with the probability rate:
-    - before the work: "shed" (responds 503 with X-Not-Executed), "mute" (never responds)
+    - before the work: "shed" (responds 503 with X-Not-Executed), "shed_one" (the same for one request),
+      "mute" (never responds)
     - after the work: "lose" (aborts the connection), "error" (responds 500), "garbage" (sends bytes
       that are not HTTP and closes), "cut" (omits the last 3 bytes and closes), "twice" (sends the
       response twice), "short_head" (closes within the head), "endless_head", "endless_interim" and
@@ -357,7 +358,8 @@
             if self.leaving_since and time.monotonic() - self.leaving_since > self.site.drain_s:
                 self.late_arrivals += 1
             request_id = fields.get("x-request-id", "")
-            if self.has_fault("shed"):
+            if self.has_fault("shed") or self.mode == "shed_one":
+                self.mode = "ok" if self.mode == "shed_one" else self.mode
                 response = response_bytes(503, b"", {"X-Not-Executed": "1", **self.fields,
                                                      "X-Request-Id": request_id})
                 writer.write(response)
--- a/src/jobcall.c
+++ b/src/jobcall.c
@@ -205,12 +205,23 @@
 	.done = call_done,
 };
 
+/* True when a call of the shard was sent to the leaf before. */
+static bool was_called(const struct job_shard *sh, const struct leaf *leaf)
+{
+	for (unsigned int i = 0; i < sh->n_tried; i++)
+		if (sh->tried[i] == leaf)
+			return true;
+	return false;
+}
+
 static void call_start(struct job *j, unsigned int shard, struct leaf *leaf, uint64_t now_us)
 {
 	struct job_shard *sh = &j->shards[shard];
 	const struct routemap_service *service = routemap_service_find(j->map, sh->service);
 	struct job_call *c = g_new0(struct job_call, 1);
 
+	/* The id of the request tells no copy of the earlier call's answer from the answer. */
+	c->call.wants_unused = was_called(sh, leaf);
 	sh->tried[sh->n_tried++] = leaf_get(leaf);
 	c->job = j;
 	c->shard = shard;
--- a/src/upstream.c
+++ b/src/upstream.c
@@ -370,20 +370,27 @@
 	return true;
 }
 
-/* The most recently used idle connection; NULL if there is none or the call may not use it. */
+/* True when the call may be sent on the idle connection. */
+static bool conn_suits(const struct leaf_conn *conn, const struct leaf_call *call, uint64_t now_us)
+{
+	if (now_us >= conn->idle_until_us || (call->wants_unused && conn->has_answered))
+		return false;
+	return !call->wants_fresh || now_us - conn->since_us <= FRESH_IDLE_US;
+}
+
+/* The most recently used idle connection that the call may use, or NULL. */
 static struct leaf_conn *idle_pick(struct leaf_link *link, const struct leaf_call *call,
 				   uint64_t now_us)
 {
-	struct leaf_conn *conn;
+	struct list_head *node;
 
-	if (list_is_empty(&link->idle))
-		return NULL;
-	conn = list_entry(link->idle.prev, struct leaf_conn, node);
-	if (now_us >= conn->idle_until_us)
-		return NULL;
-	if (call->wants_fresh && now_us - conn->since_us > FRESH_IDLE_US)
-		return NULL;
-	return conn;
+	for (node = link->idle.prev; node != &link->idle; node = node->prev) {
+		struct leaf_conn *conn = list_entry(node, struct leaf_conn, node);
+
+		if (conn_suits(conn, call, now_us))
+			return conn;
+	}
+	return NULL;
 }
 
 /* At the limit of connections, closes the idle one that was used longest ago. */
--- a/src/upstream.h
+++ b/src/upstream.h
@@ -50,6 +50,8 @@
 	uint64_t useful_us;
 	bool is_optional; /* the request can be answered without this call */
 	bool wants_fresh; /* must not use a connection that has been idle for long */
+	/* Must use a connection that has carried no answer: a copy of one may still arrive. */
+	bool wants_unused;
 };
 
 struct upstream *upstream_create(struct event_base *base);
