Name the deciding version, its age and the leaves' limits in explain and metrics

What on-call engineers saw: explain named the version only inside the log line, not since when it was in force, showed a leaf's limit only when its line was less than six seconds old, and gave a missing configuration as the reason of each 503 before a leaf call, also at the end of a planned stop. Change: request_done holds version_age_ms; explain prints the version that decided with its age and, for each leaf that the request names, the limit in force on that VM; it reads the reason of a refusal. /metrics has apricot_config_age_ms and apricot_leaf_limit_per_s.

--- a/src/explain.c
+++ b/src/explain.c
@@ -208,15 +208,72 @@
 		g_string_append(out, "; the budget for repeated calls denied some");
 }
 
-static const char *refusal_reason(const char *status)
+static const char *refusal_reason(const char *text, const char *status)
 {
+	g_autofree char *why = value_find(text, "why");
+
 	if (g_strcmp0(status, "404") == 0)
 		return "no route of the version in force matches";
+	if (g_strcmp0(why, "stopping") == 0)
+		return "this VM was about to end its planned stop";
 	if (g_strcmp0(status, "503") == 0)
 		return "this VM had no configuration yet";
 	return "a required field is absent";
 }
 
+/* Appends which version decided, when the line names it. */
+static void version_append(GString *out, const struct line *line)
+{
+	g_autofree char *version = value_find(line->text, "version");
+	g_autofree char *age = value_find(line->text, "version_age_ms");
+
+	if (version && age)
+		g_string_append_printf(out, "decided by version %s, in force on %s for %s ms\n",
+				       version, line->vm ? line->vm : "?", age);
+}
+
+/*
+ * Appends for each leaf that the request names the limit in force on the request's VM when it
+ * ended.
+ */
+static void limits_append(GString *out, const struct log_lines *s, const struct line *done)
+{
+	GHashTable *limits = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
+	GHashTableIter iter;
+	gpointer leaf;
+	gpointer value;
+
+	for (guint i = 0; i < s->lines->len; i++) {
+		const struct line *line = g_ptr_array_index(s->lines, i);
+		g_autofree char *id = NULL;
+
+		if (line->at_ms > done->at_ms || g_strcmp0(line->vm, done->vm) != 0 ||
+		    !line->event || !g_str_has_prefix(line->event, "leaf_"))
+			continue;
+		id = value_find(line->text, "leaf");
+		if (!id || !strstr(done->text, id))
+			continue;
+		if (strcmp(line->event, "leaf_limited") == 0)
+			g_hash_table_replace(limits, g_steal_pointer(&id), (gpointer)line);
+		else if (strcmp(line->event, "leaf_unlimited") == 0 ||
+			 strcmp(line->event, "leaf_gone") == 0)
+			g_hash_table_remove(limits, id);
+	}
+	g_hash_table_iter_init(&iter, limits);
+	while (g_hash_table_iter_next(&iter, &leaf, &value)) {
+		const struct line *line = value;
+		g_autofree char *all = value_find(line->text, "limit_per_s");
+		g_autofree char *own = value_find(line->text, "own_per_s");
+
+		g_string_append_printf(out,
+				       "leaf %s had a limit of %s calls a second, %s of them for "
+				       "%s\n",
+				       (const char *)leaf, all ? all : "?", own ? own : "?",
+				       done->vm);
+	}
+	g_hash_table_destroy(limits);
+}
+
 /* Appends one sentence on why the request ended as it did. */
 static void cause_append(GString *out, const struct line *line)
 {
@@ -230,7 +287,7 @@
 
 	if (g_strcmp0(line->event, "request_refused") == 0) {
 		g_string_append_printf(out, "cause: refused with %s before any leaf call: %s\n",
-				       status, refusal_reason(status));
+				       status, refusal_reason(line->text, status));
 		return;
 	}
 	g_string_append_printf(out, "cause: %s (status %s), %s of %s shards included",
@@ -246,6 +303,7 @@
 		g_string_append_printf(out, "; %" G_GUINT64_FORMAT " of %s ms passed",
 				       g_ascii_strtoull(took, NULL, 10) / 1000, wait);
 	g_string_append(out, "\n");
+	version_append(out, line);
 }
 
 /* For a request whose end no line records: says whether its VM was restarted. */
@@ -357,6 +415,8 @@
 	*found = begun || end;
 	if (begun && !end)
 		unended_append(out, &s, begun);
+	if (end)
+		limits_append(out, &s, end);
 	g_string_append(out, steps->str);
 	g_string_free(steps, TRUE);
 	if (*found)
--- a/src/gateway.c
+++ b/src/gateway.c
@@ -116,6 +116,7 @@
 	counter_increment(kernel_counters(g->service.kernel), COUNTER_CONFIG_APPLIED);
 	routemap_put(g->map);
 	g->map = routemap_get(map);
+	g->map->applied_ms = clock_now_ms();
 	http_server_limits_set(g->server, &limits);
 }
 
@@ -218,6 +219,20 @@
 			quantiles[i], hist_quantile(stats->call_us, quantiles[i]));
 }
 
+static void leaf_limit_append(const struct leaf *leaf, void *arg)
+{
+	if (!leaf->ratecap.is_limited)
+		return;
+	g_string_append_printf(
+		arg, "apricot_leaf_limit_per_s{leaf=\"%s\",service=\"%s\",of=\"this_vm\"} %g\n",
+		leaf->id, leaf->service, leaf->ratecap.rate_per_s);
+}
+
+static uint64_t map_age_ms(const struct routemap *map)
+{
+	return map ? clock_now_ms() - map->applied_ms : 0;
+}
+
 /* Metrics of the routed requests in the text format of /metrics. */
 static char *metrics_render(struct gateway *g)
 {
@@ -230,8 +245,10 @@
 	g_hash_table_iter_init(&iter, g->env.stats);
 	while (g_hash_table_iter_next(&iter, &key, &stats))
 		route_metrics_append(out, key, stats);
+	leafset_each(g->env.leaves, leaf_limit_append, out);
 	g_string_append_printf(out,
 			       "apricot_config_version %" G_GUINT64_FORMAT "\n"
+			       "apricot_config_age_ms %" G_GUINT64_FORMAT "\n"
 			       "apricot_requests_open %u\napricot_leaves %u\n"
 			       "apricot_leaf_connections %u\napricot_leaf_calls_queued %u\n"
 			       "apricot_leaf_connects_total %" G_GUINT64_FORMAT "\n"
@@ -240,7 +257,7 @@
 			       "apricot_not_ready_total %" G_GUINT64_FORMAT "\n"
 			       "apricot_input_refused_total %" G_GUINT64_FORMAT "\n"
 			       "apricot_log_dropped_total %" G_GUINT64_FORMAT "\n",
-			       g->map ? g->map->version : 0, g->env.n_jobs,
+			       g->map ? g->map->version : 0, map_age_ms(g->map), g->env.n_jobs,
 			       leafset_count(g->env.leaves), up->connections, up->queued,
 			       up->connects, up->connect_failures, up->stray_closes,
 			       g->requests_not_ready, g->inputs_refused, log_dropped());
--- a/src/jobanswer.c
+++ b/src/jobanswer.c
@@ -61,12 +61,13 @@
 
 	if (log_request(level, j->id, "request_done",
 			"outcome=%s status=%u route=%s version=%" G_GUINT64_FORMAT
+			" version_age_ms=%" G_GUINT64_FORMAT
 			" in=%u of=%u calls=%u hedges=%u moved=%u retries=%u held=%u denied=%u"
 			" wait_ms=%" G_GUINT64_FORMAT " took_us=%" G_GUINT64_FORMAT " trace=\"%s\"",
 			outcome_names[outcome], status, j->route->name ? j->route->name : "-",
-			j->map->version, n_answered, j->n_shards, j->n_calls, j->n_hedges,
-			j->n_moved, j->n_retries, j->n_held, j->n_denied,
-			(j->deadline_us - j->read_us) / 1000, took_us,
+			j->map->version, clock_now_ms() - j->map->applied_ms, n_answered,
+			j->n_shards, j->n_calls, j->n_hedges, j->n_moved, j->n_retries, j->n_held,
+			j->n_denied, (j->deadline_us - j->read_us) / 1000, took_us,
 			j->trace ? j->trace->str : ""))
 		return;
 	log_batch_add(LOG_BATCH_BRIEF, "%s:%s:%u:%u/%u", j->id, outcome_names[outcome], status,
--- a/src/leafset.c
+++ b/src/leafset.c
@@ -187,6 +187,17 @@
 	return g_hash_table_size(s->ids);
 }
 
+void leafset_each(const struct leafset *s, void (*visit)(const struct leaf *leaf, void *arg),
+		  void *arg)
+{
+	GHashTableIter iter;
+	gpointer value;
+
+	g_hash_table_iter_init(&iter, s->ids);
+	while (g_hash_table_iter_next(&iter, NULL, &value))
+		visit(value, arg);
+}
+
 static gint name_compare(gconstpointer a, gconstpointer b)
 {
 	return strcmp(*(const char *const *)a, *(const char *const *)b);
--- a/src/leafset.h
+++ b/src/leafset.h
@@ -131,6 +131,9 @@
 /* The leaf with this id (borrowed), or NULL. */
 struct leaf *leafset_find(const struct leafset *s, const char *id);
 unsigned int leafset_count(const struct leafset *s);
+/* Calls visit for each leaf, in no order; visit must not change the set. */
+void leafset_each(const struct leafset *s, void (*visit)(const struct leaf *leaf, void *arg),
+		  void *arg);
 /*
  * Names of the data centres that have at least half as many ready leaves as the data centre with
  * the most, in alphabetical order. The list ends with NULL; the caller frees it with g_strfreev().
--- a/src/routemap.h
+++ b/src/routemap.h
@@ -51,6 +51,7 @@
 struct routemap {
 	grefcount refs;
 	uint64_t version;
+	uint64_t applied_ms; /* when it came into force on this VM (clock_now_ms); 0: not yet */
 	GPtrArray *routes; /* struct route */
 	GHashTable *hosts; /* host -> GPtrArray of struct route, longest prefix first */
 	GHashTable *services; /* name -> struct routemap_service */
--- a/tests/explain_test.cc
+++ b/tests/explain_test.cc
@@ -52,6 +52,40 @@
 	EXPECT_EQ(out.find("leaf=i-8"), std::string::npos);
 }
 
+/*
+ * Guards against an explanation that leaves open which version decided and which limit of a leaf
+ * was in force, also when the limit was logged long before.
+ */
+TEST(explain, version_and_limits_are_named)
+{
+	bool found;
+	std::string text =
+		"2026-12-04T11:58:00.000Z level=info vm=n1 event=leaf_limited leaf=i-7 service=s3 "
+		"limit_per_s=12.5 own_per_s=3.1\n"
+		"2026-12-04T11:58:01.000Z level=info vm=n1 event=leaf_limited leaf=i-9 service=s3 "
+		"limit_per_s=9 own_per_s=3\n"
+		"2026-12-04T11:58:02.000Z level=info vm=n2 event=leaf_unlimited leaf=i-7\n"
+		"2026-12-04T11:58:03.000Z level=info vm=n1 event=leaf_unlimited leaf=i-9\n"
+		"2026-12-04T12:00:02.000Z level=warning vm=n1 event=request_done request=ab12 "
+		"outcome=refused status=503 route=r version=4 version_age_ms=5300 in=0 of=1 "
+		"wait_ms=1500 took_us=100 trace=\"+0 missing s3 i-7 lost;+0 missing s3 i-9 "
+		"lost;\"\n";
+	std::string out = explain("ab12", text, &found);
+
+	EXPECT_NE(out.find("decided by version 4, in force on n1 for 5300 ms\n"), std::string::npos)
+		<< out;
+	EXPECT_NE(out.find("leaf i-7 had a limit of 12.5 calls a second, 3.1 of them for n1\n"),
+		  std::string::npos)
+		<< out;
+	EXPECT_EQ(out.find("leaf i-9 had a limit"), std::string::npos) << out;
+	out = explain(
+		"cd",
+		"2026-12-04T12:00:02.000Z level=warning vm=n1 event=request_refused request=cd "
+		"status=503 why=stopping\n",
+		&found);
+	EXPECT_NE(out.find("this VM was about to end its planned stop"), std::string::npos) << out;
+}
+
 /* Guards against a request without an explanation because its VM lost power. */
 TEST(explain, vm_was_lost)
 {
