Keep no idle leaf connections on VMs that take no callers

Cause: 183 of 195 VMs take no callers, and each kept the connection of a single request idle for seconds. The two leaves of the service that these requests use accept 120 connections each. Change: a VM that has not been among the entry VMs for 10 s (the longest use of an old address list) closes a leaf connection after its answer.

--- a/src/upstream.c
+++ b/src/upstream.c
@@ -51,6 +51,12 @@
  * other VMs may need their part of the leaf's cap.
  */
 #define SPARE_IDLE_US 1500000
+/*
+ * Callers no longer use the address list in which a replaced VM stands after this time. From then
+ * on it gets single requests, and idle connections of hundreds of such VMs would use up a leaf's
+ * cap.
+ */
+#define REPLACED_US 10000000
 #define SWEEP_US 100000
 
 /* Connections and queued calls of one leaf. */
@@ -88,6 +94,7 @@
 	struct event *sweep;
 	struct list_head links;
 	unsigned int vms;
+	uint64_t idle_until_us; /* after this time no idle connection is kept */
 	struct upstream_stats stats;
 };
 
@@ -284,7 +291,8 @@
 	conn->has_answered = true;
 	conn->since_us = now_us;
 	conn->idle_until_us = now_us + idle_time_us(answer);
-	if (!reusable || link->leaf->state != LEAF_READY) {
+	if (!reusable || link->leaf->state != LEAF_READY ||
+	    (now_us >= u->idle_until_us && link->leaf->waiting == 0)) {
 		conn_destroy(conn);
 	} else {
 		list_del(&conn->node);
@@ -561,6 +569,7 @@
 
 	u->base = base;
 	u->vms = 1;
+	u->idle_until_us = G_MAXUINT64;
 	list_init(&u->links);
 	u->sweep = event_new(base, -1, EV_PERSIST, sweep_handle, u);
 	event_add(u->sweep, &period);
@@ -587,9 +596,13 @@
 	g_free(u);
 }
 
-void upstream_set_vms(struct upstream *u, unsigned int vms)
+void upstream_set_vms(struct upstream *u, unsigned int vms, bool is_entry, uint64_t now_us)
 {
 	u->vms = MAX(1, vms);
+	if (is_entry)
+		u->idle_until_us = G_MAXUINT64;
+	else if (u->idle_until_us == G_MAXUINT64)
+		u->idle_until_us = now_us + REPLACED_US;
 }
 
 const struct upstream_stats *upstream_stats(const struct upstream *u)
--- a/src/upstream.h
+++ b/src/upstream.h
@@ -58,8 +58,11 @@
 /* Closes all connections. No call may be open. NULL has no effect. */
 void upstream_destroy(struct upstream *u);
 
-/* vms: number of VMs among which the connections of each leaf are divided. */
-void upstream_set_vms(struct upstream *u, unsigned int vms);
+/*
+ * vms: number of VMs among which the connections of each leaf are divided. is_entry: whether this
+ * VM is one of them; some time after it has ceased to be, it keeps no idle connections.
+ */
+void upstream_set_vms(struct upstream *u, unsigned int vms, bool is_entry, uint64_t now_us);
 
 /*
  * Sends the call or queues it until a connection is free. max_connections: the leaf's cap on
