Leave nearly all of the repeats' slack to the VMs that take callers

Cause: each VM divided the slack by the number of entry VMs, also the 183 of 195 VMs that take no callers. All together could send 13 times the slack while they get single requests and many calls are lost. Change: the entry VMs divide 0.95 of the slack, the others 0.05; without others the entry VMs have all of it. A replaced entry VM keeps its part for two windows, a VM that took itself for an entry VM in the first 5 s after its start does not.

--- a/src/gateway.c
+++ b/src/gateway.c
@@ -181,7 +181,9 @@
 	uint64_t now_us = clock_now_us();
 
 	upstream_set_vms(g->env.upstream, chosen->n_entries, chosen->is_entry, now_us);
-	repeats_vms_set(g->env.repeats, chosen->n_entries + REPLACED_VMS_MAX, now_us);
+	repeats_vms_set(g->env.repeats, chosen->n_entries + REPLACED_VMS_MAX,
+			chosen->n_vms - MIN(chosen->n_entries, chosen->n_vms), chosen->is_entry,
+			now_us);
 	vmshare_set(&g->env.vmshare, chosen->n_entries, chosen->n_vms, chosen->is_entry, now_us);
 }
 
--- a/src/repeats.c
+++ b/src/repeats.c
@@ -18,6 +18,11 @@
 #define SPENDABLE_SHARE 0.8
 /* Share of the budget that is reserved for recoveries. */
 #define RECOVERY_SHARE 0.25
+/* Part of the slack that the VMs other than the entry VMs divide, if there are any. */
+#define OTHERS_PART 0.05
+/* A VM that has just started, and knows no other, takes itself for an entry VM for a shorter time.
+ */
+#define SETTLED_US 5000000
 
 struct service_usage {
 	uint64_t bucket; /* number of the newest bucket, counted from time 0 */
@@ -28,7 +33,12 @@
 struct repeats {
 	struct repeats_limits limits;
 	GHashTable *services;
-	struct vmcount vms;
+	struct vmcount entries;
+	struct vmcount others;
+	bool has_others;
+	bool is_entry;
+	uint64_t entry_since_us; /* valid while is_entry */
+	uint64_t entry_until_us; /* until then it has an entry VM's part without being one */
 };
 
 struct repeats *repeats_create(const struct repeats_limits *limits, uint64_t now_us)
@@ -36,7 +46,8 @@
 	struct repeats *r = g_new0(struct repeats, 1);
 
 	r->limits = *limits;
-	vmcount_init(&r->vms, now_us);
+	vmcount_init(&r->entries, now_us);
+	vmcount_init(&r->others, now_us);
 	r->services = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
 	return r;
 }
@@ -56,9 +67,29 @@
 	r->limits = *limits;
 }
 
-void repeats_vms_set(struct repeats *r, unsigned int n, uint64_t now_us)
+void repeats_vms_set(struct repeats *r, unsigned int n_entries, unsigned int n_others,
+		     bool is_entry, uint64_t now_us)
 {
-	vmcount_set(&r->vms, n, 2 * r->limits.window_us, now_us);
+	uint64_t hold_us = 2 * r->limits.window_us;
+
+	vmcount_set(&r->entries, n_entries, hold_us, now_us);
+	vmcount_set(&r->others, n_others, hold_us, now_us);
+	r->has_others = n_others > 0;
+	if (is_entry && !r->is_entry)
+		r->entry_since_us = now_us;
+	if (r->is_entry && !is_entry && now_us - r->entry_since_us >= SETTLED_US)
+		r->entry_until_us = now_us + hold_us;
+	r->is_entry = is_entry;
+}
+
+/* This VM's part of the slack. */
+static double own_slack(const struct repeats *r, uint64_t now_us)
+{
+	double others_part = r->has_others ? OTHERS_PART : 0;
+
+	if (r->is_entry || now_us < r->entry_until_us)
+		return r->limits.slack * (1 - others_part) / vmcount_get(&r->entries, now_us);
+	return r->limits.slack * OTHERS_PART / vmcount_get(&r->others, now_us);
 }
 
 /* The counts of the service, created if missing, with the buckets advanced to now_us. */
@@ -97,13 +128,13 @@
 static double usage_allowed(const struct repeats *r, const struct service_usage *usage,
 			    enum repeats_purpose purpose, uint64_t now_us)
 {
-	double slack = r->limits.slack / vmcount_get(&r->vms, now_us);
 	double requests = 0;
 
 	for (unsigned int i = 0; i < N_BUCKETS; i++)
 		requests += usage->requests[i];
 	requests -= usage->requests[(usage->bucket + 1) % N_BUCKETS];
-	return purpose_share(purpose) * SPENDABLE_SHARE * (r->limits.ratio * requests + slack);
+	return purpose_share(purpose) * SPENDABLE_SHARE *
+	       (r->limits.ratio * requests + own_slack(r, now_us));
 }
 
 static double usage_spent(const struct service_usage *usage)
--- a/src/repeats.h
+++ b/src/repeats.h
@@ -1,7 +1,8 @@
 /*
  * Budget of repeated calls (retries and hedges) for each service. All VMs together send at most
  * ratio x requests + slack repeats in any window. They do so without exchanging messages: each VM
- * earns repeats with its own requests and gets an equal share of the slack.
+ * earns repeats with its own requests. Nearly all of the slack is divided equally among the entry
+ * VMs, whose addresses callers get; the others, of which there may be hundreds, divide the rest.
  *
  * Without a budget, second calls would double the load of the remaining leaves when many leaves
  * fail or slow down at once. Times are in microseconds.
@@ -40,10 +41,13 @@
 void repeats_limits_set(struct repeats *r, const struct repeats_limits *limits);
 
 /*
- * Sets the number of VMs that may spend the budget now. The slack is divided by the largest number
- * within the last two windows, because VMs that cannot be reached go on spending.
+ * Sets how many entry VMs and other VMs may spend the budget now, and which this VM is. The slack
+ * is divided by the largest numbers within the last two windows, because VMs that cannot be reached
+ * go on spending. A VM that ceases to be an entry VM keeps its part for as long, since callers go
+ * on using it; n_entries includes those.
  */
-void repeats_vms_set(struct repeats *r, unsigned int n, uint64_t now_us);
+void repeats_vms_set(struct repeats *r, unsigned int n_entries, unsigned int n_others,
+		     bool is_entry, uint64_t now_us);
 
 /* Counts one request, which earns its part of the budget. */
 void repeats_request_add(struct repeats *r, const char *service, uint64_t now_us);
