Refuse searches at once that the leaves cannot answer in time

Cause: every search was accepted. Each leaf serves the newest call first, and the leaves do so independently of each other, so that most searches get some of their calls served and few get enough; second calls (8 for each accepted search in the burst) took the place of first ones. Change: backlog.c decides when a search arrives, from this VM's own calls: calls at each shard's leaf, calls that wait for its window, usual time from call to answer. When too few shards would answer while the answer is useful, the search is refused before any call, with Retry-After. For 0.5 s after a refusal 0.6 of the useful time counts, and second calls go only to leaves with less than half a window of calls. An idle leaf is always tried. Refused requests earn no repeats any more. apricot_overload_refused_total counts them, explain names the reason.

--- a/fakes/routed_site.py
+++ b/fakes/routed_site.py
@@ -7,6 +7,7 @@
 """
 import asyncio
 import base64
+import contextlib
 import json
 import os
 import random
@@ -272,7 +273,8 @@
     fields are added to the head of every response of the leaf; arrival_times are those of its
     requests (time.monotonic).
 
-    work_s is the mean service time; each request takes 0.5 to 1.5 times as long. late_arrivals
+    work_s is the mean service time; each request takes 0.5 to 1.5 times as long, with slots (an
+    asyncio.Semaphore) only so many at the same time. late_arrivals
     counts requests that arrive more than Site.drain_s after the leaf started to leave. With accepts_any
     it also runs requests to another leaf.
     """
@@ -290,7 +292,7 @@
         self.leaving_since, self.readers = None, set()
         self.fields, self.arrival_times = {}, []
         self.endless = 0  # responses without end that are being sent
-        self.copies, self.cut = None, None
+        self.copies, self.cut, self.slots = None, None, None
 
     def entry(self):
         """The leaf's entry in the store, as JSON."""
@@ -369,7 +371,8 @@
                 await asyncio.sleep(3600)
             self.runs[request_id] = self.runs.get(request_id, 0) + 1
             self.site.record_run(request_id, self, line, body)
-            await asyncio.sleep(self.work_s * random.uniform(0.5, 1.5))
+            async with self.slots or contextlib.nullcontext():
+                await asyncio.sleep(self.work_s * random.uniform(0.5, 1.5))
             if self.has_fault("lose"):
                 writer.transport.abort()
                 return
--- a/src/explain.c
+++ b/src/explain.c
@@ -204,6 +204,8 @@
 		g_string_append_printf(out, "; %u leaves had not answered", unanswered);
 	if (lost)
 		g_string_append_printf(out, "; calls to %u leaves were lost", lost);
+	if (strstr(trace, " backlog;"))
+		g_string_append(out, "; the leaves had too many calls to answer in time");
 	if (strstr(trace, " denied "))
 		g_string_append(out, "; the budget for repeated calls denied some");
 }
--- a/src/gateway.c
+++ b/src/gateway.c
@@ -257,12 +257,14 @@
 			       "apricot_leaf_connect_failures_total %" G_GUINT64_FORMAT "\n"
 			       "apricot_leaf_stray_bytes_total %" G_GUINT64_FORMAT "\n"
 			       "apricot_not_ready_total %" G_GUINT64_FORMAT "\n"
+			       "apricot_overload_refused_total %" G_GUINT64_FORMAT "\n"
 			       "apricot_input_refused_total %" G_GUINT64_FORMAT "\n"
 			       "apricot_log_dropped_total %" G_GUINT64_FORMAT "\n",
 			       g->map ? g->map->version : 0, map_age_ms(g->map), g->env.n_jobs,
 			       leafset_count(g->env.leaves), up->connections, up->queued,
 			       up->connects, up->connect_failures, up->stray_closes,
-			       g->requests_not_ready, g->inputs_refused, log_dropped());
+			       g->requests_not_ready, g->env.gate.n_refused, g->inputs_refused,
+			       log_dropped());
 	return g_string_free(out, FALSE);
 }
 
--- a/src/job.c
+++ b/src/job.c
@@ -176,6 +176,28 @@
 	       j->read_us + usual_longest_us(j->route, j->stats) > j->env->answer_by_us;
 }
 
+/* True when enough leaves are expected to answer while the answer is useful. */
+static bool is_admitted(struct job *j)
+{
+	uint64_t useful_us = j->useful_us ? j->useful_us : j->deadline_us - j->read_us;
+	unsigned int n_in_time = 0;
+
+	if (!job_is_sharded(j))
+		return true;
+	useful_us = backlog_useful_us(&j->env->gate, useful_us, j->read_us);
+	for (unsigned int i = 0; i < j->n_shards; i++) {
+		const struct leaf *leaf = j->shards[i].first_leaf;
+		struct backlog b;
+
+		if (!leaf)
+			continue;
+		b = leaf_backlog(leaf);
+		n_in_time += backlog_answer_us(&b) <= useful_us;
+	}
+	return backlog_admit(&j->env->gate, n_in_time, j->n_shards, j->route->min_share,
+			     j->read_us);
+}
+
 static void deadline_cap(struct job *j, uint64_t at_us)
 {
 	j->deadline_us = MIN(j->deadline_us, at_us);
@@ -274,16 +296,23 @@
 	for (unsigned int i = 0; i < j->n_shards; i++) {
 		j->shards[i].service = route->shards ? g_ptr_array_index(route->shards, i)
 						     : splits_next(env->splits, route);
-		repeats_request_add(env->repeats, j->shards[i].service, j->read_us);
 		j->shards[i].first_leaf = jobcall_first_leaf(j, i, j->read_us);
 		if (!j->shards[i].first_leaf)
 			scatter_calls_exhausted(j->scatter, i);
 	}
+	if (!is_admitted(j)) {
+		jobanswer_trace_add(j, "refused", j->shards[0].service, NULL, "backlog",
+				    j->read_us);
+		jobanswer_refuse(j, RETRYAFTER_LEAVES_FULL);
+		return;
+	}
 	/* No call is sent for a request that cannot be served. */
 	if (scatter_verdict(j->scatter, j->read_us, &wake_us) == SCATTER_FAILED) {
 		jobanswer_failed_send(j);
 		return;
 	}
+	for (unsigned int i = 0; i < j->n_shards; i++)
+		repeats_request_add(env->repeats, j->shards[i].service, j->read_us);
 	for (unsigned int i = 0; i < j->n_shards; i++)
 		if (j->shards[i].first_leaf)
 			jobcall_first_send(j, i, j->shards[i].first_leaf, j->read_us);
--- a/src/job.h
+++ b/src/job.h
@@ -64,6 +64,7 @@
 	GHashTable *stats; /* a route's host and prefix, joined -> struct route_stats */
 	struct list_head jobs;
 	unsigned int n_jobs;
+	struct backlog_gate gate; /* refusals because of the leaves' backlog */
 	uint64_t answer_by_us; /* a planned stop ends then; 0: none */
 };
 
--- a/src/jobcall.c
+++ b/src/jobcall.c
@@ -290,6 +290,7 @@
 {
 	struct job_shard *sh = &j->shards[shard];
 	bool is_hedge = scatter_has_open_call(j->scatter, shard);
+	struct backlog backlog;
 	struct leaf *leaf;
 
 	if (sh->n_tried == JOB_TRIED_MAX || !scatter_may_call(j->scatter, shard) ||
@@ -299,6 +300,9 @@
 	/* A hedge does not wait: it would take the call of another request. */
 	if (!leaf || leaf_wait_us(leaf, now_us) > (is_hedge ? 0 : wait_longest_us(j, now_us)))
 		return false;
+	backlog = leaf_backlog(leaf);
+	if (is_hedge && !backlog_allows_hedge(&j->env->gate, &backlog, now_us))
+		return false;
 	if (sh->n_sent > 0 && !repeats_spend(j->env->repeats, sh->service,
 					     is_hedge ? REPEATS_HEDGE : REPEATS_RECOVERY, now_us)) {
 		j->n_denied++;
--- a/src/leafset.c
+++ b/src/leafset.c
@@ -456,6 +456,25 @@
 	}
 }
 
+void leaf_service_add(struct leaf *l, uint64_t service_us)
+{
+	double usual_us = l->service_us > 0 ? l->service_us : LATENCY_INITIAL_US;
+	/* A single pause says little about the calls to come. */
+	double sample_us = MIN((double)service_us, OUTLIER_FACTOR * usual_us);
+
+	l->service_us = usual_us + LATENCY_EWMA_WEIGHT * (sample_us - usual_us);
+}
+
+struct backlog leaf_backlog(const struct leaf *l)
+{
+	return (struct backlog){
+		.n_sent = l->outstanding - l->waiting,
+		.n_waiting = l->waiting,
+		.window = MAX(1, l->window),
+		.service_us = l->service_us,
+	};
+}
+
 const char *leaf_state_name(enum leaf_state state)
 {
 	static const char *const names[] = {
--- a/src/leafset.h
+++ b/src/leafset.h
@@ -12,6 +12,7 @@
 #ifndef APRICOT_LEAFSET_H
 #define APRICOT_LEAFSET_H
 
+#include "backlog.h"
 #include "ratecap.h"
 
 #include <glib.h>
@@ -93,6 +94,8 @@
 	uint64_t paused_until_us; /* it wants no calls before */
 	unsigned int outstanding; /* calls that have not ended */
 	unsigned int waiting; /* of these, calls that were not sent yet */
+	unsigned int window; /* calls that may be sent at the same time; 0: none was sent yet */
+	double service_us; /* moving average from sending a call to its answer; 0: no sample yet */
 	/*
 	 * When a call was last answered, refused or lost, or when outstanding rose from 0 if that
 	 * was later.
@@ -191,6 +194,11 @@
 void leaf_call_started(struct leaf *l, uint64_t now_us);
 void leaf_call_ended(struct leaf *l, enum leaf_end end, uint64_t latency_us, uint64_t now_us);
 
+/* Notes how long an answered call was at the leaf. */
+void leaf_service_add(struct leaf *l, uint64_t service_us);
+/* This VM's calls to the leaf. */
+struct backlog leaf_backlog(const struct leaf *l);
+
 const char *leaf_state_name(enum leaf_state state);
 const char *leaf_end_name(enum leaf_end end);
 
--- a/src/upstream.c
+++ b/src/upstream.c
@@ -122,6 +122,9 @@
 		window_call_refused(&link->window, sent_us, now_us);
 	else if (end_tells_latency(end))
 		window_call_ended(&link->window, sent_us, useful_us, link->n_busy + 1, now_us);
+	if (end == LEAF_END_ANSWERED)
+		leaf_service_add(link->leaf, now_us - sent_us);
+	link->leaf->window = window_size(&link->window);
 }
 
 static void call_end(struct upstream *u, struct leaf_call *call, enum leaf_end end,
@@ -464,6 +467,7 @@
 	link->leaf = leaf_get(leaf);
 	link->conn_limit = CONNECTIONS_FIRST;
 	window_init(&link->window, leaf->slots);
+	leaf->window = window_size(&link->window);
 	list_init(&link->idle);
 	list_init(&link->connecting);
 	list_init(&link->busy);
--- a/tests/mirror_test.cc
+++ b/tests/mirror_test.cc
@@ -11,7 +11,8 @@
 			   const std::vector<std::pair<std::string, uint64_t>> &puts,
 			   const std::vector<std::pair<std::string, uint64_t>> &removals = {})
 {
-	struct store_answer a = {g_ptr_array_new_with_free_func(store_item_free), false, revision, nullptr, 0};
+	struct store_answer a = {g_ptr_array_new_with_free_func(store_item_free), false, revision,
+				 nullptr, 0};
 
 	for (const auto *list : {&puts, &removals})
 		for (const auto &entry : *list) {
