Give callers who come back no more time than others under overload

Cause: a caller who comes back after its aim has passed was admitted when the leaves could answer before its time limit, nine times the aim. The queues grew to that length, and those who could still be in time were refused or late. Change: every attempt is admitted by the time that a first attempt has. Under usual load nothing changes.

--- a/src/job.c
+++ b/src/job.c
@@ -176,14 +176,20 @@
 	       j->read_us + usual_longest_us(j->route, j->stats) > j->env->answer_by_us;
 }
 
-/* True when enough leaves are expected to answer while the answer is useful. */
+/*
+ * True when enough leaves are expected to answer while the answer is useful. A caller that comes
+ * back after its goal has passed gets no more time than others: the leaves' queues would grow until
+ * everybody is late.
+ */
 static bool is_admitted(struct job *j)
 {
-	uint64_t useful_us = j->useful_us ? j->useful_us : j->deadline_us - j->read_us;
+	uint64_t useful_us = j->deadline_us - j->read_us;
 	unsigned int n_in_time = 0;
 
 	if (!job_is_sharded(j))
 		return true;
+	if (j->route->goal_ms)
+		useful_us = MIN(useful_us, scatter_useful_us(j->route->goal_ms));
 	useful_us = backlog_useful_us(&j->env->gate, useful_us, j->read_us);
 	for (unsigned int i = 0; i < j->n_shards; i++) {
 		const struct leaf *leaf = j->shards[i].first_leaf;
--- a/src/scatter.c
+++ b/src/scatter.c
@@ -284,6 +284,13 @@
 	return goal_at_us > answer_us ? goal_at_us - answer_us : 0;
 }
 
+uint64_t scatter_useful_us(unsigned int goal_ms)
+{
+	uint64_t goal_us = (uint64_t)goal_ms * 1000;
+
+	return goal_us > GOAL_MARGIN_US ? goal_us - GOAL_MARGIN_US : goal_us;
+}
+
 void scatter_times_set(struct scatter_policy *policy, const struct scatter_times *times)
 {
 	uint64_t goal_us = (uint64_t)times->goal_ms * 1000;
--- a/src/scatter.h
+++ b/src/scatter.h
@@ -118,6 +118,9 @@
  */
 void scatter_times_set(struct scatter_policy *policy, const struct scatter_times *times);
 
+/* Time from an attempt's arrival within which its answer meets the goal, were it the first one. */
+uint64_t scatter_useful_us(unsigned int goal_ms);
+
 /*
  * Delay before a second call, from the latencies of the route's calls. latencies may be NULL.
  * goal_us is the time from the request to its goal; 0: no goal.
