Log a refusal for the leaves' backlog without missing leaves

Cause: the trace of missing shards takes a shard without a call for one without a leaf. Change: it is left out when a request was refused before a leaf was called.

--- a/src/job.c
+++ b/src/job.c
@@ -307,6 +307,7 @@
 			scatter_calls_exhausted(j->scatter, i);
 	}
 	if (!is_admitted(j)) {
+		j->is_unsent = true;
 		jobanswer_trace_add(j, "refused", j->shards[0].service, NULL, "backlog",
 				    j->read_us);
 		jobanswer_refuse(j, RETRYAFTER_LEAVES_FULL);
--- a/src/jobanswer.c
+++ b/src/jobanswer.c
@@ -83,7 +83,7 @@
 	j->request = NULL;
 	j->stats->outcomes[outcome]++;
 	hist_add(j->stats->answer_us, took_us);
-	if (outcome != JOB_COMPLETE && outcome != JOB_PASSED)
+	if (outcome != JOB_COMPLETE && outcome != JOB_PASSED && !j->is_unsent)
 		trace_missing_add(j, now_us);
 	end_log(j, outcome, status, took_us);
 	jobcall_unsent_cancel(j, now_us);
--- a/src/jobstate.h
+++ b/src/jobstate.h
@@ -61,6 +61,7 @@
 	GByteArray *failure_body;
 	unsigned int failure_status;
 	GString *trace; /* decisions for the log, see jobanswer_trace_add; NULL: none yet */
+	bool is_unsent; /* refused before a leaf was called; the trace says why */
 	unsigned int n_calls;
 	unsigned int n_hedges;
 	unsigned int n_moved; /* calls not sent yet that were given to another leaf */
