Keep the time for which callers use old address lists in one place

upstream.c and vmshare.c each had the 10 s for which callers go on using an address list with a replaced VM; the constant stands in vmcount.h now. A comment in repeats.c is shorter. No change of behaviour; check-routed other_vms_keep_no_connections and limited_leaf pass.

--- a/src/repeats.c
+++ b/src/repeats.c
@@ -20,8 +20,7 @@
 #define RECOVERY_SHARE 0.25
 /* Part of the slack that the VMs other than the entry VMs divide, if there are any. */
 #define OTHERS_PART 0.05
-/* A VM that has just started, and knows no other, takes itself for an entry VM for a shorter time.
- */
+/* A VM that has just started takes itself for an entry VM until it knows others: less than this. */
 #define SETTLED_US 5000000
 
 struct service_usage {
--- a/src/upstream.c
+++ b/src/upstream.c
@@ -2,6 +2,7 @@
 
 #include "clock.h"
 #include "log.h"
+#include "vmcount.h"
 #include "window.h"
 
 #include <stdlib.h>
@@ -51,12 +52,6 @@
  * other VMs may need their part of the leaf's cap.
  */
 #define SPARE_IDLE_US 1500000
-/*
- * Callers no longer use the address list in which a replaced VM stands after this time. From then
- * on it gets single requests, and idle connections of hundreds of such VMs would use up a leaf's
- * cap.
- */
-#define REPLACED_US 10000000
 #define SWEEP_US 100000
 
 /* Connections and queued calls of one leaf. */
@@ -94,7 +89,11 @@
 	struct event *sweep;
 	struct list_head links;
 	unsigned int vms;
-	uint64_t idle_until_us; /* after this time no idle connection is kept */
+	/*
+	 * After this time no idle connection is kept: the VM gets single requests, and the idle
+	 * connections of hundreds of such VMs would use up a leaf's cap.
+	 */
+	uint64_t idle_until_us;
 	struct upstream_stats stats;
 };
 
@@ -606,7 +605,7 @@
 	if (is_entry)
 		u->idle_until_us = G_MAXUINT64;
 	else if (u->idle_until_us == G_MAXUINT64)
-		u->idle_until_us = now_us + REPLACED_US;
+		u->idle_until_us = now_us + VMCOUNT_REPLACED_US;
 }
 
 const struct upstream_stats *upstream_stats(const struct upstream *u)
--- a/src/vmcount.h
+++ b/src/vmcount.h
@@ -11,6 +11,9 @@
 
 G_BEGIN_DECLS
 
+/* Callers no longer use the address list in which a replaced entry VM stands after this time. */
+#define VMCOUNT_REPLACED_US 10000000
+
 struct vmcount {
 	unsigned int n;
 	uint64_t set_at_us;
--- a/src/vmshare.c
+++ b/src/vmshare.c
@@ -2,8 +2,6 @@
 
 /* Part of the limit that the VMs other than the entry VMs divide, if there are any. */
 #define OTHERS_PART 0.1
-/* Callers no longer use the address list in which a replaced VM stands after this time. */
-#define REPLACED_US 10000000
 
 void vmshare_init(struct vmshare *s, uint64_t now_us)
 {
@@ -15,8 +13,8 @@
 void vmshare_set(struct vmshare *s, unsigned int n_entries, unsigned int n_vms, bool is_entry,
 		 uint64_t now_us)
 {
-	vmcount_set(&s->entries, n_entries, REPLACED_US, now_us);
-	vmcount_set(&s->others, n_vms - MIN(n_entries, n_vms), REPLACED_US, now_us);
+	vmcount_set(&s->entries, n_entries, VMCOUNT_REPLACED_US, now_us);
+	vmcount_set(&s->others, n_vms - MIN(n_entries, n_vms), VMCOUNT_REPLACED_US, now_us);
 	s->is_entry = is_entry;
 }
 
