Look for missing leaves before the leaves' backlog

What callers saw: a search of which too many shards had no leaf was refused as if the leaves had too much to do: its Retry-After was that of a burst (0.05 to 0.3 s) instead of that of an outage, second calls were held back for half a second, and the log named the wrong reason. Cause: the admission came before the check for shards without a leaf, and counted them as late. Found by reading the diff. Change: the order of the two checks.

--- a/src/job.c
+++ b/src/job.c
@@ -306,6 +306,11 @@
 		if (!j->shards[i].first_leaf)
 			scatter_calls_exhausted(j->scatter, i);
 	}
+	/* No call is sent for a request that cannot be served. */
+	if (scatter_verdict(j->scatter, j->read_us, &wake_us) == SCATTER_FAILED) {
+		jobanswer_failed_send(j);
+		return;
+	}
 	if (!is_admitted(j)) {
 		j->is_unsent = true;
 		jobanswer_trace_add(j, "refused", j->shards[0].service, NULL, "backlog",
@@ -313,11 +318,6 @@
 		jobanswer_refuse(j, RETRYAFTER_LEAVES_FULL);
 		return;
 	}
-	/* No call is sent for a request that cannot be served. */
-	if (scatter_verdict(j->scatter, j->read_us, &wake_us) == SCATTER_FAILED) {
-		jobanswer_failed_send(j);
-		return;
-	}
 	for (unsigned int i = 0; i < j->n_shards; i++)
 		repeats_request_add(env->repeats, j->shards[i].service, j->read_us);
 	for (unsigned int i = 0; i < j->n_shards; i++)
