--- a/review/lib/kit.py
+++ b/review/lib/kit.py
@@ -161,6 +161,9 @@
     """Runs scenario(case), which returns the list of what broke the rule; exits with 0, 1 or 2."""
     async def run():
         case = Case(folder)
+        loop, task = asyncio.get_running_loop(), asyncio.current_task()
+        for number in (signal.SIGTERM, signal.SIGINT):
+            loop.add_signal_handler(number, task.cancel)  # so that the processes are ended
         case.record.add("with the disturbance" if TROUBLE else "TROUBLE=0: without the disturbance")
         try:
             return case, await asyncio.wait_for(scenario(case), 110)
@@ -169,7 +172,7 @@
 
     try:
         case, broken = asyncio.run(run())
-    except Exception as error:  # pylint: disable=broad-except
+    except (Exception, asyncio.CancelledError) as error:  # pylint: disable=broad-except
         print(f"could not run: {type(error).__name__}: {error}")
         sys.exit(2)
     for line in broken:
