Bound a caller's stall by a time of its own

Cause: a caller that took nothing of an answer for longer than the idle time of the configuration was cut. That time is meant for connections without a request and may be shorter than a stall on a slow link.

--- a/src/httpserver.c
+++ b/src/httpserver.c
@@ -29,6 +29,11 @@
  * TCP flow control then stops the peer.
  */
 #define PIPELINED_BYTES_MAX 65536
+/*
+ * Longest time in which a peer takes nothing of an answer. No caller of the deployments waits longer
+ * than 10 s for one. The idle time does not apply: it may be shorter than a stall on a slow link.
+ */
+#define STALL_MAX_MS 10000
 
 struct http_request {
 	struct stream stream;
@@ -238,7 +243,7 @@
 	}
 }
 
-/* Closes a connection whose peer has taken nothing of an answer for as long as it may be idle. */
+/* Closes a connection whose peer has taken nothing of an answer for STALL_MAX_MS. */
 static void unsent_check(struct http_request *r, uint64_t now_ms)
 {
 	size_t unsent_bytes = stream_unsent_bytes(&r->stream);
@@ -246,7 +251,7 @@
 	if (unsent_bytes != r->unsent_bytes) {
 		r->unsent_bytes = unsent_bytes;
 		r->since_ms = now_ms;
-	} else if (now_ms - r->since_ms > r->server->limits.idle_ms) {
+	} else if (now_ms - r->since_ms > STALL_MAX_MS) {
 		connection_destroy(r);
 	}
 }
