Soak: tell all moves apart, and hold the ports of test runs

Change: each move has a service of its own, whose leaf starts six moves before; seeds draw the same faults as before. free_ports() locks files for blocks of ports until release_ports() or the end of the process.

--- a/fakes/routed_site.py
+++ b/fakes/routed_site.py
@@ -8,6 +8,7 @@
 import asyncio
 import base64
 import contextlib
+import fcntl
 import json
 import os
 import random
@@ -649,26 +650,61 @@
     return request_id, (int(message[0].split(" ")[1]), message[1], message[2])
 
 
+PORT_BLOCK = 64  # ports that one lock file stands for
+_port_locks = {}  # first port of a reservation: the open lock files of its blocks
+
+
+def _block_lock(first):
+    """Locks the block of ports that begins at first; an open file, or None if a process has it."""
+    lock = open(f"/tmp/apricot-ports-{first}", "w", encoding="utf-8")
+    try:
+        fcntl.flock(lock, fcntl.LOCK_EX | fcntl.LOCK_NB)
+    except OSError:
+        lock.close()
+        return None
+    return lock
+
+
+def _ports_are_free(first, count):
+    sockets = []
+    try:
+        for port in range(first, first + count):
+            probe = socket.socket()
+            sockets.append(probe)
+            probe.bind(("127.0.0.1", port))
+        return True
+    except OSError:
+        return False
+    finally:
+        for probe in sockets:
+            probe.close()
+
+
 def free_ports(count):
-    """First of count consecutive ports that are free now, below those of the system tests
-    (ports_reserve() of tests/process.cc, from 20000 on) and the system's ephemeral ports."""
-    for _ in range(200):
-        first = random.SystemRandom().randrange(5000, 20000 - count)
-        sockets = []
-        try:
-            for port in range(first, first + count):
-                probe = socket.socket()
-                sockets.append(probe)
-                probe.bind(("127.0.0.1", port))
+    """Reserves count consecutive ports until release_ports() or the end of the process; returns the first.
+
+    They lie below those of the system tests (ports_reserve() of tests/process.cc, from 20000 on) and the
+    system's ephemeral ports. A lock file keeps other test processes from them while nothing listens there.
+    """
+    n_blocks = -(-count // PORT_BLOCK)
+    starts = range(5056, 20000 - n_blocks * PORT_BLOCK, PORT_BLOCK)
+    for first in random.SystemRandom().sample(starts, len(starts)):
+        locks = [_block_lock(first + i * PORT_BLOCK) for i in range(n_blocks)]
+        if None not in locks and _ports_are_free(first, count):
+            _port_locks[first] = locks
             return first
-        except OSError:
-            continue
-        finally:
-            for probe in sockets:
-                probe.close()
+        for lock in locks:
+            if lock:
+                lock.close()
     raise RuntimeError(f"found no {count} consecutive free ports")
 
 
+def release_ports(first):
+    """Gives up the reservation that begins with this port."""
+    for lock in _port_locks.pop(first):
+        lock.close()
+
+
 async def wait_for(condition, seconds=5.0):
     """Polls condition, a plain or async function, until it holds; False after the given seconds."""
     deadline = time.monotonic() + seconds
--- a/soak/soak.py
+++ b/soak/soak.py
@@ -15,11 +15,14 @@
 import time
 
 sys.path.insert(0, os.path.join(os.path.dirname(__file__), "..", "fakes"))
-from routed_site import Daemon, FaultProxy, Site, call, free_ports, wait_for  # noqa: E402
+from routed_site import (Daemon, FaultProxy, Site, call, release_ports,
+                         free_ports, wait_for)  # noqa: E402
 
 BINARY = os.path.join(os.environ.get("B", "build"), "apricotd")
 SHARDS = 5
-ROTATED_SERVICES = 6  # each new configuration moves one route to the next of these services
+# Each new configuration moves one route to a service that no earlier one named, so that the service which ran
+# a request tells the configuration. Its leaf starts so many moves before: a storm makes six within 1.5 s.
+MOVES_AHEAD = 6
 SETTLE_S = 4.0  # a daemon is settled when neither it nor the store had a fault for this long
 DRAIN_S = 3.0  # this long after a leaf left, a settled daemon sends it no new work (drainMs)
 CONFIG_S = 3.0  # a settled daemon applies a new configuration within this time (configApplyMs)
@@ -67,7 +70,7 @@
         for shard in range(SHARDS):
             for dc in "ab":
                 await self.leaf_start(f"s{shard}", dc)
-        for i in range(ROTATED_SERVICES):
+        for i in range(MOVES_AHEAD):
             await self.leaf_start(f"m{i}", "ab"[i % 2])
         for dc in "ab":
             await self.leaf_start("loans", dc)
@@ -91,10 +94,12 @@
 
     def move(self):
         """Publishes a configuration that moves the route /move/ to the next service."""
-        self.moves.append(f"m{len(self.moves) % ROTATED_SERVICES}")
+        self.moves.append(f"m{len(self.moves)}")
         self.site.route_set("/move/", service=self.moves[-1])
         self.site.publish()
         self.move_at[len(self.moves) - 1] = time.monotonic()
+        ahead = len(self.moves) + MOVES_AHEAD - 1
+        self.tasks.append(asyncio.create_task(self.leaf_start(f"m{ahead}", "ab"[ahead % 2])))
 
     def is_settled(self, daemon, at):
         """Whether neither the daemon nor the store has had a fault since SETTLE_S before at."""
@@ -143,17 +148,13 @@
             self.version_check(daemon, incarnation, began, runs)
 
     def version_check(self, daemon, incarnation, began, runs):
-        """Checks that a daemon neither returns to an older configuration nor misses a new one.
-
-        newest is the index of the latest move to the service that ran the request: the latest
-        configuration that the daemon may have used.
-        """
-        newest = max(i for i, service in enumerate(self.moves) if service == runs[0][0])
+        """Checks that a daemon neither returns to an older configuration nor misses a new one."""
+        newest = self.moves.index(runs[0][0])
         key = (daemon.name, incarnation)
         seen, seen_at = self.newest_seen.get(key, (0, 0.0))
         if newest < seen and began > seen_at + 0.3:
             self.fail(f"{daemon.name} went back from move {seen} to {newest}")
-        if newest > seen and len(self.moves) - newest < ROTATED_SERVICES:
+        if newest > seen:
             self.newest_seen[key] = (newest, time.monotonic())
         overdue = [i for i, at in self.move_at.items() if began - at > CONFIG_S and i > newest]
         if overdue and self.is_settled(daemon, began):
@@ -260,11 +261,15 @@
     def draw(self):
         """Draws a fault: (name, function that returns its coroutine).
 
+        The leaves of the later moves are not drawn from, so that a seed draws the same faults as before
+        there were any.
+
         Returns None if the fault is one of a daemon that already has a fault. "hangup" and "move"
         act when their function is called; sleep(0) only provides the coroutine.
         """
         r, daemon = self.random, self.random.choice(self.daemons)
-        leaf = r.choice([x for x in self.site.leaves.values() if x.state == "ready"])
+        leaf = r.choice([x for x in self.site.leaves.values()
+                         if x.state == "ready" and not self.is_of_later_move(x)])
         for_s = r.uniform(0.3, 4)
         mode = r.choice(["reset", "silent", "cut_in", "cut_out"])
         faults = [
@@ -292,6 +297,10 @@
             name += " " + daemon.name
         return name, fault
 
+    @staticmethod
+    def is_of_later_move(leaf):
+        return leaf.service[0] == "m" and int(leaf.service[1:]) >= MOVES_AHEAD
+
     def has_fault(self, daemon):
         """Whether a fault of this daemon lasts."""
         return self.fault_at[daemon.name] > time.monotonic()
@@ -354,6 +363,7 @@
     except Exception as error:  # pylint: disable=broad-except
         soak.fail(f"error of the soak itself: {type(error).__name__} {error}")
         await soak.stop()
+    release_ports(soak.port)
     counts = " ".join(f"{k}={v}" for k, v in soak.counts.items())
     print(f"seed {seed}: {'FAILED' if soak.violations else 'ok'} {counts}"
           + (f" logs={soak.log_dir}" if soak.violations else ""), flush=True)
