Evacuate data centres at the operator's request

Change: feed recognises the key among all others, the module evacuation keeps the data centres, leafset never chooses a leaf there, and calls that were not sent go to other leaves.

--- a/src/adapter.h
+++ b/src/adapter.h
@@ -89,6 +89,8 @@
 	struct adapter_fields fields;
 	const char *routes_key; /* key of the routing configuration in the store */
 	const char *leaf_prefix; /* the key of a leaf is this prefix and its id */
+	/* the key of a request to evacuate a data centre is this prefix and its name */
+	const char *evacuation_prefix;
 	const char *entries_path; /* on which callers ask for the addresses of entry VMs */
 	const char *entries_dc_parameter; /* its query parameter with the caller's data centre */
 	const char *ready_path; /* of status checks */
--- a/src/explain.c
+++ b/src/explain.c
@@ -276,6 +276,45 @@
 	g_hash_table_destroy(limits);
 }
 
+/*
+ * Appends the evacuations in force on the request's VM when the line was written, however long
+ * before they began. A restart of the process forgets them; it logs them anew.
+ */
+static void evacuations_append(GString *out, const struct log_lines *s, const struct line *done)
+{
+	GHashTable *begun = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
+	GHashTableIter iter;
+	gpointer dc;
+	gpointer value;
+
+	for (guint i = 0; i < s->lines->len; i++) {
+		const struct line *line = g_ptr_array_index(s->lines, i);
+		g_autofree char *name = NULL;
+
+		if (line->at_ms > done->at_ms || g_strcmp0(line->vm, done->vm) != 0)
+			continue;
+		name = value_find(line->text, "dc");
+		if (g_strcmp0(line->event, "started") == 0)
+			g_hash_table_remove_all(begun);
+		else if (name && g_strcmp0(line->event, "evacuation_begun") == 0)
+			g_hash_table_replace(begun, g_steal_pointer(&name), (gpointer)line);
+		else if (name && g_strcmp0(line->event, "evacuation_ended") == 0)
+			g_hash_table_remove(begun, name);
+	}
+	g_hash_table_iter_init(&iter, begun);
+	while (g_hash_table_iter_next(&iter, &dc, &value)) {
+		const struct line *line = value;
+		g_autofree char *revision = value_find(line->text, "revision");
+
+		g_string_append_printf(out,
+				       "data centre %s was evacuated by revision %s, known to %s "
+				       "for %" G_GINT64_FORMAT " ms\n",
+				       (const char *)dc, revision ? revision : "?", done->vm,
+				       done->at_ms - line->at_ms);
+	}
+	g_hash_table_destroy(begun);
+}
+
 /* Appends one sentence on why the request ended as it did. */
 static void cause_append(GString *out, const struct line *line)
 {
@@ -331,9 +370,10 @@
 /* True for an earlier line of the same VM about a leaf that the request names, or about the VM. */
 static bool is_context(const struct line *line, const struct line *done)
 {
-	static const char *const general[] = {"store_lost",	"store_back", "store_reading",
-					      "pause_detected", "started",    "stop_announced",
-					      "config_applied"};
+	static const char *const general[] = {
+		"store_lost",	  "store_back",	      "store_reading",
+		"pause_detected", "started",	      "stop_announced",
+		"config_applied", "evacuation_begun", "evacuation_ended"};
 	g_autofree char *leaf = value_find(line->text, "leaf");
 
 	if (g_strcmp0(line->vm, done->vm) != 0 || line->at_ms > done->at_ms ||
@@ -417,8 +457,10 @@
 	*found = begun || end;
 	if (begun && !end)
 		unended_append(out, &s, begun);
-	if (end)
+	if (end) {
 		limits_append(out, &s, end);
+		evacuations_append(out, &s, end);
+	}
 	g_string_append(out, steps->str);
 	g_string_free(steps, TRUE);
 	if (*found)
--- a/src/feed.c
+++ b/src/feed.c
@@ -187,6 +187,20 @@
 	return g_str_has_prefix(item->key, f->adapter->leaf_prefix);
 }
 
+static bool is_evacuation(const struct feed *f, const char *key)
+{
+	return g_str_has_prefix(key, f->adapter->evacuation_prefix);
+}
+
+static void evacuation_send(struct feed *f, const char *key, bool is_begun, uint64_t revision)
+{
+	struct kernel *k = f->service.kernel;
+	const char *dc = key + strlen(f->adapter->evacuation_prefix);
+
+	kernel_message_send(k, kernel_service_find(k, "gateway"),
+			    &evacuation_changed_create(dc, is_begun, revision)->message);
+}
+
 static unsigned int removal_count(const struct feed *f, const GPtrArray *items)
 {
 	unsigned int n = 0;
@@ -200,8 +214,8 @@
 }
 
 /*
- * Adds to the updates the removals that are due now, and sends the updates to the gateway unless
- * there are none. Takes over the updates.
+ * Adds to the updates the removals of leaves that are due now, and sends the updates to the gateway
+ * unless there are none. Reports the evacuations whose end is due. Takes over the updates.
  */
 static void leaf_updates_send(struct feed *f, struct leaf_updates *updates)
 {
@@ -212,7 +226,10 @@
 	while ((key = registry_due_removal_take(f->registry, clock_now_ms(), &revision))) {
 		const char *id = key + strlen(f->adapter->leaf_prefix);
 
-		leaf_updates_add(updates, id, revision)->is_removed = true;
+		if (is_evacuation(f, key))
+			evacuation_send(f, key, false, revision);
+		else
+			leaf_updates_add(updates, id, revision)->is_removed = true;
 		g_free(key);
 	}
 	if (updates->items->len > 0)
@@ -229,19 +246,22 @@
 	for (guint i = 0; i < answer->items->len; i++) {
 		const struct store_item *item = g_ptr_array_index(answer->items, i);
 		bool is_routes = strcmp(item->key, f->adapter->routes_key) == 0;
+		bool evacuates = is_evacuation(f, item->key);
 
-		if (!is_routes && !is_leaf(f, item))
+		if (!is_routes && !evacuates && !is_leaf(f, item))
 			continue;
 		if (!item->value) {
 			if (!is_routes)
 				registry_remove(f->registry, item->key, item->revision,
-						holds_removals, item->read_ms);
+						holds_removals && !evacuates, item->read_ms);
 			continue;
 		}
 		if (!registry_put(f->registry, item->key, item->revision))
 			continue;
 		if (is_routes)
 			routes_apply(f, item);
+		else if (evacuates) /* whatever the value is */
+			evacuation_send(f, item->key, true, item->revision);
 		else
 			leaf_apply(f, updates, item);
 	}
--- a/src/gateway.c
+++ b/src/gateway.c
@@ -1,6 +1,7 @@
 #include "gateway.h"
 
 #include "clock.h"
+#include "evacuation.h"
 #include "job.h"
 #include "log.h"
 #include "message.h"
@@ -22,6 +23,7 @@
 	struct job_env env;
 	struct http_server *server;
 	struct routemap *map; /* NULL before the first configuration */
+	struct evacuations *evacuations;
 	char **leaf_dcs; /* data centres as last sent to the directory; NULL: not sent yet */
 	uint64_t inputs_refused; /* inputs that were not a valid request */
 	uint64_t requests_not_ready; /* requests that came before the first configuration */
@@ -142,6 +144,8 @@
 				  item->id, leaf->service, leaf->address,
 				  leaf_state_name(leaf->state), item->revision);
 	}
+	if (leaf)
+		leaf->is_evacuated = evacuations_cover(g->evacuations, leaf->dc);
 	if (old && old->state != LEAF_READY)
 		upstream_leaf_retire(g->env.upstream, old);
 	leaf_put(old);
@@ -172,6 +176,41 @@
 	leaf_dcs_send(g);
 }
 
+static void evacuation_begin(struct gateway *g, const struct evacuation_changed *changed)
+{
+	enum evacuation_change change =
+		evacuations_begin(g->evacuations, changed->dc, changed->revision, clock_now_ms());
+	GPtrArray *leaves;
+
+	if (change == EVACUATION_REFUSED)
+		log_event(LOG_LEVEL_WARNING, "evacuation_refused",
+			  "key_bytes=%zu revision=%" G_GUINT64_FORMAT " known=%u",
+			  strlen(changed->dc), changed->revision,
+			  evacuations_count(g->evacuations));
+	if (change != EVACUATION_BEGUN)
+		return;
+	leaves = leafset_evacuate(g->env.leaves, changed->dc, true);
+	log_event(LOG_LEVEL_INFO, "evacuation_begun",
+		  "dc=%s revision=%" G_GUINT64_FORMAT " leaves=%u", changed->dc, changed->revision,
+		  leaves->len);
+	/* Their calls that were not sent yet go on to other leaves, so all flags are set by now. */
+	for (guint i = 0; i < leaves->len; i++)
+		upstream_leaf_retire(g->env.upstream, g_ptr_array_index(leaves, i));
+	g_ptr_array_free(leaves, TRUE);
+}
+
+static void evacuation_end(struct gateway *g, const struct evacuation_changed *changed)
+{
+	struct evacuation ended;
+
+	if (evacuations_end(g->evacuations, changed->dc, &ended) != EVACUATION_ENDED)
+		return;
+	g_ptr_array_free(leafset_evacuate(g->env.leaves, changed->dc, false), TRUE);
+	log_event(LOG_LEVEL_INFO, "evacuation_ended",
+		  "dc=%s revision=%" G_GUINT64_FORMAT " after_ms=%" G_GUINT64_FORMAT, changed->dc,
+		  changed->revision, clock_now_ms() - ended.since_ms);
+}
+
 /*
  * Only the chosen entry VMs call leaves, so the leaves' connection caps and the repeat budget are
  * divided among them.
@@ -230,6 +269,44 @@
 		leaf->id, leaf->service, leaf->ratecap.rate_per_s);
 }
 
+static void evacuated_count(const struct leaf *leaf, void *arg)
+{
+	*(unsigned int *)arg += leaf->is_evacuated;
+}
+
+static void evacuation_metrics_append(const struct gateway *g, GString *out)
+{
+	uint64_t now_ms = clock_now_ms();
+	unsigned int n_leaves = 0;
+
+	leafset_each(g->env.leaves, evacuated_count, &n_leaves);
+	g_string_append_printf(out,
+			       "apricot_evacuated_leaves %u\n"
+			       "apricot_evacuations_refused_total %" G_GUINT64_FORMAT "\n",
+			       n_leaves, evacuations_refused(g->evacuations));
+	for (unsigned int i = 0; i < evacuations_count(g->evacuations); i++) {
+		const struct evacuation *e = evacuations_get(g->evacuations, i);
+
+		g_string_append_printf(
+			out, "apricot_evacuation_age_ms{dc=\"%s\"} %" G_GUINT64_FORMAT "\n", e->dc,
+			now_ms - e->since_ms);
+	}
+}
+
+static json_t *evacuations_status(const struct gateway *g)
+{
+	json_t *list = json_array();
+
+	for (unsigned int i = 0; i < evacuations_count(g->evacuations); i++) {
+		const struct evacuation *e = evacuations_get(g->evacuations, i);
+
+		json_array_append_new(list, json_pack("{s:s, s:I, s:I}", "dc", e->dc, "revision",
+						      (json_int_t)e->revision, "age_ms",
+						      (json_int_t)(clock_now_ms() - e->since_ms)));
+	}
+	return list;
+}
+
 static uint64_t map_age_ms(const struct routemap *map)
 {
 	return map ? clock_now_ms() - map->applied_ms : 0;
@@ -248,6 +325,7 @@
 	while (g_hash_table_iter_next(&iter, &key, &stats))
 		route_metrics_append(out, key, stats);
 	leafset_each(g->env.leaves, leaf_limit_append, out);
+	evacuation_metrics_append(g, out);
 	g_string_append_printf(out,
 			       "apricot_config_version %" G_GUINT64_FORMAT "\n"
 			       "apricot_config_age_ms %" G_GUINT64_FORMAT "\n"
@@ -289,10 +367,11 @@
 	g_hash_table_iter_init(&iter, g->env.stats);
 	while (g_hash_table_iter_next(&iter, &key, &stats))
 		route_stats_add(routes, key, stats);
-	body = json_pack("{s:{s:I, s:i, s:i, s:i, s:o}}", "gateway", "version",
+	body = json_pack("{s:{s:I, s:i, s:i, s:i, s:o, s:o}}", "gateway", "version",
 			 (json_int_t)(g->map ? g->map->version : 0), "requests",
 			 (int)http_server_busy_count(g->server), "jobs", (int)g->env.n_jobs,
-			 "leaves", (int)leafset_count(g->env.leaves), "routes", routes);
+			 "leaves", (int)leafset_count(g->env.leaves), "evacuations",
+			 evacuations_status(g), "routes", routes);
 	reply = status_reply_create(request->tag, body);
 	kernel_message_send(g->service.kernel, request->reply_to, &reply->message);
 }
@@ -316,6 +395,12 @@
 	case MESSAGE_LEAF_UPDATES:
 		leaf_updates_apply(g, (struct leaf_updates *)m);
 		break;
+	case MESSAGE_EVACUATION_CHANGED:
+		if (((struct evacuation_changed *)m)->is_begun)
+			evacuation_begin(g, (struct evacuation_changed *)m);
+		else
+			evacuation_end(g, (struct evacuation_changed *)m);
+		break;
 	case MESSAGE_ENTRIES_CHOSEN:
 		entries_apply(g, (struct entries_chosen *)m);
 		break;
@@ -348,6 +433,7 @@
 	http_server_destroy(g->server);
 	upstream_destroy(g->env.upstream);
 	leafset_destroy(g->env.leaves);
+	evacuations_destroy(g->evacuations);
 	repeats_destroy(g->env.repeats);
 	splits_destroy(g->env.splits);
 	g_hash_table_destroy(g->env.stats);
@@ -376,6 +462,7 @@
 	g->stop_limit_ms = MAX(settings->stop_limit_ms, ANSWER_WRITE_MS);
 	g->env.adapter = adapter;
 	g->env.leaves = leafset_create(settings->dc);
+	g->evacuations = evacuations_create();
 	g->env.upstream = upstream_create(kernel_base(k));
 	g->env.repeats = repeats_create(&settings->repeats, clock_now_us());
 	vmshare_init(&g->env.vmshare, clock_now_us());
--- a/src/httpserver.c
+++ b/src/httpserver.c
@@ -30,8 +30,9 @@
  */
 #define PIPELINED_BYTES_MAX 65536
 /*
- * Longest time in which a peer takes nothing of an answer. No caller of the deployments waits longer
- * than 10 s for one. The idle time does not apply: it may be shorter than a stall on a slow link.
+ * Longest time in which a peer takes nothing of an answer. No caller of the deployments waits
+ * longer than 10 s for one. The idle time does not apply: it may be shorter than a stall on a slow
+ * link.
  */
 #define STALL_MAX_MS 10000
 
--- a/src/leafset.c
+++ b/src/leafset.c
@@ -198,6 +198,24 @@
 		visit(value, arg);
 }
 
+GPtrArray *leafset_evacuate(struct leafset *s, const char *dc, bool is_evacuated)
+{
+	GPtrArray *leaves = g_ptr_array_new();
+	GHashTableIter iter;
+	gpointer value;
+
+	g_hash_table_iter_init(&iter, s->ids);
+	while (g_hash_table_iter_next(&iter, NULL, &value)) {
+		struct leaf *l = value;
+
+		if (strcmp(l->dc, dc) != 0)
+			continue;
+		l->is_evacuated = is_evacuated;
+		g_ptr_array_add(leaves, l);
+	}
+	return leaves;
+}
+
 static gint name_compare(gconstpointer a, gconstpointer b)
 {
 	return strcmp(*(const char *const *)a, *(const char *const *)b);
@@ -291,7 +309,7 @@
 /* True when calls may be sent to the leaf, now or after a pause. */
 static bool leaf_is_in_service(const struct leaf *l)
 {
-	return l->state == LEAF_READY && !l->is_address_taken && !l->is_leaving;
+	return l->state == LEAF_READY && !l->is_address_taken && !l->is_leaving && !l->is_evacuated;
 }
 
 bool leaf_is_usable(const struct leaf *l, uint64_t now_us)
--- a/src/leafset.h
+++ b/src/leafset.h
@@ -91,6 +91,7 @@
 
 	struct ratecap ratecap;
 	bool is_leaving; /* as it says itself; its entry may still say ready */
+	bool is_evacuated; /* the operator wants no call to the leaves of its data centre */
 	uint64_t paused_until_us; /* it wants no calls before */
 	unsigned int outstanding; /* calls that have not ended */
 	unsigned int waiting; /* of these, calls that were not sent yet */
@@ -143,6 +144,12 @@
  */
 char **leafset_major_dcs(const struct leafset *s);
 
+/*
+ * Sets is_evacuated of all leaves in the data centre. Returns these leaves (borrowed) in an array
+ * that the caller frees. is_evacuated of leaves that are added later is set by the caller.
+ */
+GPtrArray *leafset_evacuate(struct leafset *s, const char *dc, bool is_evacuated);
+
 /* leaf_get() takes a reference and leaf_put() drops one; leaf_put() accepts NULL. */
 struct leaf *leaf_get(struct leaf *l);
 void leaf_put(struct leaf *l);
--- a/src/logevent.h
+++ b/src/logevent.h
@@ -26,6 +26,9 @@
 	X("input_refused", "bytes from a caller were no valid request; the status sent")          \
 	X("config_applied", "a configuration version is in force, and the one before")            \
 	X("config_refused", "a configuration cannot be read; the one before stays in force")      \
+	X("evacuation_begun", "the operator wants no call to the leaves of a data centre")        \
+	X("evacuation_ended", "calls to the leaves of a data centre are allowed again")           \
+	X("evacuation_refused", "a request to evacuate has no usable name or is one too many")    \
 	X("leaf_changed", "a leaf is new, has restarted, or changed its state")                   \
 	X("leaf_limited", "a leaf names a limit of calls per second; this VM's part of it")       \
 	X("leaf_unlimited", "a leaf no longer names a limit")                                     \
--- a/src/message.c
+++ b/src/message.c
@@ -379,6 +379,27 @@
 	return update;
 }
 
+static void evacuation_changed_destroy(struct message *m)
+{
+	struct evacuation_changed *changed = (struct evacuation_changed *)m;
+
+	g_free(changed->dc);
+	g_free(changed);
+}
+
+struct evacuation_changed *evacuation_changed_create(const char *dc, bool is_begun,
+						     uint64_t revision)
+{
+	struct evacuation_changed *changed = g_new0(struct evacuation_changed, 1);
+
+	changed->message.kind = MESSAGE_EVACUATION_CHANGED;
+	changed->message.destroy = evacuation_changed_destroy;
+	changed->dc = g_strdup(dc);
+	changed->is_begun = is_begun;
+	changed->revision = revision;
+	return changed;
+}
+
 struct store_reading *store_reading_create(bool is_wanted)
 {
 	struct store_reading *reading = g_new0(struct store_reading, 1);
--- a/src/message.h
+++ b/src/message.h
@@ -43,6 +43,7 @@
 	MESSAGE_STORE_UPDATE,
 	MESSAGE_STORE_READING,
 	MESSAGE_SETTINGS_READ,
+	MESSAGE_EVACUATION_CHANGED,
 };
 
 /* A search or command of a caller. Its syntax was checked, but not against the manifest. */
@@ -186,6 +187,14 @@
 	bool is_wanted;
 };
 
+/* The operator asks to evacuate a data centre, or has withdrawn that. */
+struct evacuation_changed {
+	struct message message;
+	char *dc;
+	bool is_begun;
+	uint64_t revision; /* of the store at this change */
+};
+
 /* The settings were read again. Holds those that can change while the process runs. */
 struct settings_read {
 	struct message message;
@@ -220,6 +229,8 @@
 struct store_update *store_update_create(struct store_answer *answer, bool is_listing);
 
 struct store_reading *store_reading_create(bool is_wanted);
+struct evacuation_changed *evacuation_changed_create(const char *dc, bool is_begun,
+						     uint64_t revision);
 /* Copies what it needs from the settings. */
 struct settings_read *settings_read_create(const struct settings *settings);
 /* Takes a reference to the map. */
--- a/tests/explain_test.cc
+++ b/tests/explain_test.cc
@@ -86,6 +86,29 @@
 	EXPECT_NE(out.find("this VM was about to end its planned stop"), std::string::npos) << out;
 }
 
+/* Guards against an evacuation that is not named, or that is named after its end. */
+TEST(explain, evacuations_are_named)
+{
+	bool found;
+	std::string text =
+		"2026-12-04T11:58:00.000Z level=info vm=n1 event=evacuation_begun dc=a revision=7 "
+		"leaves=90\n"
+		"2026-12-04T11:58:01.000Z level=info vm=n1 event=evacuation_begun dc=b revision=8 "
+		"leaves=90\n"
+		"2026-12-04T11:58:02.000Z level=info vm=n1 event=evacuation_ended dc=a revision=9 "
+		"after_ms=2000\n"
+		"2026-12-04T12:00:02.000Z level=warning vm=n1 event=request_done request=ab12 "
+		"outcome=refused status=503 route=r version=4 version_age_ms=5300 in=0 of=1 "
+		"wait_ms=1500 took_us=100 trace=\"+0 missing s3 - no leaf;\"\n";
+	std::string out = explain("ab12", text, &found);
+
+	EXPECT_NE(out.find("data centre b was evacuated by revision 8, known to n1 for 121000 "
+			   "ms\n"),
+		  std::string::npos)
+		<< out;
+	EXPECT_EQ(out.find("data centre a was evacuated"), std::string::npos) << out;
+}
+
 /* Guards against a request without an explanation because its VM lost power. */
 TEST(explain, vm_was_lost)
 {
--- a/tests/leafset_test.cc
+++ b/tests/leafset_test.cc
@@ -65,6 +65,20 @@
 
 			return std::string(l ? l->id : "none") + "\n";
 		}
+		if (w[0] == "evacuate" || w[0] == "restore") { /* evacuate|restore DC */
+			GPtrArray *leaves = leafset_evacuate(s, w[1].c_str(), w[0] == "evacuate");
+			std::string n = std::to_string(leaves->len);
+
+			g_ptr_array_free(leaves, TRUE);
+			return n + " leaves\n";
+		}
+		if (w[0] == "major") {
+			char **dcs = leafset_major_dcs(s);
+			g_autofree char *text = g_strjoinv(" ", dcs);
+
+			g_strfreev(dcs);
+			return std::string(text) + "\n";
+		}
 		if (w[0] == "start") { /* start ID: a call that stays open */
 			struct leaf *l = leaf_get(leafset_find(s, w[1].c_str()));
 
