Decode what leaves say of load and warm-up, and the features asked for

Cause: leaves of the changed Porto deployment name their load and their warm-up in answers, services name how many calls a cold leaf takes, and a deployment asks for ranks in its list of terms; none of it was read. Change: the adapter fills leaf_signals, routemap_service and a set of features. Contradictory and malformed loads are marked as such. Nothing uses the values yet.

--- a/src/adapter.h
+++ b/src/adapter.h
@@ -48,6 +48,11 @@
 	const char *not_run; /* in an answer: the leaf has not run the request and will not */
 };
 
+/* What a deployment can ask for. */
+enum feature {
+	FEATURE_RANKS = 1, /* when leaves are short of room, requests are served by priority */
+};
+
 struct adapter;
 
 struct adapter_ops {
@@ -80,6 +85,11 @@
 	/* Fills out with what a leaf says of itself in the head of an answer. */
 	void (*leaf_signals_parse)(const struct adapter *adapter, const struct http_reader *answer,
 				   struct leaf_signals *out);
+	/*
+	 * The features that a deployment's list of terms asks for, as enum feature values combined.
+	 * Terms are separated by commas; unknown ones are ignored.
+	 */
+	unsigned int (*features_parse)(const struct adapter *adapter, const char *terms);
 	/* Body of the answer that tells callers which addresses to use, and how long. */
 	char *(*entries_render)(const struct adapter *adapter, GPtrArray *addresses, double ttl_s);
 };
--- a/src/leafset.h
+++ b/src/leafset.h
@@ -62,12 +62,25 @@
 	uint64_t process_start_ms; /* start of the process, wall clock; 0: unknown */
 };
 
+/* What a leaf says of its load. Other callers' requests are included. */
+struct leaf_load {
+	unsigned int n_running;
+	unsigned int n_waiting;
+	unsigned int slots; /* at least 1 */
+	unsigned int work_pct; /* how long work takes on its machine now; 100: as usual */
+};
+
 /* What a leaf says of itself in an answer. */
 struct leaf_signals {
 	bool has_limit; /* it takes limit_per_s calls per second, of all VMs together */
 	double limit_per_s;
 	bool is_leaving; /* it drains and ends soon */
 	double pause_s; /* it refuses calls and wants none of this VM for so long; 0: none */
+	bool has_warmup; /* it names warmup_ms */
+	unsigned int warmup_ms; /* how long it stays cold; 0: it is warm */
+	bool has_load;
+	struct leaf_load load; /* valid if has_load */
+	bool is_load_malformed; /* it names a load that cannot be used */
 };
 
 /* What leaf_signals_apply() has changed; may be combined. */
--- a/src/routemap.c
+++ b/src/routemap.c
@@ -98,8 +98,8 @@
 	g_ptr_array_add(r->shards, g_strdup(service));
 }
 
-void routemap_service_add(struct routemap *m, const char *name, const char *check_path,
-			  unsigned int max_connections)
+struct routemap_service *routemap_service_add(struct routemap *m, const char *name,
+					      const char *check_path, unsigned int max_connections)
 {
 	struct routemap_service *s = g_new0(struct routemap_service, 1);
 
@@ -107,6 +107,7 @@
 	s->check_path = g_strdup(check_path);
 	s->max_connections = max_connections;
 	g_hash_table_replace(m->services, s->name, s);
+	return s;
 }
 
 /* Returns what is wrong with the route, to follow its name in a message, or NULL. */
--- a/src/routemap.h
+++ b/src/routemap.h
@@ -38,6 +38,8 @@
 	char *name;
 	char *check_path; /* path of health checks */
 	unsigned int max_connections; /* to one leaf, from all VMs together */
+	unsigned int warmup_ms; /* how long a leaf stays cold after its start */
+	double warmup_calls_per_s; /* that a cold leaf takes, from all VMs together; 0: no limit */
 };
 
 /* Limits of one caller connection. */
@@ -66,8 +68,9 @@
 struct route *routemap_route_add(struct routemap *m);
 void route_target_add(struct route *r, const char *service, double weight);
 void route_shard_add(struct route *r, const char *service);
-void routemap_service_add(struct routemap *m, const char *name, const char *check_path,
-			  unsigned int max_connections);
+/* The result is borrowed; its fields may be set until routemap_publish. */
+struct routemap_service *routemap_service_add(struct routemap *m, const char *name,
+					      const char *check_path, unsigned int max_connections);
 
 /*
  * Validates the routes and indexes them by host. Returns false with RESULT_BAD_MANIFEST and a
--- a/tests/adapter_test.cc
+++ b/tests/adapter_test.cc
@@ -166,6 +166,72 @@
 			<< text;
 }
 
+/* Guards against a load that is read from a field that contradicts itself or holds no counts. */
+TEST(adapter, load_is_three_or_four_counts)
+{
+	struct leaf_signals s = signals_of("X-Server-Load: 3,0,8\r\n");
+
+	EXPECT_TRUE(s.has_load);
+	EXPECT_EQ(s.load.n_running, 3u);
+	EXPECT_EQ(s.load.slots, 8u);
+	EXPECT_EQ(s.load.work_pct, 100u);
+	s = signals_of("x-server-load: 3, 1, 8, 250\r\n");
+	EXPECT_TRUE(s.has_load);
+	EXPECT_EQ(s.load.n_waiting, 1u);
+	EXPECT_EQ(s.load.work_pct, 250u);
+	EXPECT_FALSE(signals_of("").is_load_malformed);
+	for (const char *text :
+	     {"", "3,0", "3,0,8,100,1", "-1,0,8", "3,x,8", "9,0,8", "3,0,0", "3,0,8,0", "3,0,8,-5",
+	      "3.5,0,8", "1,99999999999999999999,8", "+1,0,8", "3,,8"}) {
+		s = signals_of(std::string("X-Server-Load: ") + text + "\r\n");
+		EXPECT_FALSE(s.has_load) << text;
+		EXPECT_TRUE(s.is_load_malformed) << text;
+	}
+}
+
+/* Guards against a leaf that counts as warm or cold by a field that holds no time. */
+TEST(adapter, warmup_is_a_time)
+{
+	EXPECT_EQ(signals_of("X-Warmup-Remaining-Ms: 1200\r\n").warmup_ms, 1200u);
+	EXPECT_TRUE(signals_of("X-Warmup-Remaining-Ms: 0\r\n").has_warmup);
+	for (const char *text : {"", "soon", "-1", "99999999999"})
+		EXPECT_FALSE(signals_of(std::string("X-Warmup-Remaining-Ms: ") + text + "\r\n")
+				     .has_warmup)
+			<< text;
+}
+
+/* Guards against warm-up limits of services that are missed, or that hold without being named. */
+TEST(adapter, services_have_warmup_limits)
+{
+	const struct adapter *adapter = adapter_platform();
+	const std::string text =
+		R"({"version":1,"routes":[],"services":[)"
+		R"({"name":"a","maxConnections":9,"warmupS":2.5,"warmupPerS":10.5},)"
+		R"({"name":"b","maxConnections":9},)"
+		R"({"name":"c","warmupS":"x","warmupPerS":-3}]})";
+	GError *error = nullptr;
+	struct routemap *m = adapter->ops->routes_parse(adapter, text.data(), text.size(), &error);
+
+	ASSERT_NE(m, nullptr) << error->message;
+	EXPECT_EQ(routemap_service_find(m, "a")->warmup_ms, 2500u);
+	EXPECT_DOUBLE_EQ(routemap_service_find(m, "a")->warmup_calls_per_s, 10.5);
+	EXPECT_EQ(routemap_service_find(m, "b")->warmup_calls_per_s, 0);
+	EXPECT_EQ(routemap_service_find(m, "c")->warmup_ms, 0u);
+	EXPECT_EQ(routemap_service_find(m, "c")->warmup_calls_per_s, 0);
+	routemap_put(m);
+}
+
+/* Guards against ranks on a deployment that does not ask for them. */
+TEST(adapter, features_are_asked_for)
+{
+	const struct adapter *adapter = adapter_platform();
+
+	EXPECT_EQ(adapter->ops->features_parse(adapter, "base,pressure,scatter"),
+		  (unsigned int)FEATURE_RANKS);
+	EXPECT_EQ(adapter->ops->features_parse(adapter, "base,pressures,scatter"), 0u);
+	EXPECT_EQ(adapter->ops->features_parse(adapter, ""), 0u);
+}
+
 /* Guards against a leaf that is taken out of use by a field that says the contrary. */
 TEST(adapter, leaving_is_said_by_one)
 {
