Limit the calls to cold leaves to what their service names

Cause: a service can name how many calls a cold leaf takes from all VMs together; well above it the leaf crashes. Change: warmup keeps the cold leaves, each with a ratecap of this VM's share; it ends with the warm-up. After an evacuation leaves count as cold until their entries say otherwise. Services without a rate are served as before.

--- a/fakes/routed_site.py
+++ b/fakes/routed_site.py
@@ -295,13 +295,15 @@
         self.fields, self.arrival_times = {}, []
         self.endless = 0  # responses without end that are being sent
         self.copies, self.cut, self.slots = None, None, None
+        self.warmup_ms = 0  # remaining warm-up, as the entry says
         self.payload = None  # body of each response; None: as Site.make_payload draws it
 
     def entry(self):
         """The leaf's entry in the store, as JSON."""
         return json.dumps({"service": self.service, "address": self.address, "zone": self.dc,
                            "version": "v1", "capacity": 2, "state": self.state,
-                           "warmupRemainingMs": 0, "sequence": 1, "born": self.born_ms}).encode()
+                           "warmupRemainingMs": self.warmup_ms, "sequence": 1,
+                           "born": self.born_ms}).encode()
 
     def has_fault(self, mode):
         """Whether the fault mode is set and applies to the current request."""
@@ -515,6 +517,7 @@
         self.store, self.leaves, self.routes, self.version = Store(), {}, [], 0
         self.drain_s, self.runs_by_request, self.signed_payloads, self.shard_sets = 3.0, {}, {}, []
         self.faults, self.idle_ms = [], 5000
+        self.service_fields = {}  # further fields of each service of the configuration
 
     async def start(self):
         await self.store.start()
@@ -558,7 +561,8 @@
                 self.shard_sets.append(set(route["gather"]))
         config = {"version": self.version, "routes": self.routes,
                   "services": [{"name": n, "healthCheckPath": "/health", "maxConnections": 40,
-                                "protocol": "h1", "tls": False} for n in sorted(services)],
+                                "protocol": "h1", "tls": False, **self.service_fields}
+                               for n in sorted(services)],
                   "limits": {"maxHeaderBytes": 4096, "maxBodyBytes": 20000,
                              "headerTimeoutMs": 800, "idleTimeoutMs": self.idle_ms}}
         self.store.put("op/config", json.dumps(config).encode())
--- a/src/gateway.c
+++ b/src/gateway.c
@@ -6,6 +6,7 @@
 #include "log.h"
 #include "message.h"
 #include "retryafter.h"
+#include "warmup.h"
 
 #include <string.h>
 
@@ -15,6 +16,9 @@
  */
 #define REPLACED_VMS_MAX 2
 
+/* Period in which the limits of cold leaves are adjusted to this VM's share, and ended. */
+#define WARMUP_TICK_MS 100
+
 /* In a planned stop, requests are answered at least this long before the process ends. */
 #define ANSWER_WRITE_MS 100
 
@@ -24,6 +28,7 @@
 	struct http_server *server;
 	struct routemap *map; /* NULL before the first configuration */
 	struct evacuations *evacuations;
+	struct event *warmup_tick;
 	char **leaf_dcs; /* data centres as last sent to the directory; NULL: not sent yet */
 	uint64_t inputs_refused; /* inputs that were not a valid request */
 	uint64_t requests_not_ready; /* requests that came before the first configuration */
@@ -106,6 +111,50 @@
 	};
 }
 
+static void warmup_changed(void *arg, const struct leaf *leaf, bool is_cold)
+{
+	if (is_cold)
+		log_event(LOG_LEVEL_INFO, "leaf_cold",
+			  "leaf=%s service=%s for_ms=%" G_GUINT64_FORMAT
+			  " limit_per_s=%g own_per_s=%g",
+			  leaf->id, leaf->service,
+			  (leaf->warmup_until_us - clock_now_us()) / CLOCK_US_PER_MS,
+			  leaf->warmup_calls_per_s, leaf->warmup_cap.rate_per_s);
+	else
+		log_event(LOG_LEVEL_INFO, "leaf_warm", "leaf=%s service=%s", leaf->id,
+			  leaf->service);
+}
+
+static const struct warmup_ops warmup_ops = {.changed = warmup_changed};
+
+static void warmup_tick_handle(evutil_socket_t fd, short what, void *arg)
+{
+	struct gateway *g = arg;
+	uint64_t now_us = clock_now_us();
+
+	warmups_advance(g->env.warmups, vmshare_get(&g->env.vmshare, now_us), g->env.rand, now_us);
+}
+
+/* Takes the leaf's limit while it is cold from its service, and applies it if the leaf is cold. */
+static void leaf_warmup_apply(struct gateway *g, struct leaf *leaf, uint64_t now_us)
+{
+	const struct routemap_service *service =
+		g->map ? routemap_service_find(g->map, leaf->service) : NULL;
+
+	leaf->warmup_calls_per_s = service ? service->warmup_calls_per_s : 0;
+	warmups_note(g->env.warmups, leaf, vmshare_get(&g->env.vmshare, now_us), g->env.rand,
+		     now_us);
+}
+
+static void leaves_warmup_apply(struct gateway *g, uint64_t now_us)
+{
+	GPtrArray *leaves = leafset_list(g->env.leaves, NULL);
+
+	for (guint i = 0; i < leaves->len; i++)
+		leaf_warmup_apply(g, g_ptr_array_index(leaves, i), now_us);
+	g_ptr_array_free(leaves, TRUE);
+}
+
 static void map_apply(struct gateway *g, struct routemap *map)
 {
 	struct http_server_limits limits = server_limits(&map->limits);
@@ -120,6 +169,7 @@
 	g->map = routemap_get(map);
 	g->map->applied_ms = clock_now_ms();
 	http_server_limits_set(g->server, &limits);
+	leaves_warmup_apply(g, clock_now_us());
 }
 
 static void leaf_apply(struct gateway *g, const struct leaf_updates_item *item, uint64_t now_us)
@@ -144,8 +194,10 @@
 				  item->id, leaf->service, leaf->address,
 				  leaf_state_name(leaf->state), item->revision);
 	}
-	if (leaf)
+	if (leaf) {
 		leaf->is_evacuated = evacuations_cover(g->evacuations, leaf->dc);
+		leaf_warmup_apply(g, leaf, now_us);
+	}
 	if (old && old->state != LEAF_READY)
 		upstream_leaf_retire(g->env.upstream, old);
 	leaf_put(old);
@@ -189,7 +241,9 @@
 			  evacuations_count(g->evacuations));
 	if (change != EVACUATION_BEGUN)
 		return;
-	leaves = leafset_evacuate(g->env.leaves, changed->dc, true);
+	leaves = leafset_list(g->env.leaves, changed->dc);
+	for (guint i = 0; i < leaves->len; i++)
+		((struct leaf *)g_ptr_array_index(leaves, i))->is_evacuated = true;
 	log_event(LOG_LEVEL_INFO, "evacuation_begun",
 		  "dc=%s revision=%" G_GUINT64_FORMAT " leaves=%u", changed->dc, changed->revision,
 		  leaves->len);
@@ -199,13 +253,35 @@
 	g_ptr_array_free(leaves, TRUE);
 }
 
+/*
+ * The leaf is used again. It may have become cold without a call that told so, and its entry lags:
+ * until the entry changes, it counts as cold for the time that its service names.
+ */
+static void evacuated_leaf_restore(struct gateway *g, struct leaf *leaf, uint64_t now_us)
+{
+	const struct routemap_service *service =
+		g->map ? routemap_service_find(g->map, leaf->service) : NULL;
+
+	leaf->is_evacuated = false;
+	if (!service || service->warmup_calls_per_s <= 0)
+		return;
+	if (leaf->warmup_until_us < now_us + service->warmup_ms * CLOCK_US_PER_MS)
+		leaf_warmup_set(leaf, service->warmup_ms, now_us);
+	leaf_warmup_apply(g, leaf, now_us);
+}
+
 static void evacuation_end(struct gateway *g, const struct evacuation_changed *changed)
 {
+	uint64_t now_us = clock_now_us();
 	struct evacuation ended;
+	GPtrArray *leaves;
 
 	if (evacuations_end(g->evacuations, changed->dc, &ended) != EVACUATION_ENDED)
 		return;
-	g_ptr_array_free(leafset_evacuate(g->env.leaves, changed->dc, false), TRUE);
+	leaves = leafset_list(g->env.leaves, changed->dc);
+	for (guint i = 0; i < leaves->len; i++)
+		evacuated_leaf_restore(g, g_ptr_array_index(leaves, i), now_us);
+	g_ptr_array_free(leaves, TRUE);
 	log_event(LOG_LEVEL_INFO, "evacuation_ended",
 		  "dc=%s revision=%" G_GUINT64_FORMAT " after_ms=%" G_GUINT64_FORMAT, changed->dc,
 		  changed->revision, clock_now_ms() - ended.since_ms);
@@ -334,6 +410,8 @@
 			       "apricot_leaf_connects_total %" G_GUINT64_FORMAT "\n"
 			       "apricot_leaf_connect_failures_total %" G_GUINT64_FORMAT "\n"
 			       "apricot_leaf_stray_bytes_total %" G_GUINT64_FORMAT "\n"
+			       "apricot_cold_leaves %u\n"
+			       "apricot_cold_waits_total %" G_GUINT64_FORMAT "\n"
 			       "apricot_not_ready_total %" G_GUINT64_FORMAT "\n"
 			       "apricot_overload_refused_total %" G_GUINT64_FORMAT "\n"
 			       "apricot_input_refused_total %" G_GUINT64_FORMAT "\n"
@@ -341,8 +419,8 @@
 			       g->map ? g->map->version : 0, map_age_ms(g->map), g->env.n_jobs,
 			       leafset_count(g->env.leaves), up->connections, up->queued,
 			       up->connects, up->connect_failures, up->stray_closes,
-			       g->requests_not_ready, g->env.gate.n_refused, g->inputs_refused,
-			       log_dropped());
+			       warmups_count(g->env.warmups), up->cold_waits, g->requests_not_ready,
+			       g->env.gate.n_refused, g->inputs_refused, log_dropped());
 	return g_string_free(out, FALSE);
 }
 
@@ -432,6 +510,9 @@
 	job_end_all(&g->env);
 	http_server_destroy(g->server);
 	upstream_destroy(g->env.upstream);
+	if (g->warmup_tick)
+		event_free(g->warmup_tick);
+	warmups_destroy(g->env.warmups);
 	leafset_destroy(g->env.leaves);
 	evacuations_destroy(g->evacuations);
 	repeats_destroy(g->env.repeats);
@@ -445,6 +526,7 @@
 struct service *gateway_create(struct kernel *k, const struct adapter *adapter,
 			       const struct gateway_settings *settings, GError **error)
 {
+	static const struct timeval warmup_period = {0, WARMUP_TICK_MS * 1000L};
 	static const struct service_ops ops = {
 		.name = "gateway",
 		.receive = gateway_receive,
@@ -463,6 +545,9 @@
 	g->env.adapter = adapter;
 	g->env.leaves = leafset_create(settings->dc);
 	g->evacuations = evacuations_create();
+	g->env.warmups = warmups_create(&warmup_ops, g);
+	g->warmup_tick = event_new(kernel_base(k), -1, EV_PERSIST, warmup_tick_handle, g);
+	event_add(g->warmup_tick, &warmup_period);
 	g->env.upstream = upstream_create(kernel_base(k));
 	g->env.repeats = repeats_create(&settings->repeats, clock_now_us());
 	vmshare_init(&g->env.vmshare, clock_now_us());
--- a/src/job.h
+++ b/src/job.h
@@ -19,6 +19,7 @@
 #include "split.h"
 #include "upstream.h"
 #include "vmshare.h"
+#include "warmup.h"
 
 G_BEGIN_DECLS
 
@@ -60,6 +61,7 @@
 	struct upstream *upstream;
 	struct repeats *repeats;
 	struct vmshare vmshare; /* this VM's part of the leaves' limits */
+	struct warmups *warmups;
 	struct splits *splits;
 	GHashTable *stats; /* a route's host and prefix, joined -> struct route_stats */
 	struct list_head jobs;
--- a/src/jobcall.c
+++ b/src/jobcall.c
@@ -155,6 +155,11 @@
 	unsigned int changes;
 
 	adapter->ops->leaf_signals_parse(adapter, answer, &signals);
+	if (signals.has_warmup) {
+		leaf_warmup_set(leaf, signals.warmup_ms, now_us);
+		warmups_note(j->env->warmups, leaf, vmshare_get(&j->env->vmshare, now_us),
+			     j->env->rand, now_us);
+	}
 	changes = leaf_signals_apply(leaf, &signals, vmshare_get(&j->env->vmshare, now_us),
 				     j->env->rand, now_us);
 	if (changes & LEAF_SIGNALS_LIMIT && signals.has_limit)
--- a/src/leafset.c
+++ b/src/leafset.c
@@ -110,7 +110,7 @@
 {
 	l->state = report->state;
 	l->slots = MAX(1, report->slots);
-	l->warmup_until_us = now_us + (uint64_t)report->warmup_ms * 1000;
+	leaf_warmup_set(l, report->warmup_ms, now_us);
 }
 
 static void leaf_detach(struct leafset *s, struct leaf *l)
@@ -198,7 +198,7 @@
 		visit(value, arg);
 }
 
-GPtrArray *leafset_evacuate(struct leafset *s, const char *dc, bool is_evacuated)
+GPtrArray *leafset_list(const struct leafset *s, const char *dc)
 {
 	GPtrArray *leaves = g_ptr_array_new();
 	GHashTableIter iter;
@@ -208,10 +208,8 @@
 	while (g_hash_table_iter_next(&iter, NULL, &value)) {
 		struct leaf *l = value;
 
-		if (strcmp(l->dc, dc) != 0)
-			continue;
-		l->is_evacuated = is_evacuated;
-		g_ptr_array_add(leaves, l);
+		if (!dc || strcmp(l->dc, dc) == 0)
+			g_ptr_array_add(leaves, l);
 	}
 	return leaves;
 }
@@ -284,7 +282,27 @@
 {
 	uint64_t paused_us = l->paused_until_us > now_us ? l->paused_until_us - now_us : 0;
 
-	return MAX(paused_us, ratecap_wait_us(&l->ratecap, l->waiting, now_us));
+	return MAX(paused_us, leaf_limit_wait_us(l, l->waiting, now_us));
+}
+
+uint64_t leaf_limit_wait_us(const struct leaf *l, unsigned int n_waiting, uint64_t now_us)
+{
+	uint64_t wait_us = ratecap_wait_us(&l->ratecap, n_waiting, now_us);
+
+	if (now_us >= l->warmup_until_us)
+		return wait_us;
+	return MAX(wait_us, ratecap_wait_us(&l->warmup_cap, n_waiting, now_us));
+}
+
+void leaf_limit_take(struct leaf *l, uint64_t now_us)
+{
+	ratecap_take(&l->ratecap, now_us);
+	ratecap_take(&l->warmup_cap, now_us);
+}
+
+void leaf_warmup_set(struct leaf *l, unsigned int warmup_ms, uint64_t now_us)
+{
+	l->warmup_until_us = now_us + (uint64_t)warmup_ms * 1000;
 }
 
 bool leafset_is_faster(const struct leafset *s, const struct leaf *a, const struct leaf *b,
--- a/src/leafset.h
+++ b/src/leafset.h
@@ -100,6 +100,8 @@
 	enum leaf_state state;
 	unsigned int slots;
 	uint64_t warmup_until_us; /* end of the warm-up */
+	double warmup_calls_per_s; /* taken until then, from all VMs together; 0: no limit */
+	struct ratecap warmup_cap; /* this VM's part of that, see warmup.h */
 	uint64_t process_start_ms;
 
 	struct ratecap ratecap;
@@ -158,10 +160,10 @@
 char **leafset_major_dcs(const struct leafset *s);
 
 /*
- * Sets is_evacuated of all leaves in the data centre. Returns these leaves (borrowed) in an array
- * that the caller frees. is_evacuated of leaves that are added later is set by the caller.
+ * The leaves in the data centre, or all if dc is NULL, in no order (borrowed), in an array that the
+ * caller frees.
  */
-GPtrArray *leafset_evacuate(struct leafset *s, const char *dc, bool is_evacuated);
+GPtrArray *leafset_list(const struct leafset *s, const char *dc);
 
 /* leaf_get() takes a reference and leaf_put() drops one; leaf_put() accepts NULL. */
 struct leaf *leaf_get(struct leaf *l);
@@ -188,8 +190,14 @@
 /* True if a is expected to answer sooner than b if the call is sent now. */
 bool leafset_is_faster(const struct leafset *s, const struct leaf *a, const struct leaf *b,
 		       uint64_t now_us);
-/* Time until the leaf's limit and pause allow a call, after those that wait already; 0: now. */
+/* Time until the leaf's limits and pause allow a call, after those that wait already; 0: now. */
 uint64_t leaf_wait_us(const struct leaf *l, uint64_t now_us);
+/* Time until the leaf's limits allow a call after n_waiting others; 0: now. */
+uint64_t leaf_limit_wait_us(const struct leaf *l, unsigned int n_waiting, uint64_t now_us);
+/* Counts a call that is sent now for the leaf's limits. */
+void leaf_limit_take(struct leaf *l, uint64_t now_us);
+/* Sets how long the leaf stays cold from now on; 0: it is warm. */
+void leaf_warmup_set(struct leaf *l, unsigned int warmup_ms, uint64_t now_us);
 /*
  * Shortest leaf_wait_us of the leaves of the service that can be chosen now or after a pause; false
  * when there is none.
--- a/src/upstream.c
+++ b/src/upstream.c
@@ -428,20 +428,18 @@
 
 static void queue_serve(struct upstream *u, struct leaf_link *link, uint64_t now_us)
 {
-	struct ratecap *ratecap = &link->leaf->ratecap;
-
 	while (link->leaf->waiting > 0 && link->n_busy < window_size(&link->window) &&
-	       ratecap_wait_us(ratecap, 0, now_us) == 0) {
+	       leaf_limit_wait_us(link->leaf, 0, now_us) == 0) {
 		struct leaf_call *call = queue_next(link);
 		struct leaf_conn *conn = idle_pick(link, call, now_us);
 
 		if (!conn)
 			break;
 		queue_remove(u, link, call);
-		ratecap_take(ratecap, now_us);
+		leaf_limit_take(link->leaf, now_us);
 		call_send(conn, call, now_us);
 	}
-	if (ratecap_wait_us(ratecap, 0, now_us) > 0)
+	if (leaf_limit_wait_us(link->leaf, 0, now_us) > 0)
 		return;
 	while (link->leaf->waiting > link->n_connecting &&
 	       link->n_busy + link->n_connecting < window_size(&link->window)) {
@@ -490,6 +488,8 @@
 	list_add_tail(&call->node, &link->queue);
 	leaf->waiting++;
 	u->stats.queued++;
+	if (leaf->warmup_cap.is_limited && leaf_wait_us(leaf, now_us) > 0)
+		u->stats.cold_waits++;
 	queue_serve(u, link, now_us);
 }
 
@@ -549,7 +549,7 @@
 		queue_serve(u, link, now_us);
 	/* Calls that wait for the leaf's limit need no connection yet. */
 	if (link->n_conns == 0 && link->leaf->waiting > 0 &&
-	    (is_unreachable || ratecap_wait_us(&link->leaf->ratecap, 0, now_us) == 0))
+	    (is_unreachable || leaf_limit_wait_us(link->leaf, 0, now_us) == 0))
 		queue_fail(u, link, LEAF_END_UNREACHABLE);
 	link_destroy_if_unused(link);
 }
--- a/src/upstream.h
+++ b/src/upstream.h
@@ -87,6 +87,7 @@
 	uint64_t connects;
 	uint64_t connect_failures;
 	uint64_t stray_closes; /* connections closed because of bytes that belonged to no call */
+	uint64_t cold_waits; /* calls held back by the limit of a cold leaf */
 	unsigned int connections; /* open or being opened */
 	unsigned int queued; /* calls that wait for a connection */
 };
--- a/tests/leafset_test.cc
+++ b/tests/leafset_test.cc
@@ -66,9 +66,13 @@
 			return std::string(l ? l->id : "none") + "\n";
 		}
 		if (w[0] == "evacuate" || w[0] == "restore") { /* evacuate|restore DC */
-			GPtrArray *leaves = leafset_evacuate(s, w[1].c_str(), w[0] == "evacuate");
+			GPtrArray *leaves = leafset_list(s, w[1].c_str());
 			std::string n = std::to_string(leaves->len);
 
+			for (guint i = 0; i < leaves->len; i++)
+				static_cast<struct leaf *>(g_ptr_array_index(leaves, i))
+					->is_evacuated = w[0] == "evacuate";
+
 			g_ptr_array_free(leaves, TRUE);
 			return n + " leaves\n";
 		}
