Soak: evacuate a data centre in every run

Cause: the soak knew no evacuations. Change: one in each run, drawn apart so that the faults of a seed stay the same; a settled daemon must not call a leaf there 5 s (evacuationMs) after it began.

--- a/soak/soak.py
+++ b/soak/soak.py
@@ -25,6 +25,7 @@
 MOVES_AHEAD = 6
 SETTLE_S = 4.0  # a daemon is settled when neither it nor the store had a fault for this long
 DRAIN_S = 3.0  # this long after a leaf left, a settled daemon sends it no new work (drainMs)
+EVACUATE_S = 5.0  # this long after an evacuation began, settled daemons send no calls there (evacuationMs)
 CONFIG_S = 3.0  # a settled daemon applies a new configuration within this time (configApplyMs)
 RECOVER_S = 12.0  # time from the last fault until all daemons serve complete answers
 
@@ -34,6 +35,7 @@
 
     def __init__(self, seed, seconds, n_daemons, port):
         self.random, self.seconds, self.port = random.Random(seed), seconds, port
+        self.evacuation_random = random.Random(seed)  # of its own, so that the faults of a seed stay the same
         self.site, self.daemons, self.leaf_proxies, self.violations = Site(), [], {}, []
         self.n_daemons, self.running, self.tasks = n_daemons, True, []
         self.log_dir = tempfile.mkdtemp(prefix=f"soak-{seed}-")
@@ -42,6 +44,7 @@
         # Time of the last start or fault of each daemon and of the last fault of the store. It lies in
         # the future while a fault lasts.
         self.fault_at, self.store_fault_at = {}, 0.0
+        self.evacuated = None  # the evacuated data centre, time of the operator's request
         self.counts = {"answers": 0, "successes": 0, "lost": 0, "faults": 0}
         self.next_leaf = 0
 
@@ -132,6 +135,7 @@
         route = next(r for r in self.site.routes if path.startswith(r["prefix"]))
         runs = self.site.runs_by_request.get(request, [])
         self.counts["answers" if answer else "lost"] += 1
+        self.evacuation_check(daemon, began, request, runs)
         if path == "/loan/x" and len(runs) > 1:
             self.fail(f"{request} of {daemon.name} ran {len(runs)} times")
         if not answer:
@@ -189,6 +193,26 @@
         self.site.store.remove(f"servers/{leaf.id}")
         await self.leaf_proxies[leaf.id].stop()
 
+    async def evacuation(self):
+        """Evacuates a data centre once."""
+        r = self.evacuation_random
+        await asyncio.sleep(r.uniform(0.5, 3))
+        dc = r.choice("ab")
+        self.note(f"evacuate {dc}")
+        self.site.store.put(f"op/evacuate/{dc}", b"{}")
+        self.evacuated = (dc, time.monotonic())
+        await asyncio.sleep(EVACUATE_S + 4)
+        self.evacuated = None
+        self.site.store.remove(f"op/evacuate/{dc}")
+
+    def evacuation_check(self, daemon, began, request, runs):
+        """Checks that a settled daemon has not called a leaf of the evacuated data centre."""
+        if not self.evacuated or began < self.evacuated[1] + EVACUATE_S or not self.is_settled(daemon, began):
+            return
+        for _, leaf, _, _ in runs:
+            if self.site.leaves[leaf].dc == self.evacuated[0]:
+                self.fail(f"{request} of {daemon.name} ran at {leaf} in the evacuated data centre")
+
     def fault_begin(self, *daemons):
         for daemon in daemons:
             self.fault_at[daemon.name] = time.monotonic() + 1e6
@@ -317,6 +341,7 @@
         if not await wait_for(self.serves_all, 8):
             self.fail("not all daemons serve complete answers 8 s after the start")
         callers = [asyncio.create_task(self.caller(i)) for i in range(8)]
+        self.tasks.append(asyncio.create_task(self.fault_run(self.evacuation())))
         until = time.monotonic() + self.seconds
         while time.monotonic() < until:
             drawn = self.draw()
