Add what a leaf says of its load to its expected time

Cause: leaves of some services tell in answers what they run and how slow their machine is. Change: leafload keeps the last report of a leaf. leaf_cost_us() adds the calls of other VMs, fading over three usual latencies, and multiplies by the speed over its average, fading over 200 ms. Without a report the cost is as before. Loads that cannot be used are counted, and logged once for a leaf. Result: tests/leafload.test passes (four of its five cases fail with the former cost); tests/leafset.test passes unchanged; check-routed busy_leaf_tells_its_load passes, and fails with the former cost.

--- a/src/gateway.c
+++ b/src/gateway.c
@@ -345,6 +345,23 @@
 		leaf->id, leaf->service, leaf->ratecap.rate_per_s);
 }
 
+static void loads_known_count(const struct leaf *leaf, void *arg)
+{
+	*(unsigned int *)arg += leaf->load.n_reports > 0;
+}
+
+static void load_metrics_append(const struct gateway *g, GString *out)
+{
+	unsigned int n_leaves = 0;
+
+	leafset_each(g->env.leaves, loads_known_count, &n_leaves);
+	g_string_append_printf(out,
+			       "apricot_leaves_with_load %u\n"
+			       "apricot_leaf_loads_total %" G_GUINT64_FORMAT "\n"
+			       "apricot_leaf_loads_refused_total %" G_GUINT64_FORMAT "\n",
+			       n_leaves, g->env.n_loads, g->env.n_loads_malformed);
+}
+
 static void evacuated_count(const struct leaf *leaf, void *arg)
 {
 	*(unsigned int *)arg += leaf->is_evacuated;
@@ -402,6 +419,7 @@
 		route_metrics_append(out, key, stats);
 	leafset_each(g->env.leaves, leaf_limit_append, out);
 	evacuation_metrics_append(g, out);
+	load_metrics_append(g, out);
 	g_string_append_printf(out,
 			       "apricot_config_version %" G_GUINT64_FORMAT "\n"
 			       "apricot_config_age_ms %" G_GUINT64_FORMAT "\n"
--- a/src/job.h
+++ b/src/job.h
@@ -66,6 +66,8 @@
 	GHashTable *stats; /* a route's host and prefix, joined -> struct route_stats */
 	struct list_head jobs;
 	unsigned int n_jobs;
+	uint64_t n_loads; /* loads that leaves named in answers */
+	uint64_t n_loads_malformed; /* of these, loads that could not be used */
 	struct backlog_gate gate; /* refusals because of the leaves' backlog */
 	uint64_t answer_by_us; /* a planned stop ends then; 0: none */
 };
--- a/src/jobcall.c
+++ b/src/jobcall.c
@@ -146,6 +146,19 @@
 	job_advance(j, now_us);
 }
 
+static void load_changes_log(const struct leaf *leaf, const struct leaf_load *load,
+			     unsigned int changes)
+{
+	if (changes & LEAF_SIGNALS_LOAD)
+		log_event(LOG_LEVEL_INFO, "leaf_load_told",
+			  "leaf=%s service=%s running=%u waiting=%u slots=%u work_pct=%u", leaf->id,
+			  leaf->service, load->n_running, load->n_waiting, load->slots,
+			  load->work_pct);
+	if (changes & LEAF_SIGNALS_LOAD_MALFORMED)
+		log_event(LOG_LEVEL_WARNING, "leaf_load_refused", "leaf=%s service=%s", leaf->id,
+			  leaf->service);
+}
+
 /* Notes what the leaf says of itself. The answer must be its own. */
 static void signals_note(struct job *j, struct leaf *leaf, const struct http_reader *answer)
 {
@@ -162,6 +175,9 @@
 	}
 	changes = leaf_signals_apply(leaf, &signals, vmshare_get(&j->env->vmshare, now_us),
 				     j->env->rand, now_us);
+	j->env->n_loads += signals.has_load || signals.is_load_malformed;
+	j->env->n_loads_malformed += signals.is_load_malformed;
+	load_changes_log(leaf, &signals.load, changes);
 	if (changes & LEAF_SIGNALS_LIMIT && signals.has_limit)
 		log_event(LOG_LEVEL_INFO, "leaf_limited",
 			  "leaf=%s service=%s limit_per_s=%g own_per_s=%g", leaf->id, leaf->service,
--- a/src/leafset.c
+++ b/src/leafset.c
@@ -264,7 +264,9 @@
 double leaf_cost_us(const struct leaf *l, const char *own_dc, uint64_t now_us)
 {
 	double usual_us = usual_latency_us(l, now_us);
-	double cost_us = usual_us * (1 + (double)l->outstanding / l->slots);
+	double per_slot = (double)l->outstanding / l->slots +
+			  leafload_others_per_slot(&l->load, usual_us, now_us);
+	double cost_us = usual_us * (1 + per_slot) * leafload_work_factor(&l->load, now_us);
 	double unanswered_us = 0;
 
 	if (l->outstanding > 0 && now_us > l->waiting_since_us)
@@ -353,10 +355,23 @@
 	return is_found;
 }
 
+/* Returns the changes, of enum leaf_signals_change. */
+static unsigned int leaf_load_apply(struct leaf *l, const struct leaf_signals *signals,
+				    uint64_t now_us)
+{
+	if (signals->is_load_malformed)
+		return l->n_loads_malformed++ == 0 ? LEAF_SIGNALS_LOAD_MALFORMED : 0;
+	if (!signals->has_load)
+		return 0;
+	/* The call that is being answered is among the outstanding ones and in the report. */
+	leafload_note(&l->load, &signals->load, l->outstanding - l->waiting, now_us);
+	return l->load.n_reports == 1 ? LEAF_SIGNALS_LOAD : 0;
+}
+
 unsigned int leaf_signals_apply(struct leaf *l, const struct leaf_signals *signals, double share,
 				GRand *rand, uint64_t now_us)
 {
-	unsigned int changes = 0;
+	unsigned int changes = leaf_load_apply(l, signals, now_us);
 
 	if (l->ratecap.is_limited != signals->has_limit)
 		changes |= LEAF_SIGNALS_LIMIT;
--- a/src/leafset.h
+++ b/src/leafset.h
@@ -13,6 +13,7 @@
 #define APRICOT_LEAFSET_H
 
 #include "backlog.h"
+#include "leafload.h"
 #include "ratecap.h"
 
 #include <glib.h>
@@ -62,14 +63,6 @@
 	uint64_t process_start_ms; /* start of the process, wall clock; 0: unknown */
 };
 
-/* What a leaf says of its load. Other callers' requests are included. */
-struct leaf_load {
-	unsigned int n_running;
-	unsigned int n_waiting;
-	unsigned int slots; /* at least 1 */
-	unsigned int work_pct; /* how long work takes on its machine now; 100: as usual */
-};
-
 /* What a leaf says of itself in an answer. */
 struct leaf_signals {
 	bool has_limit; /* it takes limit_per_s calls per second, of all VMs together */
@@ -88,6 +81,8 @@
 	LEAF_SIGNALS_LIMIT = 1, /* the leaf begins or ceases to have a limit */
 	LEAF_SIGNALS_LEAVING = 2,
 	LEAF_SIGNALS_PAUSE = 4, /* a pause begins or is prolonged */
+	LEAF_SIGNALS_LOAD = 8, /* the first usable load of the leaf */
+	LEAF_SIGNALS_LOAD_MALFORMED = 16, /* its first load that cannot be used */
 };
 
 struct leaf {
@@ -105,6 +100,8 @@
 	uint64_t process_start_ms;
 
 	struct ratecap ratecap;
+	struct leafload load; /* as it says in answers */
+	uint64_t n_loads_malformed; /* loads that it named and that cannot be used */
 	bool is_leaving; /* as it says itself; its entry may still say ready */
 	bool is_evacuated; /* the operator wants no call to the leaves of its data centre */
 	uint64_t paused_until_us; /* it wants no calls before */
--- a/src/logevent.h
+++ b/src/logevent.h
@@ -34,6 +34,8 @@
 	X("leaf_unlimited", "a leaf no longer names a limit")                                     \
 	X("leaf_cold", "a leaf is cold; how long, what it takes, and this VM's part of it")       \
 	X("leaf_warm", "a leaf is warm again or gone; its limit while cold has ended")            \
+	X("leaf_load_told", "a leaf names its load in an answer for the first time")              \
+	X("leaf_load_refused", "a leaf names a load that cannot be used, for the first time")     \
 	X("leaf_paused", "a leaf refused a call and wants none for a time")                       \
 	X("leaf_leaving", "a leaf says in an answer that it leaves; it gets no further calls")    \
 	X("leaf_gone", "a leaf was removed or its entry became unusable; the store's revision")   \
