Check routing configurations before they are written

Cause: apricotctl check-config read only manifests. Mistakes in a routing configuration showed in operation: daemons refuse it as a whole, or accept it while a route is hidden, a service is unused, or the loss of one shard refuses every search. A negative version is read as the highest one and blocks every later configuration. A refused manifest is now a finding (status 1, was 2).

--- a/src/ctl.c
+++ b/src/ctl.c
@@ -1,9 +1,12 @@
+#include "adapter_platform.h"
 #include "command.h"
 #include "explain.h"
 #include "http.h"
 #include "manifest.h"
+#include "mapcheck.h"
 #include "result.h"
 
+#include <errno.h>
 #include <event2/event.h>
 #include <jansson.h>
 #include <stdio.h>
@@ -17,6 +20,8 @@
 static char *opt_class = "";
 static char *opt_caller;
 static char *opt_id;
+static char *opt_against;
+static gboolean opt_json;
 static gint opt_deadline_ms;
 static gint opt_timeout_ms = 65000;
 
@@ -30,6 +35,9 @@
 	 "N"},
 	{"timeout-ms", 't', 0, G_OPTION_ARG_INT, &opt_timeout_ms,
 	 "how long to wait for an answer, ms", "N"},
+	{"against", 0, 0, G_OPTION_ARG_FILENAME, &opt_against,
+	 "compare the checked configuration with this file", "CURRENT"},
+	{"json", 0, 0, G_OPTION_ARG_NONE, &opt_json, "print the result of a check as JSON", NULL},
 	G_OPTION_ENTRY_NULL,
 };
 
@@ -246,33 +254,72 @@
 	return code;
 }
 
-static int config_check(int argc, char **argv)
+/*
+ * Reads a file, of a long one no more than shows that it is too long. False with a message on
+ * standard error when it cannot be read.
+ */
+static bool file_read(const char *name, struct mapcheck_file *file)
+{
+	char *text = g_malloc(MAPCHECK_BYTES_MAX + 1);
+	FILE *in = fopen(name, "r");
+	bool is_read = false;
+
+	if (in) {
+		file->n = fread(text, 1, MAPCHECK_BYTES_MAX + 1, in);
+		is_read = !ferror(in);
+	}
+	if (!is_read)
+		fprintf(stderr, "apricotctl: %s: %s\n", name, g_strerror(errno));
+	if (in)
+		fclose(in);
+	file->name = name;
+	file->text = text;
+	return is_read;
+}
+
+static int files_check(const struct mapcheck_file *file, const struct mapcheck_file *current)
 {
 	GError *error = NULL;
-	json_error_t json_error;
-	json_t *document;
-	struct manifest *m;
+	struct mapcheck *c = mapcheck_create(adapter_platform(), file, current, &error);
+	char *out;
+	int code;
 
-	if (argc != 3) {
-		fprintf(stderr, "usage: apricotctl check-config MANIFEST\n");
-		return EXIT_USAGE;
+	if (!c) {
+		fprintf(stderr, "apricotctl: %s\n", error->message);
+		g_error_free(error);
+		return MAPCHECK_EXIT_UNREADABLE;
 	}
-	document = json_load_file(argv[2], JSON_REJECT_DUPLICATES, &json_error);
-	if (!document) {
-		fprintf(stderr, "apricotctl: %s: line %d: %s\n", argv[2], json_error.line,
-			json_error.text);
-		return EXIT_USAGE;
+	out = opt_json ? mapcheck_render_json(c) : mapcheck_render_text(c);
+	fputs(out, stdout);
+	code = mapcheck_exit_code(c);
+	g_free(out);
+	mapcheck_destroy(c);
+	return code;
+}
+
+static int config_check(int argc, char **argv)
+{
+	struct mapcheck_file file = {0};
+	struct mapcheck_file current = {0};
+	int code = MAPCHECK_EXIT_UNREADABLE;
+
+	if (argc != 3) {
+		fprintf(stderr,
+			"usage: apricotctl check-config NEW [--against CURRENT] [--json]\n");
+		return code;
 	}
-	m = manifest_create(document, 1, &error);
-	json_decref(document);
-	if (!m) {
-		fprintf(stderr, "apricotctl: %s: %s\n", argv[2], error->message);
-		g_error_free(error);
-		return EXIT_USAGE;
+	if (opt_against && manifest_address_is_valid(opt_against)) {
+		fprintf(stderr,
+			"apricotctl: --against %s: a file is required, daemons do not return the "
+			"configuration\n",
+			opt_against);
+		return code;
 	}
-	printf("%s: %u services, %u groups: ok\n", argv[2], m->services->len, m->groups->len);
-	manifest_put(m);
-	return EXIT_OK;
+	if (file_read(argv[2], &file) && (!opt_against || file_read(opt_against, &current)))
+		code = files_check(&file, opt_against ? &current : NULL);
+	g_free((char *)file.text);
+	g_free((char *)current.text);
+	return code;
 }
 
 static int explain_run(int argc, char **argv)
@@ -354,9 +401,11 @@
 		"  entries                   list the entry VMs to use\n"
 		"  status                    show configuration, members, groups and work of a VM\n"
 		"  metrics                   show counters and latencies of a VM\n"
-		"  check-config MANIFEST     check a manifest file\n\n"
+		"  check-config NEW          check a routing configuration or a manifest, before "
+		"it is written\n\n"
 		"Exit codes: 0 complete or done, 1 partial, 2 usage or bad request, 3 not run, "
-		"4 outcome unknown, 5 no answer");
+		"4 outcome unknown, 5 no answer;\n"
+		"of check-config: 0 clean, 1 findings, 2 unreadable or usage");
 	if (!g_option_context_parse(context, &argc, &argv, &error)) {
 		fprintf(stderr, "apricotctl: %s\n", error->message);
 		return EXIT_USAGE;
--- /dev/null
+++ b/src/mapcheck.c
@@ -0,0 +1,511 @@
+#include "mapcheck.h"
+
+#include "mapdiff.h"
+#include "result.h"
+
+#include <jansson.h>
+#include <string.h>
+
+/* Characters of a message of a reader that are shown. */
+#define MESSAGE_MAX 300
+
+struct finding {
+	enum mapcheck_finding kind;
+	char *path;
+	char *text;
+};
+
+/* Which routes name a service. */
+struct use {
+	guint first; /* index of the first one */
+	guint last;
+	guint n_routes;
+};
+
+/* A file that was read. */
+struct document {
+	struct routemap *map; /* NULL: refused, or a manifest */
+	struct manifest *manifest; /* NULL: refused, or a routing configuration */
+	bool is_manifest;
+};
+
+struct mapcheck {
+	char *name;
+	GPtrArray *findings; /* struct finding */
+	GPtrArray *differences; /* struct mapdiff_line; NULL: not compared */
+	struct document document;
+};
+
+static const struct {
+	const char *name;
+	enum mapcheck_severity severity;
+} kinds[] = {
+#define X(symbol, name, severity, meaning, example) {name, MAPCHECK_##severity},
+	MAPCHECK_LIST(X)
+#undef X
+};
+
+static const char *const severity_names[] = {"error", "warning"};
+
+static void finding_free(gpointer data)
+{
+	struct finding *f = data;
+
+	g_free(f->path);
+	g_free(f->text);
+	g_free(f);
+}
+
+/* Takes over the path. */
+G_GNUC_PRINTF(4, 5)
+static void finding_add(struct mapcheck *c, enum mapcheck_finding kind, char *path,
+			const char *format, ...)
+{
+	struct finding *f = g_new0(struct finding, 1);
+	va_list args;
+
+	f->kind = kind;
+	f->path = path;
+	va_start(args, format);
+	f->text = g_strdup_vprintf(format, args);
+	va_end(args);
+	g_ptr_array_add(c->findings, f);
+}
+
+/* A host with a port and a prefix with a query are looked up, but never found. */
+static void match_check(struct mapcheck *c, guint i)
+{
+	const struct routemap *m = c->document.map;
+	const struct route *r = g_ptr_array_index(m->routes, i);
+	const struct route *found = routemap_find(m, r->host, r->prefix);
+	guint first = 0;
+
+	if (found == r)
+		return;
+	if (found && strcmp(found->host, r->host) == 0 && strcmp(found->prefix, r->prefix) == 0 &&
+	    g_ptr_array_find(m->routes, found, &first)) {
+		g_autofree char *path = mapdiff_route_path(m, first);
+
+		finding_add(c, MAPCHECK_ROUTE_HIDDEN, mapdiff_route_path(m, i),
+			    "%s has the same host and prefix", path);
+		return;
+	}
+	finding_add(c, MAPCHECK_ROUTE_UNMATCHABLE, mapdiff_route_path(m, i),
+		    "no request matches its host and prefix");
+}
+
+/* Notes that the route names the service. */
+static void use_note(GHashTable *uses, const char *service, guint i)
+{
+	struct use *use = g_hash_table_lookup(uses, service);
+
+	if (!use) {
+		use = g_new0(struct use, 1);
+		use->first = i;
+		use->last = i;
+		use->n_routes = 1;
+		g_hash_table_insert(uses, (char *)service, use);
+	}
+	if (use->last != i) {
+		use->last = i;
+		use->n_routes++;
+	}
+}
+
+/* One finding for a service, since a file can name 135 unknown shards in each of its routes. */
+static void services_check(struct mapcheck *c, GHashTable *uses)
+{
+	const struct routemap *m = c->document.map;
+	g_autoptr(GPtrArray) used = mapdiff_keys_sorted(uses);
+	g_autoptr(GPtrArray) described = mapdiff_keys_sorted(m->services);
+
+	for (guint i = 0; i < used->len; i++) {
+		const char *name = g_ptr_array_index(used, i);
+		const struct use *use = g_hash_table_lookup(uses, name);
+		g_autofree char *path = mapdiff_route_path(m, use->first);
+
+		if (routemap_service_find(m, name))
+			continue;
+		if (use->n_routes == 1)
+			finding_add(c, MAPCHECK_SERVICE_UNKNOWN, mapdiff_service_path(name),
+				    "not described, but %s names it", path);
+		else
+			finding_add(c, MAPCHECK_SERVICE_UNKNOWN, mapdiff_service_path(name),
+				    "not described, but %s and %u more name it", path,
+				    use->n_routes - 1);
+	}
+	for (guint i = 0; i < described->len; i++) {
+		const char *name = g_ptr_array_index(described, i);
+
+		if (!g_hash_table_contains(uses, name))
+			finding_add(c, MAPCHECK_SERVICE_UNUSED, mapdiff_service_path(name),
+				    "no route names it");
+	}
+}
+
+static void targets_check(struct mapcheck *c, guint i, const struct route *r, GHashTable *uses)
+{
+	for (guint k = 0; k < r->targets->len; k++) {
+		const struct route_target *t = g_ptr_array_index(r->targets, k);
+		g_autofree char *name = NULL;
+
+		use_note(uses, t->service, i);
+		if (t->weight > 0)
+			continue;
+		name = mapdiff_text_show(t->service, MAPDIFF_NAME_MAX);
+		finding_add(c, MAPCHECK_PART_WEIGHTLESS, mapdiff_route_path(c->document.map, i),
+			    "service %s has weight %g", name, t->weight);
+	}
+}
+
+static void shards_check(struct mapcheck *c, guint i, const struct route *r, GHashTable *uses)
+{
+	g_autoptr(GHashTable) counts = g_hash_table_new(g_str_hash, g_str_equal);
+	g_autoptr(GPtrArray) names = NULL;
+
+	for (guint k = 0; k < r->shards->len; k++) {
+		char *shard = g_ptr_array_index(r->shards, k);
+		guint n = GPOINTER_TO_UINT(g_hash_table_lookup(counts, shard));
+
+		g_hash_table_insert(counts, shard, GUINT_TO_POINTER(n + 1));
+	}
+	names = mapdiff_keys_sorted(counts);
+	for (guint k = 0; k < names->len; k++) {
+		const char *shard = g_ptr_array_index(names, k);
+		guint n = GPOINTER_TO_UINT(g_hash_table_lookup(counts, shard));
+		g_autofree char *name = NULL;
+
+		use_note(uses, shard, i);
+		if (n == 1)
+			continue;
+		name = mapdiff_text_show(shard, MAPDIFF_NAME_MAX);
+		finding_add(c, MAPCHECK_SHARD_REPEATED, mapdiff_route_path(c->document.map, i),
+			    "shard %s is named %u times", name, n);
+	}
+}
+
+/* The least part of the shards, in the terms in which scatter_next compares it. */
+static void min_share_check(struct mapcheck *c, guint i, const struct route *r)
+{
+	guint n = r->shards->len;
+
+	if (r->min_share < 0 || r->min_share > 1)
+		finding_add(c, MAPCHECK_MIN_SHARE_RANGE, mapdiff_route_path(c->document.map, i),
+			    "min_share %g is not from 0 to 1", r->min_share);
+	else if (n - 1 < r->min_share * n)
+		finding_add(c, MAPCHECK_MIN_SHARE_FRAGILE, mapdiff_route_path(c->document.map, i),
+			    "%u of %u shards do not meet min_share %g", n - 1, n, r->min_share);
+}
+
+static void route_check(struct mapcheck *c, guint i, GHashTable *uses)
+{
+	const struct routemap *m = c->document.map;
+	const struct route *r = g_ptr_array_index(m->routes, i);
+
+	match_check(c, i);
+	if (r->shards) {
+		shards_check(c, i, r, uses);
+		min_share_check(c, i, r);
+	} else {
+		targets_check(c, i, r, uses);
+	}
+	if (r->timeout_ms < r->goal_ms)
+		finding_add(c, MAPCHECK_TIMEOUT_BELOW_GOAL, mapdiff_route_path(m, i),
+			    "timeout_ms %u is below goal_ms %u", r->timeout_ms, r->goal_ms);
+	if (r->priority > MAPCHECK_PRIORITY_MAX)
+		finding_add(c, MAPCHECK_PRIORITY_RANGE, mapdiff_route_path(m, i),
+			    "priority %u is not from 0 to %u", r->priority, MAPCHECK_PRIORITY_MAX);
+}
+
+static void limits_check(struct mapcheck *c)
+{
+	const struct caller_limits *limits = &c->document.map->limits;
+	const struct {
+		const char *name;
+		unsigned int value;
+	} values[] = {
+		{"head_bytes", limits->head_bytes},
+		{"body_bytes", limits->body_bytes},
+		{"head_ms", limits->head_ms},
+		{"idle_ms", limits->idle_ms},
+	};
+
+	for (size_t i = 0; i < G_N_ELEMENTS(values); i++)
+		if (values[i].value == 0)
+			finding_add(c, MAPCHECK_LIMIT_ZERO, g_strdup("limits"), "%s is 0",
+				    values[i].name);
+}
+
+static void routemap_check(struct mapcheck *c)
+{
+	const struct routemap *m = c->document.map;
+	g_autoptr(GHashTable) uses = g_hash_table_new_full(g_str_hash, g_str_equal, NULL, g_free);
+
+	if (m->version > G_MAXINT64)
+		finding_add(c, MAPCHECK_VERSION_NEGATIVE, g_strdup("version"),
+			    "daemons read it as %" G_GUINT64_FORMAT, m->version);
+	for (guint i = 0; i < m->routes->len; i++)
+		route_check(c, i, uses);
+	services_check(c, uses);
+	limits_check(c);
+}
+
+static bool unreadable_set(GError **error, const struct mapcheck_file *file, const char *why)
+{
+	g_autofree char *shown = mapdiff_text_show(why, MESSAGE_MAX);
+
+	g_set_error(error, RESULT_ERROR, RESULT_BAD_MANIFEST, "%s: %s", file->name, shown);
+	return false;
+}
+
+/* Parses the text; NULL with an error when it is no JSON object. */
+static json_t *object_parse(const struct mapcheck_file *file, GError **error)
+{
+	json_error_t json_error;
+	g_autofree char *why = NULL;
+	json_t *json = json_loadb(file->text, file->n, 0, &json_error);
+
+	if (json_is_object(json))
+		return json;
+	if (json)
+		why = g_strdup("neither a routing configuration nor a manifest");
+	else
+		why = g_strdup_printf("line %d: %s", json_error.line, json_error.text);
+	json_decref(json);
+	unreadable_set(error, file, why);
+	return NULL;
+}
+
+/* Like section_join, refuses members that are written twice. */
+static struct manifest *manifest_read(const struct mapcheck_file *file, GError **error)
+{
+	json_error_t json_error;
+	json_t *json = json_loadb(file->text, file->n, JSON_REJECT_DUPLICATES, &json_error);
+	struct manifest *m = NULL;
+
+	if (json)
+		m = manifest_create(json, 1, error);
+	else
+		g_set_error(error, RESULT_ERROR, RESULT_BAD_MANIFEST, "line %d: %s",
+			    json_error.line, json_error.text);
+	json_decref(json);
+	return m;
+}
+
+/*
+ * Reads the file as a routing configuration if the daemon's reader accepts it, or else as a
+ * manifest if it has groups, which no routing configuration has. False with an error when it is
+ * neither. If daemons refuse it, document has neither map nor manifest and *refusal is the reason.
+ */
+static bool document_read(const struct adapter *adapter, const struct mapcheck_file *file,
+			  struct document *document, GError **refusal, GError **error)
+{
+	json_t *json;
+
+	if (file->n > MAPCHECK_BYTES_MAX) {
+		g_autofree char *why = g_strdup_printf("longer than %d bytes", MAPCHECK_BYTES_MAX);
+
+		return unreadable_set(error, file, why);
+	}
+	document->map = adapter->ops->routes_parse(adapter, file->text, file->n, refusal);
+	if (document->map)
+		return true;
+	json = object_parse(file, error);
+	if (!json) {
+		g_clear_error(refusal);
+		return false;
+	}
+	if (json_is_array(json_object_get(json, "groups"))) {
+		g_clear_error(refusal);
+		document->is_manifest = true;
+		document->manifest = manifest_read(file, refusal);
+	}
+	json_decref(json);
+	return true;
+}
+
+static void document_clear(struct document *document)
+{
+	routemap_put(document->map);
+	manifest_put(document->manifest);
+	*document = (struct document){0};
+}
+
+static void repeated_check(struct mapcheck *c, const struct mapcheck_file *file)
+{
+	json_error_t json_error;
+	json_t *json = json_loadb(file->text, file->n, JSON_REJECT_DUPLICATES, &json_error);
+	g_autofree char *why = NULL;
+
+	json_decref(json);
+	if (json)
+		return;
+	why = mapdiff_text_show(json_error.text, MESSAGE_MAX);
+	finding_add(c, MAPCHECK_MEMBER_REPEATED, g_strdup_printf("line %d", json_error.line), "%s",
+		    why);
+}
+
+/* Compares with the current file; false with an error when that is not possible. */
+static bool current_compare(struct mapcheck *c, const struct adapter *adapter,
+			    const struct mapcheck_file *current, GError **error)
+{
+	struct document before = {0};
+	GError *refusal = NULL;
+	bool is_done = false;
+
+	if (!document_read(adapter, current, &before, &refusal, error))
+		return false;
+	if (refusal) {
+		unreadable_set(error, current, refusal->message);
+	} else if (before.is_manifest != c->document.is_manifest) {
+		unreadable_set(error, current,
+			       before.is_manifest ? "a manifest, not a routing configuration"
+						  : "a routing configuration, not a manifest");
+	} else {
+		c->differences = mapdiff_lines_create();
+		if (c->document.map)
+			mapdiff_routemaps(c->differences, before.map, c->document.map);
+		else if (c->document.manifest)
+			mapdiff_manifests(c->differences, before.manifest, c->document.manifest);
+		is_done = true;
+	}
+	g_clear_error(&refusal);
+	document_clear(&before);
+	return is_done;
+}
+
+/* Errors first; otherwise the order in which they were found, which is that of the file. */
+static gint severity_compare(gconstpointer a, gconstpointer b)
+{
+	const struct finding *const *left = a;
+	const struct finding *const *right = b;
+
+	return (int)kinds[(*left)->kind].severity - (int)kinds[(*right)->kind].severity;
+}
+
+struct mapcheck *mapcheck_create(const struct adapter *adapter, const struct mapcheck_file *file,
+				 const struct mapcheck_file *current, GError **error)
+{
+	struct mapcheck *c = g_new0(struct mapcheck, 1);
+	GError *refusal = NULL;
+
+	c->name = g_strdup(file->name);
+	c->findings = g_ptr_array_new_with_free_func(finding_free);
+	if (!document_read(adapter, file, &c->document, &refusal, error)) {
+		mapcheck_destroy(c);
+		return NULL;
+	}
+	if (refusal) {
+		g_autofree char *why = mapdiff_text_show(refusal->message, MESSAGE_MAX);
+
+		finding_add(c, MAPCHECK_REJECTED, g_strdup("configuration"), "%d %s: %s",
+			    refusal->code, result_name(refusal->code), why);
+		g_clear_error(&refusal);
+	}
+	if (!c->document.is_manifest)
+		repeated_check(c, file);
+	if (c->document.map)
+		routemap_check(c);
+	g_ptr_array_sort(c->findings, severity_compare);
+	if (current && !current_compare(c, adapter, current, error)) {
+		mapcheck_destroy(c);
+		return NULL;
+	}
+	return c;
+}
+
+void mapcheck_destroy(struct mapcheck *c)
+{
+	if (!c)
+		return;
+	document_clear(&c->document);
+	g_ptr_array_free(c->findings, TRUE);
+	if (c->differences)
+		g_ptr_array_free(c->differences, TRUE);
+	g_free(c->name);
+	g_free(c);
+}
+
+bool mapcheck_has_error(const struct mapcheck *c)
+{
+	return !c->document.map && !c->document.manifest;
+}
+
+enum mapcheck_exit mapcheck_exit_code(const struct mapcheck *c)
+{
+	return c->findings->len > 0 ? MAPCHECK_EXIT_FINDINGS : MAPCHECK_EXIT_CLEAN;
+}
+
+static char *summary_render(const struct mapcheck *c)
+{
+	const struct document *d = &c->document;
+
+	if (d->map)
+		return g_strdup_printf("%u routes, %u services", d->map->routes->len,
+				       g_hash_table_size(d->map->services));
+	return g_strdup_printf("%u services, %u groups", d->manifest->services->len,
+			       d->manifest->groups->len);
+}
+
+char *mapcheck_render_text(const struct mapcheck *c)
+{
+	GString *out = g_string_new(NULL);
+
+	for (guint i = 0; i < c->findings->len; i++) {
+		const struct finding *f = g_ptr_array_index(c->findings, i);
+
+		g_string_append_printf(out, "%s %s %s: %s\n",
+				       severity_names[kinds[f->kind].severity], kinds[f->kind].name,
+				       f->path, f->text);
+	}
+	for (guint i = 0; c->differences && i < c->differences->len; i++) {
+		const struct mapdiff_line *line = g_ptr_array_index(c->differences, i);
+
+		g_string_append_printf(out, "difference %s: %s\n", line->path, line->text);
+	}
+	if (c->findings->len == 0) {
+		g_autofree char *summary = summary_render(c);
+
+		g_string_append_printf(out, "%s: %s: ok\n", c->name, summary);
+	}
+	return g_string_free(out, FALSE);
+}
+
+static json_t *findings_pack(const struct mapcheck *c, enum mapcheck_severity severity)
+{
+	json_t *list = json_array();
+
+	for (guint i = 0; i < c->findings->len; i++) {
+		const struct finding *f = g_ptr_array_index(c->findings, i);
+
+		if (kinds[f->kind].severity == severity)
+			json_array_append_new(list, json_pack("{s:s, s:s, s:s}", "finding",
+							      kinds[f->kind].name, "path", f->path,
+							      "text", f->text));
+	}
+	return list;
+}
+
+char *mapcheck_render_json(const struct mapcheck *c)
+{
+	json_t *differences = json_array();
+	json_t *json;
+	char *text;
+	char *out;
+
+	for (guint i = 0; c->differences && i < c->differences->len; i++) {
+		const struct mapdiff_line *line = g_ptr_array_index(c->differences, i);
+
+		json_array_append_new(differences, json_pack("{s:s, s:s}", "path", line->path,
+							     "text", line->text));
+	}
+	json = json_pack("{s:s, s:o, s:o, s:o}", "kind",
+			 c->document.is_manifest ? "manifest" : "routing", "errors",
+			 findings_pack(c, MAPCHECK_ERROR), "warnings",
+			 findings_pack(c, MAPCHECK_WARNING), "differences", differences);
+	text = json_dumps(json, JSON_COMPACT | JSON_PRESERVE_ORDER);
+	out = g_strconcat(text, "\n", NULL);
+	free(text);
+	json_decref(json);
+	return out;
+}
--- /dev/null
+++ b/tests/mapcheck_test.cc
@@ -0,0 +1,351 @@
+#include "adapter_platform.h"
+#include "mapcheck.h"
+#include "process.h"
+#include "script.h"
+
+#include <ctime>
+#include <fstream>
+#include <gtest/gtest.h>
+#include <jansson.h>
+#include <sstream>
+#include <unistd.h>
+
+namespace
+{
+/* Builds files field by field, checks them and prints what the command prints, and its status. */
+struct mapcheck_script : script_interpreter {
+	json_t *config = json_pack("{s:i, s:[], s:[]}", "version", 7, "routes", "services");
+	std::string raw; /* the file, instead of config */
+	std::string current;
+
+	~mapcheck_script() override
+	{
+		json_decref(config);
+	}
+
+	static json_t *list(const std::string &text, bool is_split)
+	{
+		std::istringstream in(text);
+		json_t *out = json_array();
+		std::string word;
+
+		while (std::getline(in, word, ',')) {
+			size_t colon = word.find(':');
+			json_t *name = json_string(word.substr(0, colon).c_str());
+
+			json_array_append_new(
+				out, is_split ? json_pack("{s:o, s:f}", "service", name, "weight",
+							  std::stod(word.substr(colon + 1)))
+					      : name);
+		}
+		return out;
+	}
+
+	/* Sets the fields NAME=VALUE; NAME= removes the field. */
+	static void fields_set(json_t *object, const std::vector<std::string> &w, size_t first)
+	{
+		for (size_t i = first; i < w.size(); i++) {
+			size_t equals = w[i].find('=');
+			std::string name = w[i].substr(0, equals);
+			std::string value = w[i].substr(equals + 1);
+			json_t *json = json_loads(value.c_str(), JSON_DECODE_ANY, nullptr);
+
+			if (name == "gather" || name == "trafficSplit") {
+				json_decref(json);
+				json = list(value, name == "trafficSplit");
+			}
+			if (value.empty())
+				json_object_del(object, name.c_str());
+			else
+				json_object_set_new(object, name.c_str(),
+						    json ? json : json_string(value.c_str()));
+		}
+	}
+
+	std::string text() const
+	{
+		char *dump = json_dumps(config, JSON_COMPACT);
+		std::string out = raw.empty() ? dump : raw;
+
+		free(dump);
+		return out;
+	}
+
+	std::string check(bool as_json)
+	{
+		std::string file_text = text();
+		struct mapcheck_file file = {"new", file_text.data(), file_text.size()};
+		struct mapcheck_file before = {"current", current.data(), current.size()};
+		GError *error = nullptr;
+		struct mapcheck *c = mapcheck_create(adapter_platform(), &file,
+						     current.empty() ? nullptr : &before, &error);
+		std::string out;
+
+		if (!c) {
+			out = std::string(error->message) + "\nexit 2\n";
+			g_error_free(error);
+			return out;
+		}
+		char *rendered = as_json ? mapcheck_render_json(c) : mapcheck_render_text(c);
+
+		out = rendered + ("exit " + std::to_string(mapcheck_exit_code(c))) + "\n";
+		g_free(rendered);
+		mapcheck_destroy(c);
+		return out;
+	}
+
+	std::string run(const std::vector<std::string> &w) override
+	{
+		json_t *routes = json_object_get(config, "routes");
+		json_t *services = json_object_get(config, "services");
+
+		if (w[0] == "route") { /* route NAME HOST PREFIX FIELD=VALUE... */
+			json_t *route = json_pack("{s:s, s:s, s:s, s:s, s:i}", "name", w[1].c_str(),
+						  "hostname", w[2].c_str(), "prefix", w[3].c_str(),
+						  "routeType", "safe", "timeoutMs", 1000);
+
+			fields_set(route, w, 4);
+			json_array_append_new(routes, route);
+		} else if (w[0] == "change") { /* change I FIELD=VALUE... */
+			fields_set(json_array_get(routes, std::stoul(w[1])), w, 2);
+		} else if (w[0] == "remove") { /* remove I */
+			json_array_remove(routes, std::stoul(w[1]));
+		} else if (w[0] == "services") { /* services NAME... */
+			json_array_clear(services);
+			for (size_t i = 1; i < w.size(); i++)
+				json_array_append_new(services,
+						      json_pack("{s:s}", "name", w[i].c_str()));
+		} else if (w[0] == "service") { /* service I FIELD=VALUE... */
+			fields_set(json_array_get(services, std::stoul(w[1])), w, 2);
+		} else if (w[0] == "limits") { /* limits FIELD=VALUE... */
+			json_object_set_new(config, "limits", json_object());
+			fields_set(json_object_get(config, "limits"), w, 1);
+		} else if (w[0] == "version") { /* version N */
+			json_object_set_new(config, "version", json_integer(std::stoll(w[1])));
+		} else if (w[0] == "raw") { /* raw TEXT, with \n for the end of a line */
+			raw.clear();
+			for (size_t i = 1; i < w.size(); i++)
+				raw += w[i] == "\\n" ? "\n" : w[i] + " ";
+		} else if (w[0] == "fill") { /* fill N TEXT TEXT: the first N times, the second */
+			raw.clear();
+			for (size_t i = 0; i < std::stoul(w[1]); i++)
+				raw += w[2];
+			raw += w[3];
+		} else if (w[0] == "nest") { /* nest N: that many arrays in each other */
+			raw = std::string(std::stoul(w[1]), '[') +
+			      std::string(std::stoul(w[1]), ']');
+		} else if (w[0] == "current") { /* the file as it is now */
+			current = text();
+			raw.clear();
+		} else { /* check, json */
+			return check(w[0] == "json");
+		}
+		return "";
+	}
+};
+
+bool registered = script_register("mapcheck", "mapcheck.test",
+				  [] { return std::make_unique<mapcheck_script>(); });
+
+std::string page_read(const char *name)
+{
+	std::ifstream in(name);
+	std::stringstream out;
+
+	out << in.rdbuf();
+	EXPECT_FALSE(out.str().empty()) << name;
+	return out.str();
+}
+
+/* The text of the manual page without the markup of troff. */
+std::string manual_plain(const std::string &page)
+{
+	std::string out;
+
+	for (size_t i = 0; i < page.size(); i++)
+		if (page[i] != '\\' || page[i + 1] == '\\')
+			out += page[i];
+	return out;
+}
+
+/* A configuration that daemons accept, with every field that the daemon's reader knows. */
+const char mutation_seed[] =
+	"{\"version\":7,\"routes\":[{\"name\":\"a\",\"hostname\":\"one.example\",\"prefix\":\"/a/"
+	"\","
+	"\"routeType\":\"safe\",\"timeoutMs\":600,\"targetLatencyMs\":250,\"priority\":1,"
+	"\"maxAttempts\":2,\"gather\":[\"s\",\"t\"],\"topK\":5,\"minShardRatio\":0.5},"
+	"{\"name\":\"b\",\"hostname\":\"one.example\",\"prefix\":\"/b/\",\"routeType\":\"unsafe\","
+	"\"timeoutMs\":600,\"trafficSplit\":[{\"service\":\"s\",\"weight\":70},"
+	"{\"service\":\"t\",\"weight\":30}]}],\"services\":[{\"name\":\"s\",\"maxConnections\":26},"
+	"{\"name\":\"t\",\"warmupS\":2,\"warmupPerS\":1.5}],\"limits\":{\"maxHeaderBytes\":16384}}";
+
+/* Changes one or two places: a byte, a cut, a copy of a stretch, or a value for another. */
+std::string mutate(GRand *rand)
+{
+	static const char *const values[] = {"0",
+					     "-1",
+					     "7",
+					     "0.5",
+					     "true",
+					     "\"/x/\"",
+					     "\"\"",
+					     "null",
+					     "[]",
+					     "1e400",
+					     "18446744073709551616"};
+	std::string text = mutation_seed;
+
+	for (int n = g_rand_int_range(rand, 1, 3); n > 0; n--) {
+		size_t at = (size_t)g_rand_int_range(rand, 0, (gint)text.size());
+		size_t length = (size_t)g_rand_int_range(rand, 1, 30);
+		size_t colon = text.find(':', at);
+		size_t end = colon == std::string::npos ? colon : text.find_first_of(",}]", colon);
+
+		switch (g_rand_int_range(rand, 0, 8)) {
+		case 0:
+			text[at] = (char)g_rand_int_range(rand, 0, 256);
+			break;
+		case 1:
+			text.erase(at, length);
+			break;
+		case 2:
+			text.insert(at, text.substr(at, length));
+			break;
+		default:
+			if (end != std::string::npos)
+				text.replace(
+					colon + 1, end - colon - 1,
+					values[g_rand_int_range(rand, 0, G_N_ELEMENTS(values))]);
+		}
+	}
+	return text;
+}
+} // namespace
+
+/*
+ * Guards against a check that passes what daemons refuse, or names errors in what they accept. The
+ * check calls the daemon's reader, so this covers what it decides before and after that.
+ */
+TEST(mapcheck_agreement, check_and_daemon_agree_on_mutations)
+{
+	const struct adapter *adapter = adapter_platform();
+	GRand *rand = g_rand_new_with_seed(8);
+	int n_accepted = 0;
+
+	for (int i = 0; i < 500; i++) {
+		std::string text = mutate(rand);
+		struct mapcheck_file file = {"new", text.data(), text.size()};
+		struct routemap *map =
+			adapter->ops->routes_parse(adapter, text.data(), text.size(), nullptr);
+		struct mapcheck *c = mapcheck_create(adapter, &file, nullptr, nullptr);
+
+		EXPECT_EQ(map != nullptr, c && !mapcheck_has_error(c)) << text;
+		n_accepted += map != nullptr;
+		mapcheck_destroy(c);
+		routemap_put(map);
+	}
+	EXPECT_GE(n_accepted, 100);
+	EXPECT_LE(n_accepted, 400);
+	g_rand_free(rand);
+}
+
+/* Guards against findings that the pages describe differently, or whose example is not printed. */
+TEST(mapcheck_pages, pages_and_code_agree)
+{
+	std::string page = page_read(DOCS_DIR "/OPERATIONS.md");
+	std::string manual = manual_plain(page_read(DOCS_DIR "/apricot.1"));
+	std::string script = page_read(TEST_DIR "/mapcheck.test");
+	size_t n_rows = 0;
+	size_t n_listed = 0;
+
+#define X(symbol, name, severity, meaning, example)                                                \
+	n_listed++;                                                                                \
+	EXPECT_NE(page.find("| `" name "` | " meaning " | `" example "` |\n"), std::string::npos)  \
+		<< "docs/OPERATIONS.md lacks " << name;                                            \
+	EXPECT_NE(manual.find(".B " name "\n" meaning ".\n.br\n" example "\n"), std::string::npos) \
+		<< "docs/apricot.1 lacks " << name;                                                \
+	EXPECT_NE(script.find("\n" example "\n"), std::string::npos) << "no case prints " << name; \
+	EXPECT_EQ(std::string(example).rfind(                                                      \
+			  MAPCHECK_##severity == MAPCHECK_ERROR ? "error " name : "warning " name, \
+			  0),                                                                      \
+		  0u);
+	MAPCHECK_LIST(X)
+#undef X
+	for (const char *mark : {" | `error ", " | `warning "})
+		for (size_t at = 0; (at = page.find(mark, at)) != std::string::npos; at++)
+			n_rows++;
+	EXPECT_EQ(n_rows, n_listed) << "docs/OPERATIONS.md has rows that the list lacks";
+}
+
+/* Guards against a check and a comparison that take long for the largest configurations. */
+TEST(mapcheck_size, checks_2500_routes_in_a_second)
+{
+	std::string routes;
+	std::string shards;
+
+	for (int i = 0; i < 90; i++)
+		shards += (i ? ",\"s" : "\"s") + std::to_string(i) + "\"";
+	for (int i = 0; i < 2500; i++)
+		routes += (i ? ",{" : "{") + ("\"name\":\"r" + std::to_string(i)) +
+			  "\",\"hostname\":\"one.example\",\"prefix\":\"/" + std::to_string(i) +
+			  "/\",\"routeType\":\"safe\",\"timeoutMs\":900,\"gather\":[" + shards +
+			  "]}";
+
+	std::string text = "{\"version\":1,\"routes\":[" + routes + "]}";
+	struct mapcheck_file file = {"new", text.data(), text.size()};
+	clock_t start = clock();
+	struct mapcheck *c = mapcheck_create(adapter_platform(), &file, &file, nullptr);
+
+	ASSERT_NE(c, nullptr);
+	EXPECT_FALSE(mapcheck_has_error(c));
+	g_free(mapcheck_render_text(c));
+	/* Processor time, which other processes of the machine do not lengthen. */
+	double took_s = (double)(clock() - start) / CLOCKS_PER_SEC;
+
+	EXPECT_LT(took_s, 1);
+	RecordProperty("took_s", std::to_string(took_s));
+	mapcheck_destroy(c);
+}
+
+/* Guards against the command's wiring: options that are not passed on, or another exit status. */
+TEST(mapcheck_command, options_and_exit_status)
+{
+	g_autofree char *directory = g_dir_make_tmp(nullptr, nullptr);
+	std::string good = std::string(directory) + "/good";
+	std::string odd = std::string(directory) + "/odd";
+	struct {
+		std::vector<std::string> args;
+		int status;
+		std::string line;
+	} const cases[] = {
+		{{good}, 0, good + ": 0 routes, 0 services: ok"},
+		{{odd}, 1, "error rejected configuration: 501 bad_manifest: route a has no host"},
+		{{good, "--json"},
+		 0,
+		 R"({"kind":"routing","errors":[],"warnings":[],"differences":[]})"},
+		{{good, "--against", good},
+		 0,
+		 "difference version: 7 is equal to 7: daemons keep the current configuration"},
+		{{good, "--against", odd}, 2, ""},
+		{{good, "--against", "127.0.0.1:9"}, 2, ""},
+		{{good, "--against", directory}, 2, ""},
+		{{good + "x"}, 2, ""},
+		{{"/dev/zero"}, 2, ""},
+		{{}, 2, ""},
+	};
+
+	ASSERT_TRUE(g_file_set_contents(good.c_str(), R"({"version":7,"routes":[]})", -1, nullptr));
+	ASSERT_TRUE(g_file_set_contents(odd.c_str(), R"({"version":7,"routes":[{"name":"a"}]})", -1,
+					nullptr));
+	for (const auto &test : cases) {
+		std::vector<std::string> args = {"apricotctl", "check-config"};
+
+		args.insert(args.end(), test.args.begin(), test.args.end());
+		process p(args);
+		EXPECT_EQ(p.line_read(), test.line);
+		EXPECT_EQ(p.exit_wait(), test.status) << test.line;
+	}
+	unlink(good.c_str());
+	unlink(odd.c_str());
+	rmdir(directory);
+}
