Read the link speed and the memory of a VM from the settings

Cause: a VM is to measure its own shortage, and its settings name only its processor share. Nothing reads the values yet.

--- a/src/settings.c
+++ b/src/settings.c
@@ -27,6 +27,9 @@
 	if (!text)
 		text = g_getenv(env);
 	*out = fallback;
+	/* A template leaves the value empty where the platform has none. */
+	if (text && *text == '\0' && fallback == 0 && min == 0)
+		return true;
 	if (text && !g_ascii_string_to_unsigned(text, 10, min, max, out, NULL)) {
 		g_set_error(error, RESULT_ERROR, RESULT_BAD_SETTING,
 			    "--%s (or %s): '%s' is not a whole number from %" G_GUINT64_FORMAT
@@ -99,13 +102,35 @@
 	return s->cpu ? (uint32_t)(g_ascii_strtod(s->cpu, NULL) * 1000) : 1000;
 }
 
+/* Largest number of megabits a second accepted for --link-mbps. */
+#define LINK_MBPS_MAX 10000000
+
+static bool link_check(const char *text, GError **error)
+{
+	char *end = NULL;
+	double mbps = text && *text ? g_ascii_strtod(text, &end) : 0;
+
+	if (!text || !*text || (end != text && *end == '\0' && mbps >= 0 && mbps <= LINK_MBPS_MAX))
+		return true;
+	g_set_error(error, RESULT_ERROR, RESULT_BAD_SETTING,
+		    "--link-mbps: '%s' is not a number of megabits a second from 0 to %d", text,
+		    LINK_MBPS_MAX);
+	return false;
+}
+
+double settings_link_mbps(const struct settings *s)
+{
+	return s->link_mbps ? g_ascii_strtod(s->link_mbps, NULL) : 0;
+}
+
 static bool settings_check(struct settings *s, GError **error)
 {
 	enum log_level level;
 
 	if (!optional_address_check("gateway", s->gateway, error) ||
 	    !optional_address_check("directory", s->directory, error) ||
-	    !optional_address_check("ready", s->ready, error) || !cpu_check(s->cpu, error))
+	    !optional_address_check("ready", s->ready, error) || !cpu_check(s->cpu, error) ||
+	    !link_check(s->link_mbps, error))
 		return false;
 	if (!name_check("name", s->name, error) || !name_check("dc", s->dc, error) ||
 	    !address_check("http", s->http, error) || !address_check("rpc", s->rpc, error) ||
--- a/src/settings.h
+++ b/src/settings.h
@@ -27,6 +27,8 @@
 	X(ready, "ready", "APRICOT_READY", 0, "IP:PORT of status checks")                      \
 	X(settings, "settings", "APRICOT_SETTINGS", 0, "file of lines NAME=VALUE")             \
 	X(cpu, "cpu", "APRICOT_CPU", 0, "processor share of this VM, cores (default 1)")       \
+	X(link_mbps, "link-mbps", "APRICOT_LINK_MBPS", 0,                                      \
+	  "speed of this VM's link, megabits a second (0 or empty: unknown)")                  \
 	X(log_level, "log-level", "APRICOT_LOG_LEVEL", 0, "error, warning or info (default info)")
 
 /* X(field, flag, environment variable, default, minimum, maximum, help) */
@@ -51,6 +53,8 @@
 	  "further repeats of a service per repeat window, all VMs together")                   \
 	X(ping_ms, "ping-ms", "APRICOT_PING_MS", 1000, 100, 60000,                              \
 	  "period of heartbeats between VMs, ms")                                               \
+	X(memory_mb, "memory-mb", "APRICOT_MEMORY_MB", 0, 0, 1000000000,                        \
+	  "memory of this VM, MB (0 or empty: unknown)")                                        \
 	X(log_lines_s, "log-lines-s", "APRICOT_LOG_LINES_S", 40, 1, 100000,                     \
 	  "limit on log lines about single requests, lines per second")
 
@@ -82,6 +86,9 @@
 /* Processor share of this VM in thousandths of a core; 1000 without the setting. */
 uint32_t settings_cpu_milli(const struct settings *s);
 
+/* Speed of this VM's link in megabits a second; 0: unknown. */
+double settings_link_mbps(const struct settings *s);
+
 G_END_DECLS
 
 #endif
