Let a VM change the weight that it tells the others

Cause: the weight was set once, when the process starts, so that a VM could not tell that less of it is left for callers. Change: member_table_set_weight raises the sequence number, so that other tables take the entry, and pushes it at once; a changed weight makes a new roster. The roster keeps the greatest weight of a process as its size, so that the readers of the store stay the same, and has what is left beside it. No field is added to the messages. Nothing changes a weight yet.

--- a/src/member.c
+++ b/src/member.c
@@ -290,9 +290,11 @@
 			  uint64_t now_ms)
 {
 	bool state_changed = m->e.state != e->state;
-	bool changed = state_changed || m->e.incarnation != e->incarnation ||
-		       strcmp(m->e.dc, e->dc) != 0 || strcmp(m->e.http, e->http) != 0 ||
-		       strcmp(m->e.rpc, e->rpc) != 0;
+	bool is_same = m->e.incarnation == e->incarnation;
+	uint32_t weight_most = is_same ? MAX(m->e.weight_most, e->weight) : e->weight;
+	bool weight_changed = m->e.weight != e->weight;
+	bool changed = state_changed || !is_same || strcmp(m->e.dc, e->dc) != 0 ||
+		       strcmp(m->e.http, e->http) != 0 || strcmp(m->e.rpc, e->rpc) != 0;
 
 	if (ping_order_for(t, m->e.state) != ping_order_for(t, e->state)) {
 		ping_order_remove(ping_order_for(t, m->e.state), m);
@@ -300,6 +302,7 @@
 	}
 	config_version_update(t, &m->e, e->config_version);
 	m->e = *e;
+	m->e.weight_most = weight_most;
 	m->heard_ms = now_ms;
 	if (state_changed || e->state == MEMBER_SUSPECT)
 		list_del(&m->timer);
@@ -310,10 +313,10 @@
 		m->deadline_ms = t->time_ms + MEMBER_FORGET_MS;
 		list_add_tail(&m->timer, &t->tombstones);
 	}
-	if (!changed)
-		return;
-	t->version++;
-	t->transport->ops->changed(t->transport, &m->e);
+	if (changed || weight_changed)
+		t->version++;
+	if (changed)
+		t->transport->ops->changed(t->transport, &m->e);
 }
 
 /* Sets a state that this table decided on; the incarnation and sequence number stay the same. */
@@ -754,6 +757,7 @@
 	t->timing = (struct member_timing){MEMBER_PERIOD_MS, MEMBER_INDIRECT_MS};
 	t->self.e = *self;
 	t->self.e.state = MEMBER_LIVE;
+	t->self.e.weight_most = self->weight;
 	member_init(&t->self);
 	t->created_ms = now_ms;
 	t->last_ms = now_ms;
@@ -849,6 +853,20 @@
 	config_version_update(t, &t->self.e, version);
 }
 
+/* The sequence number makes other tables take the entry in place of one with the old weight. */
+void member_table_set_weight(struct member_table *t, uint32_t weight)
+{
+	struct member_entry *self = &t->self.e;
+
+	if (weight == self->weight || self->sequence == UINT32_MAX)
+		return;
+	self->weight = weight;
+	self->weight_most = MAX(self->weight_most, weight);
+	self->sequence++;
+	t->version++;
+	t->push_rounds = PUSH_ROUNDS;
+}
+
 void member_table_foreach(struct member_table *t, uint64_t now_ms,
 			  void (*visit)(const struct member_entry *entry, void *data), void *data)
 {
--- a/src/member.h
+++ b/src/member.h
@@ -60,7 +60,9 @@
 	uint32_t sequence; /* incremented only by the member itself */
 	enum member_state state;
 	uint64_t config_version;
-	uint32_t weight; /* processor share, thousandths of a core; 0: unknown */
+	uint32_t weight; /* processor share for callers, thousandths of a core; 0: unknown */
+	/* The greatest weight of this process that the table has heard of; not sent. */
+	uint32_t weight_most;
 	uint64_t uptime_ms; /* lower bound at the time when the table returns or sends the entry */
 };
 
@@ -155,6 +157,8 @@
 bool member_table_is_superseded(const struct member_table *t);
 
 void member_table_set_config_version(struct member_table *t, uint64_t version);
+/* Changes this process's weight. Like an announcement it is told to the others at once. */
+void member_table_set_weight(struct member_table *t, uint32_t weight);
 
 /* Visits every entry except removed ones, this process first. */
 void member_table_foreach(struct member_table *t, uint64_t now_ms,
@@ -168,8 +172,8 @@
 unsigned int member_table_count(const struct member_table *t);
 
 /*
- * Increases with each change of a member's state, incarnation, data centre or address, and with the
- * first configuration of a member.
+ * Increases with each change of a member's state, incarnation, data centre, address or weight, and
+ * with the first configuration of a member.
  */
 uint64_t member_table_version(const struct member_table *t);
 
--- a/src/membership.c
+++ b/src/membership.c
@@ -143,7 +143,8 @@
 	vm->rpc = g_strdup(entry->rpc);
 	vm->http = g_strdup(entry->http);
 	vm->has_config = entry->config_version > 0;
-	vm->weight = entry->weight;
+	vm->weight = entry->weight_most;
+	vm->weight_left = entry->weight;
 	vm->name_hash = rendezvous_name_hash(entry->name);
 	vm->is_self = strcmp(entry->name, build->membership->self.name) == 0;
 	vm->is_available = entry->state == MEMBER_LIVE;
@@ -498,6 +499,9 @@
 	case MESSAGE_SETTINGS_READ:
 		settings_take(ms, (struct settings_read *)m);
 		break;
+	case MESSAGE_WEIGHT_CHANGED:
+		member_table_set_weight(ms->table, ((struct weight_changed *)m)->weight_left);
+		break;
 	case MESSAGE_RENEWAL_REQUESTED:
 		members_ask(ms);
 		break;
--- a/src/message.c
+++ b/src/message.c
@@ -387,6 +387,15 @@
 	g_free(changed);
 }
 
+struct weight_changed *weight_changed_create(uint32_t weight_left)
+{
+	struct weight_changed *changed = g_new0(struct weight_changed, 1);
+
+	changed->message.kind = MESSAGE_WEIGHT_CHANGED;
+	changed->weight_left = weight_left;
+	return changed;
+}
+
 struct evacuation_changed *evacuation_changed_create(const char *dc, bool is_begun,
 						     uint64_t revision)
 {
--- a/src/message.h
+++ b/src/message.h
@@ -44,6 +44,7 @@
 	MESSAGE_STORE_READING,
 	MESSAGE_SETTINGS_READ,
 	MESSAGE_EVACUATION_CHANGED,
+	MESSAGE_WEIGHT_CHANGED,
 };
 
 /* A search or command of a caller. Its syntax was checked, but not against the manifest. */
@@ -195,6 +196,12 @@
 	uint64_t revision; /* of the store at this change */
 };
 
+/* The share of this VM that is left for callers has changed; see vmload.h. */
+struct weight_changed {
+	struct message message;
+	uint32_t weight_left; /* thousandths of a core */
+};
+
 /* The settings were read again. Holds those that can change while the process runs. */
 struct settings_read {
 	struct message message;
@@ -231,6 +238,7 @@
 struct store_reading *store_reading_create(bool is_wanted);
 struct evacuation_changed *evacuation_changed_create(const char *dc, bool is_begun,
 						     uint64_t revision);
+struct weight_changed *weight_changed_create(uint32_t weight_left);
 /* Copies what it needs from the settings. */
 struct settings_read *settings_read_create(const struct settings *settings);
 /* Takes a reference to the map. */
--- a/src/roster.h
+++ b/src/roster.h
@@ -18,6 +18,7 @@
 	char *http; /* IP:PORT that callers connect to */
 	uint64_t name_hash; /* rendezvous_name_hash of the name */
 	uint32_t weight; /* processor share, thousandths of a core; 0: unknown */
+	uint32_t weight_left; /* of it, what is left for callers; less while the VM is short */
 	bool is_self;
 	bool is_available; /* neither leaving nor suspected */
 	bool has_config; /* needed to serve callers */
--- a/tests/member_test.cc
+++ b/tests/member_test.cc
@@ -58,6 +58,15 @@
 				}
 				net->run(15000);
 			}
+		} else if (w[0] == "weigh") { /* weigh I WEIGHT */
+			member_table_set_weight(node(1).table, (uint32_t)num(2));
+		} else if (w[0] == "until-weight") { /* until-weight I WEIGHT MS: everywhere */
+			return until_weight(node(1), (uint32_t)num(2), num(3));
+		} else if (w[0] == "roster-version") { /* of vm-0, since the last such step */
+			uint64_t before = version;
+
+			version = member_table_version(first());
+			return version > before ? "new\n" : "same\n";
 		} else if (w[0] == "join") {
 			return join();
 		} else if (w[0] == "until") { /* until I STATE MS: in every other table */
@@ -99,6 +108,7 @@
 
       private:
 	std::unique_ptr<member_net> net;
+	uint64_t version = 0; /* of vm-0's table at the last roster-version step */
 
 	member_table *first()
 	{
@@ -135,6 +145,27 @@
 		return "too late\n";
 	}
 
+	/* Says also what the greatest weight of vm I is to vm-0. */
+	std::string until_weight(const member_net::node &about, uint32_t weight, uint64_t ms)
+	{
+		member_entry e;
+
+		for (uint64_t end_ms = net->now_ms + ms; net->now_ms < end_ms; net->run(100)) {
+			bool all = true;
+
+			for (auto &v : net->nodes)
+				all = all &&
+				      (!v->table || (member_table_find(v->table, about.self.name,
+								       net->now_ms, &e) &&
+						     e.weight == weight));
+			if (!all)
+				continue;
+			member_table_find(first(), about.self.name, net->now_ms, &e);
+			return "in time, greatest " + std::to_string(e.weight_most) + "\n";
+		}
+		return "too late\n";
+	}
+
 	std::set<std::string> names(member_table *t)
 	{
 		std::set<std::string> s;
