Offer VMs elsewhere while those of a data centre are short

Cause: entry VMs are chosen once, by size; the callers of a data centre whose VMs are short were told of these only. Change: short VMs stay chosen, and up to four more are chosen while less than 1.4 cores are left of the chosen ones and a further VM is whole. Callers in the data centre of short VMs are also told of as many whole ones elsewhere as replace what is missing; callers without VMs of their own are not told of VMs at the last step. When no VM is short, or all are, the choice is as before.

--- a/src/directory.c
+++ b/src/directory.c
@@ -60,6 +60,7 @@
 			.dc = vm->dc,
 			.name_hash = vm->name_hash,
 			.weight = vm->weight,
+			.weight_left = vm->weight_left,
 			.is_usable = vm->is_self ? is_ready(d) : vm->is_available && vm->has_config,
 		};
 	}
--- a/src/entrychoice.c
+++ b/src/entrychoice.c
@@ -9,6 +9,11 @@
  * in the leaves' data centres are chosen. The largest site's load costs about 0.4 cores.
  */
 #define CHOSEN_MILLICORES_MIN 1400
+/*
+ * Most VMs chosen beyond that while chosen ones are short. Each opens connections to all leaves,
+ * which accept few.
+ */
+#define FURTHER_MAX 4
 /* A caller with at least this many chosen VMs in its data centre is told of no others. */
 #define OWN_DC_MIN 2
 
@@ -73,10 +78,51 @@
 	return best;
 }
 
+static bool is_short(const struct entrychoice_vm *vm)
+{
+	return vm->weight_left < vm->weight;
+}
+
+/* The share at its least, a quarter; see vmload.h. */
+static bool is_exhausted(const struct entrychoice_vm *vm)
+{
+	return is_short(vm) && vm->weight_left <= vm->weight / 4;
+}
+
+static bool further_one_is_whole(const struct entrychoice_vm *vms, unsigned int n,
+				 char *const *leaf_dcs)
+{
+	for (unsigned int i = 0; i < n; i++)
+		if (vms[i].is_usable && !vms[i].is_chosen && !is_short(&vms[i]) &&
+		    is_leaf_dc(vms[i].dc, leaf_dcs))
+			return true;
+	return false;
+}
+
+/*
+ * Chooses more VMs while the chosen ones have too little left. Short ones are not passed over: one
+ * that became short because it was chosen would otherwise be replaced at once by another.
+ */
+static unsigned int further_choose(struct entrychoice_vm *vms, unsigned int n,
+				   char *const *leaf_dcs, uint32_t millicores_left)
+{
+	unsigned int count = 0;
+	struct entrychoice_vm *vm;
+
+	while (count < FURTHER_MAX && millicores_left < CHOSEN_MILLICORES_MIN &&
+	       further_one_is_whole(vms, n, leaf_dcs) && (vm = next_choice(vms, n, leaf_dcs))) {
+		vm->is_chosen = true;
+		millicores_left += vm->weight_left;
+		count++;
+	}
+	return count;
+}
+
 unsigned int entrychoice_choose(struct entrychoice_vm *vms, unsigned int n, char *const *leaf_dcs)
 {
 	unsigned int count = 0;
 	uint32_t millicores = 0;
+	uint32_t millicores_left = 0;
 	struct entrychoice_vm *vm;
 
 	for (unsigned int i = 0; i < n; i++)
@@ -87,15 +133,69 @@
 			break;
 		vm->is_chosen = true;
 		millicores += vm->weight;
+		millicores_left += vm->weight_left;
 		count++;
 	}
+	if (millicores_left < millicores)
+		count += further_choose(vms, n, leaf_dcs, millicores_left);
+	return count;
+}
+
+/*
+ * Number of VMs elsewhere that callers in dc are told of besides the chosen ones there, so that
+ * about the share that these lack goes elsewhere. 0 when they are whole.
+ */
+static unsigned int elsewhere_count(const struct entrychoice_vm *vms, unsigned int n,
+				    const char *dc)
+{
+	uint64_t weight = 0;
+	uint64_t left = 0;
+	unsigned int count = 0;
+
+	for (unsigned int i = 0; i < n; i++) {
+		if (!vms[i].is_chosen || strcmp(vms[i].dc, dc) != 0)
+			continue;
+		weight += vms[i].weight;
+		left += MAX(1, vms[i].weight_left);
+		count++;
+	}
+	return weight > left ? (unsigned int)((count * (weight - left) + left - 1) / left) : 0;
+}
+
+/* Chosen VMs outside dc that are whole and come before the VM, by share and then by hash. */
+static unsigned int elsewhere_rank(const struct entrychoice_vm *vms, unsigned int n,
+				   const struct entrychoice_vm *vm, const char *dc)
+{
+	unsigned int rank = 0;
+
+	for (unsigned int i = 0; i < n; i++)
+		rank += vms[i].is_chosen && !is_short(&vms[i]) && strcmp(vms[i].dc, dc) != 0 &&
+			(vms[i].weight > vm->weight ||
+			 (vms[i].weight == vm->weight && vms[i].name_hash > vm->name_hash));
+	return rank;
+}
+
+static unsigned int unexhausted_count(const struct entrychoice_vm *vms, unsigned int n)
+{
+	unsigned int count = 0;
+
+	for (unsigned int i = 0; i < n; i++)
+		count += vms[i].is_chosen && !is_exhausted(&vms[i]);
 	return count;
 }
 
 bool entrychoice_is_offered(const struct entrychoice_vm *vms, unsigned int n, unsigned int vm,
 			    const char *dc)
 {
-	if (!vms[vm].is_chosen)
+	const struct entrychoice_vm *v = &vms[vm];
+
+	if (!v->is_chosen)
 		return false;
-	return chosen_count(vms, n, dc) < OWN_DC_MIN || strcmp(vms[vm].dc, dc) == 0;
+	if (strcmp(v->dc, dc) == 0)
+		return true;
+	/* Callers from elsewhere leave a VM only at its last step, so that they do not all go at
+	 * once. */
+	if (chosen_count(vms, n, dc) < OWN_DC_MIN)
+		return !is_exhausted(v) || unexhausted_count(vms, n) < OWN_DC_MIN;
+	return !is_short(v) && elsewhere_rank(vms, n, v, dc) < elsewhere_count(vms, n, dc);
 }
--- a/src/entrychoice.h
+++ b/src/entrychoice.h
@@ -6,6 +6,11 @@
  * between data centres. So only a few VMs are chosen: those with the largest processor share in the
  * data centres of the leaves, and others when some of these are lost. A caller is told only of the
  * chosen VMs in its own data centre when there are enough.
+ *
+ * While chosen VMs are short (vmload.h), they stay chosen, so that callers do not all change to
+ * others that are then short in turn. A few more VMs are chosen when little is left of the chosen
+ * ones, and callers in the data centre of short VMs are also told of as many elsewhere as replace
+ * what is missing. Without a VM that has more left, nothing changes.
  */
 #ifndef APRICOT_ENTRYCHOICE_H
 #define APRICOT_ENTRYCHOICE_H
@@ -20,6 +25,7 @@
 	const char *dc;
 	uint64_t name_hash;
 	uint32_t weight; /* processor share, thousandths of a core */
+	uint32_t weight_left; /* of it, what is left for callers; less while the VM is short */
 	bool is_usable; /* can serve callers now */
 	bool is_chosen; /* set by entrychoice_choose */
 };
--- a/tests/entrychoice_test.cc
+++ b/tests/entrychoice_test.cc
@@ -26,7 +26,8 @@
 
 			names.push_back(name);
 			vms.push_back({g_strdup(w[1].c_str()), rendezvous_name_hash(name.c_str()),
-				       (uint32_t)std::stoul(w[2]), true, false});
+				       (uint32_t)std::stoul(w[2]), (uint32_t)std::stoul(w[2]), true,
+				       false});
 		}
 	}
 
@@ -39,6 +40,15 @@
 			}
 	}
 
+	/* n VMs of the data centre, first those chosen, have 1/divisor left. */
+	void shorten(const std::string &dc, int n, uint32_t divisor)
+	{
+		for (bool is_chosen : {true, false})
+			for (auto &vm : vms)
+				if (vm.dc == dc && vm.is_chosen == is_chosen && n-- > 0)
+					vm.weight_left = vm.weight / divisor;
+	}
+
 	/* Counts of the offered VMs by data centre and weight. */
 	std::string offered(const char *dc)
 	{
@@ -61,6 +71,8 @@
 		if (w[0] == "leaf-dcs")
 			for (size_t i = 1; i < w.size(); i++)
 				leaf_dcs.push_back(g_strdup(w[i].c_str()));
+		if (w[0] == "short") /* short DC N DIVISOR */
+			shorten(w[1], std::stoi(w[2]), (uint32_t)std::stoul(w[3]));
 		if (w[0] == "lose") /* lose DC N */
 			lose(w[1], std::stoi(w[2]));
 		if (w[0] == "offered") { /* offered [DC]: VMs that a caller of DC is told of */
