Measure the shortage of a VM and lower its share for callers

Cause: the demand of data centres swings, and the VMs of one run short while those of others are idle. Change: vmload decides: half of the share is left from 70% of processor or link over 2 s or 80% of memory, then a quarter; it rises when the use would stay below 50% with twice the callers, after eight lives of a list. The service loadmeter measures every 500 ms and tells membership. It runs only in routed deployments whose settings name the link or the memory. One log line for each change, three metrics and an entry in /status.

--- a/src/front.c
+++ b/src/front.c
@@ -197,14 +197,19 @@
 	}
 }
 
-/* other_metrics: metrics of other services, as text; may be NULL */
-static void metrics_send(struct front *f, struct evhttp_request *req, const char *other_metrics)
+/* body: metrics of other services as text, each under a key of its own; NULL without any */
+static void metrics_send(struct front *f, struct evhttp_request *req, const json_t *body)
 {
+	static const char *const keys[] = {"metrics", "load_metrics"};
 	GString *text = g_string_new(NULL);
 
 	counter_render(kernel_counters(f->service.kernel), text);
 	latency_render(f, text);
-	g_string_append(text, other_metrics ? other_metrics : "");
+	for (size_t i = 0; i < G_N_ELEMENTS(keys); i++) {
+		const char *more = json_string_value(json_object_get(body, keys[i]));
+
+		g_string_append(text, more ? more : "");
+	}
 	evhttp_add_header(evhttp_request_get_output_headers(req), "Content-Type", "text/plain");
 	evbuffer_add(evhttp_request_get_output_buffer(req), text->str, text->len);
 	evhttp_send_reply(req, 200, NULL, NULL);
@@ -213,7 +218,7 @@
 
 static void metrics_ask(struct front *f, struct evhttp_request *req)
 {
-	static const char *const services[] = {"gateway"};
+	static const char *const services[] = {"gateway", "loadmeter"};
 
 	if (kernel_service_find(f->service.kernel, services[0]))
 		status_ask(f, req, PENDING_METRICS, services, G_N_ELEMENTS(services));
@@ -224,7 +229,8 @@
 static void http_handle(struct evhttp_request *req, void *arg)
 {
 	static const char *const status_services[] = {"configurer", "membership", "holder",
-						      "commander",  "stopper",	  "gateway"};
+						      "commander",  "stopper",	  "gateway",
+						      "loadmeter"};
 	static const char *const entries_services[] = {"membership"};
 	struct front *f = arg;
 	const char *path = evhttp_uri_get_path(evhttp_request_get_evhttp_uri(req));
@@ -282,7 +288,7 @@
 	if (--p->n_replies_missing > 0)
 		return;
 	if (p->kind == PENDING_METRICS)
-		metrics_send(f, p->req, json_string_value(json_object_get(p->body, "metrics")));
+		metrics_send(f, p->req, p->body);
 	else
 		json_send(p->req, 200, p->body);
 	g_hash_table_remove(f->pending, (gpointer)(guintptr)reply->tag);
--- a/src/logevent.h
+++ b/src/logevent.h
@@ -48,6 +48,8 @@
 	X("second_reader_asked",                                                                  \
 	  "changes that a reader knows have not arrived from the first one; another is asked")    \
 	X("entries_chosen", "number of entry VMs, those whose addresses callers get")             \
+	X("vm_short", "less of this VM is left for callers; what is short, and the use")          \
+	X("vm_recovered", "more of this VM is left for callers again")                            \
 	X("member_changed", "another VM is live, leaving, suspected or removed")                  \
 	X("pause_detected", "this process did not run for longer than its lease")                 \
 	X("backend_leaving", "own interface: a backend server is marked as leaving")              \
--- a/src/main.c
+++ b/src/main.c
@@ -9,6 +9,7 @@
 #include "gateway.h"
 #include "holder.h"
 #include "kernel.h"
+#include "loadmeter.h"
 #include "log.h"
 #include "membership.h"
 #include "message.h"
@@ -70,6 +71,20 @@
 	};
 }
 
+/* Without the settings that describe the VM its share for callers is always whole. */
+static void loadmeter_add(struct kernel *k, const struct settings *settings)
+{
+	struct vmload_limits limits = {
+		.weight = settings_cpu_milli(settings),
+		.link_mbps = settings_link_mbps(settings),
+		.memory_mb = settings->memory_mb,
+		.list_ttl_ms = settings->entry_ttl_ms,
+	};
+
+	if (limits.link_mbps > 0 || limits.memory_mb > 0)
+		kernel_service_add(k, loadmeter_create(k, &limits));
+}
+
 /*
  * Adds the services of a routed deployment, which forwards requests by route and takes the leaves
  * from the store.
@@ -100,6 +115,7 @@
 	uint64_t lists_expire_ms =
 		settings->entry_ttl_ms * ROUTED_TTL_FACTOR + ROUTED_STOP_SPREAD_MS;
 
+	loadmeter_add(k, settings);
 	return service_add(k, peer_create(k, settings->rpc, error)) &&
 	       service_add(k, front_create(k, settings->http, error)) &&
 	       service_add(k, gateway_create(k, adapter, &gateway, error)) &&
--- a/tests/explain_test.cc
+++ b/tests/explain_test.cc
@@ -195,9 +195,10 @@
 		<< "docs/OPERATIONS.md lacks " << name;
 	LOG_EVENT_LIST(X)
 #undef X
-	for (const char *file : {"configurer", "directory", "feed", "gateway", "holder", "job",
-				 "jobanswer", "jobcall", "log", "main", "marks", "membership",
-				 "relay", "reload", "stopper", "upstream", "leaving", "leafpool"})
+	for (const char *file :
+	     {"configurer", "directory", "feed", "gateway", "holder", "job", "jobanswer", "jobcall",
+	      "log", "main", "marks", "membership", "relay", "reload", "stopper", "upstream",
+	      "leaving", "leafpool", "loadmeter"})
 		sources += file_read(std::string(TEST_DIR) + "/../src/" + file + ".c");
 	/* The names of the lines that list requests are defined in log.h. */
 	sources += file_read(std::string(TEST_DIR) + "/../src/log.h");
