Name no VM from stale knowledge after a pause of the process

Cause: a VM that was frozen while another was killed still named it when it went on, more than 8 s after; seen in the member model and, with the other VMs frozen too, with real processes. There was also no test that a VM that is gone is not named from 8 s on. The answer without addresses told all callers to return after exactly 0.5 s. Change: after a pause of more than 3 s the directory refuses for at most 1 s, until a peer has confirmed the roster; its refusals carry a spread Retry-After.

--- a/src/directory.c
+++ b/src/directory.c
@@ -1,14 +1,26 @@
 #include "directory.h"
 
+#include "clock.h"
 #include "entrychoice.h"
 #include "httpserver.h"
 #include "log.h"
 #include "message.h"
+#include "pausewatch.h"
+#include "retryafter.h"
 
 #include <string.h>
 
 /* Addresses in one answer; callers accept no more. */
 #define ENTRIES_MAX 64
+/*
+ * After a pause of this process longer than this, what it knows of the other VMs is not told to
+ * callers until a peer has confirmed it: 8 s after a VM is gone nobody may name it, and the others
+ * need about 3 s to notice.
+ */
+#define PAUSE_MS 3000
+/* Longest time until then. Without an answer in it there may be no other VM left. */
+#define RENEWAL_MS 1000
+#define TICK_MS 500
 /* 8 KiB of head and no body; 3 s to read the head, 15 s of idle time. */
 static const struct http_server_limits request_limits = {{8192, 0}, 3000, 15000};
 
@@ -26,6 +38,10 @@
 	char **leaf_dcs; /* data centres of the leaves, ended by NULL; NULL: not known yet */
 	bool has_routes; /* a routing configuration is in force */
 	bool is_stopping;
+	uint64_t started_ms;
+	struct event *tick;
+	struct pausewatch *pausewatch;
+	uint64_t renewal_end_ms; /* when what this VM knows is told again after a pause */
 };
 
 static bool is_ready(const struct directory *d)
@@ -78,6 +94,28 @@
 			    &entries_chosen_create(n_chosen, n, is_entry)->message);
 }
 
+/* To be called before anything that this VM knows of the others is told. */
+static void pause_check(struct directory *d)
+{
+	uint64_t now_ms = clock_now_ms();
+
+	if (pausewatch_tick(d->pausewatch, now_ms) == 0)
+		return;
+	d->renewal_end_ms = now_ms + RENEWAL_MS;
+	renewal_request(d->service.kernel);
+}
+
+static void tick_handle(evutil_socket_t fd, short what, void *arg)
+{
+	pause_check(arg);
+}
+
+static bool roster_is_stale(const struct directory *d)
+{
+	return d->roster && d->roster->n_vms > 1 && pausewatch_is_stale(d->pausewatch) &&
+	       clock_now_ms() < d->renewal_end_ms;
+}
+
 /* The value of a query parameter, "" when absent. The calling function frees it. */
 static char *parameter_find(const char *target, const char *name)
 {
@@ -93,19 +131,34 @@
 	return value ? value : g_strdup("");
 }
 
+/* No address can be told: no VM is known to serve, or what is known may be out of date. */
+static void entries_refuse(struct directory *d, struct http_request *request)
+{
+	enum retryafter_reason reason =
+		roster_is_stale(d) ? RETRYAFTER_RENEWAL : RETRYAFTER_ALL_STARTING;
+	char fields[64];
+
+	g_snprintf(fields, sizeof(fields), "Retry-After: %.3f\r\n",
+		   retryafter_choose_s(reason, 0, clock_now_ms() - d->started_ms,
+				       kernel_rand(d->service.kernel)));
+	http_request_answer(request, 503, fields, "", 0);
+}
+
 static void entries_answer(struct directory *d, struct http_request *request)
 {
 	const char *target = http_reader_target(http_request_message(request));
 	g_autofree char *dc = parameter_find(target, d->adapter->entries_dc_parameter);
 	GPtrArray *addresses = g_ptr_array_new();
 	g_autofree char *body = NULL;
-	unsigned int n = d->roster ? d->roster->n_vms : 0;
+	unsigned int n;
 
+	pause_check(d);
+	n = d->roster && !roster_is_stale(d) ? d->roster->n_vms : 0;
 	for (unsigned int i = 0; i < n && addresses->len < ENTRIES_MAX; i++)
 		if (entrychoice_is_offered(d->choice, n, i, dc))
 			g_ptr_array_add(addresses, d->roster->vms[i].http);
 	if (addresses->len == 0) {
-		http_request_answer(request, 503, "Retry-After: 0.5\r\n", "", 0);
+		entries_refuse(d, request);
 	} else {
 		body = d->adapter->ops->entries_render(d->adapter, addresses,
 						       d->settings.ttl_ms / 1000.0);
@@ -177,6 +230,9 @@
 	case MESSAGE_SETTINGS_READ:
 		d->settings.ttl_ms = (unsigned int)((struct settings_read *)m)->entry_ttl_ms;
 		break;
+	case MESSAGE_STATE_RENEWED:
+		pausewatch_renewed(d->pausewatch, ((struct state_renewed *)m)->asked_ms);
+		break;
 	case MESSAGE_STOP_ANNOUNCED:
 		d->is_stopping = true;
 		choice_update(d);
@@ -191,6 +247,8 @@
 {
 	struct directory *d = (struct directory *)s;
 
+	event_free(d->tick);
+	pausewatch_destroy(d->pausewatch);
 	http_server_destroy(d->entries_server);
 	http_server_destroy(d->ready_server);
 	roster_put(d->roster);
@@ -203,6 +261,7 @@
 struct service *directory_create(struct kernel *k, const struct adapter *adapter,
 				 const struct directory_settings *settings, GError **error)
 {
+	static const struct timeval period = {0, TICK_MS * 1000L};
 	static const struct service_ops ops = {
 		.name = "directory",
 		.receive = directory_receive,
@@ -212,6 +271,10 @@
 	bool ok = true;
 
 	d->service.ops = &ops;
+	d->started_ms = clock_now_ms();
+	d->pausewatch = pausewatch_create(PAUSE_MS);
+	d->tick = event_new(kernel_base(k), -1, EV_PERSIST, tick_handle, d);
+	event_add(d->tick, &period);
 	d->adapter = adapter;
 	d->settings = *settings;
 	d->settings.dc = g_strdup(settings->dc);
--- a/src/membership.c
+++ b/src/membership.c
@@ -462,6 +462,9 @@
 	if (reply->procedure != APR_MEMBERS || reply->status != PEER_STATUS_DONE)
 		return;
 	members_merge(ms, reply->result);
+	/* What the answer says reaches the other services before they are told that they have it.
+	 */
+	roster_publish(ms);
 	/* The tag is the time when the list was requested. */
 	state_renewed_broadcast(ms->service.kernel, reply->tag);
 }
--- a/src/message.c
+++ b/src/message.c
@@ -245,7 +245,7 @@
 
 void state_renewed_broadcast(struct kernel *k, uint64_t asked_ms)
 {
-	static const char *const services[] = {"commander", "holder"};
+	static const char *const services[] = {"commander", "holder", "directory"};
 
 	for (size_t i = 0; i < G_N_ELEMENTS(services); i++)
 		kernel_message_send(k, kernel_service_find(k, services[i]),
--- a/src/message.h
+++ b/src/message.h
@@ -253,8 +253,8 @@
  */
 void renewal_request(struct kernel *k);
 /*
- * Sends state_renewed to the services that dispatch commands. After a pause they dispatch none
- * until a request sent after that pause was answered.
+ * Sends state_renewed to the services that dispatch commands or name VMs to callers. After a pause
+ * they do neither until a request sent after that pause was answered.
  */
 void state_renewed_broadcast(struct kernel *k, uint64_t asked_ms);
 /* A message without fields. */
--- a/tests/member_test.cc
+++ b/tests/member_test.cc
@@ -71,6 +71,9 @@
 			return join();
 		} else if (w[0] == "until") { /* until I STATE MS: in every other table */
 			return until(num(1), w[2], num(3));
+		} else if (w[0] ==
+			   "named") { /* named I SECONDS: times that a table has VM I as live */
+			return std::to_string(named(node(1), num(2))) + "\n";
 		} else if (w[0] == "until-complete") { /* MS: every table has all VMs */
 			return until_complete(num(1));
 		} else if (w[0] == "false-removals") { /* removals of VMs whose process was up */
@@ -145,6 +148,22 @@
 		return "too late\n";
 	}
 
+	unsigned int named(const member_net::node &about, int seconds)
+	{
+		unsigned int n = 0;
+		member_entry e;
+
+		for (uint64_t end_ms = net->now_ms + 1000 * seconds; net->now_ms < end_ms;
+		     net->run(100))
+			for (auto &v : net->nodes)
+				n += v->table && v.get() != &about &&
+				     v->paused_until_ms <= net->now_ms &&
+				     member_table_find(v->table, about.self.name, net->now_ms,
+						       &e) &&
+				     e.state < MEMBER_SUSPECT;
+		return n;
+	}
+
 	/* Says also what the greatest weight of vm I is to vm-0. */
 	std::string until_weight(const member_net::node &about, uint32_t weight, uint64_t ms)
 	{
