--- a/src/message.c
+++ b/src/message.c
@@ -245,7 +245,7 @@
 
 void state_renewed_broadcast(struct kernel *k, uint64_t asked_ms)
 {
-	static const char *const services[] = {"commander", "holder"};
+	static const char *const services[] = {"commander", "holder", "directory"};
 
 	for (size_t i = 0; i < G_N_ELEMENTS(services); i++)
 		kernel_message_send(k, kernel_service_find(k, services[i]),
@@ -387,6 +387,15 @@
 	g_free(changed);
 }
 
+struct weight_changed *weight_changed_create(uint32_t weight_left)
+{
+	struct weight_changed *changed = g_new0(struct weight_changed, 1);
+
+	changed->message.kind = MESSAGE_WEIGHT_CHANGED;
+	changed->weight_left = weight_left;
+	return changed;
+}
+
 struct evacuation_changed *evacuation_changed_create(const char *dc, bool is_begun,
 						     uint64_t revision)
 {
--- a/tests/member_test.cc
+++ b/tests/member_test.cc
@@ -58,10 +58,22 @@
 				}
 				net->run(15000);
 			}
+		} else if (w[0] == "weigh") { /* weigh I WEIGHT */
+			member_table_set_weight(node(1).table, (uint32_t)num(2));
+		} else if (w[0] == "until-weight") { /* until-weight I WEIGHT MS: everywhere */
+			return until_weight(node(1), (uint32_t)num(2), num(3));
+		} else if (w[0] == "roster-version") { /* of vm-0, since the last such step */
+			uint64_t before = version;
+
+			version = member_table_version(first());
+			return version > before ? "new\n" : "same\n";
 		} else if (w[0] == "join") {
 			return join();
 		} else if (w[0] == "until") { /* until I STATE MS: in every other table */
 			return until(num(1), w[2], num(3));
+		} else if (w[0] ==
+			   "named") { /* named I SECONDS: times that a table has VM I as live */
+			return std::to_string(named(node(1), num(2))) + "\n";
 		} else if (w[0] == "until-complete") { /* MS: every table has all VMs */
 			return until_complete(num(1));
 		} else if (w[0] == "false-removals") { /* removals of VMs whose process was up */
@@ -99,6 +111,7 @@
 
       private:
 	std::unique_ptr<member_net> net;
+	uint64_t version = 0; /* of vm-0's table at the last roster-version step */
 
 	member_table *first()
 	{
@@ -135,6 +148,43 @@
 		return "too late\n";
 	}
 
+	unsigned int named(const member_net::node &about, int seconds)
+	{
+		unsigned int n = 0;
+		member_entry e;
+
+		for (uint64_t end_ms = net->now_ms + 1000 * seconds; net->now_ms < end_ms;
+		     net->run(100))
+			for (auto &v : net->nodes)
+				n += v->table && v.get() != &about &&
+				     v->paused_until_ms <= net->now_ms &&
+				     member_table_find(v->table, about.self.name, net->now_ms,
+						       &e) &&
+				     e.state < MEMBER_SUSPECT;
+		return n;
+	}
+
+	/* Says also what the greatest weight of vm I is to vm-0. */
+	std::string until_weight(const member_net::node &about, uint32_t weight, uint64_t ms)
+	{
+		member_entry e;
+
+		for (uint64_t end_ms = net->now_ms + ms; net->now_ms < end_ms; net->run(100)) {
+			bool all = true;
+
+			for (auto &v : net->nodes)
+				all = all &&
+				      (!v->table || (member_table_find(v->table, about.self.name,
+								       net->now_ms, &e) &&
+						     e.weight == weight));
+			if (!all)
+				continue;
+			member_table_find(first(), about.self.name, net->now_ms, &e);
+			return "in time, greatest " + std::to_string(e.weight_most) + "\n";
+		}
+		return "too late\n";
+	}
+
 	std::set<std::string> names(member_table *t)
 	{
 		std::set<std::string> s;
