Apply the bound on held bytes to callers and leaves

Cause: struct stream buffers what callers and leaves do not read, and answers of leaves are read as a whole, without a common bound. Change: http_server and http_conn keep accounts; a caller's next request waits, a leaf's answer pauses for at most 2 s, bodies and new requests are refused with 503 (why=memory). Unsent bytes are buffered in small blocks and a large body's memory is freed with its message, so that held memory is what is counted. Without the settings the bytes are only counted.

--- a/src/explain.c
+++ b/src/explain.c
@@ -218,6 +218,8 @@
 		return "no route of the version in force matches";
 	if (g_strcmp0(why, "stopping") == 0)
 		return "this VM was about to end its planned stop";
+	if (g_strcmp0(why, "memory") == 0)
+		return "this VM held as many bytes for slow callers and leaves as it may";
 	if (g_strcmp0(status, "503") == 0)
 		return "this VM had no configuration yet";
 	return "a required field is absent";
--- a/src/gateway.c
+++ b/src/gateway.c
@@ -2,6 +2,7 @@
 
 #include "clock.h"
 #include "evacuation.h"
+#include "heldbytes.h"
 #include "job.h"
 #include "log.h"
 #include "message.h"
@@ -19,6 +20,9 @@
 /* Period in which the limits of cold leaves are adjusted to this VM's share, and ended. */
 #define WARMUP_TICK_MS 100
 
+/* Period in which answers that wait for room are resumed or given up, while there are any. */
+#define HELD_TICK_MS 20
+
 /* In a planned stop, requests are answered at least this long before the process ends. */
 #define ANSWER_WRITE_MS 100
 
@@ -29,6 +33,8 @@
 	struct routemap *map; /* NULL before the first configuration */
 	struct evacuations *evacuations;
 	struct event *warmup_tick;
+	struct heldbytes *held;
+	struct event *held_tick; /* pending while bytes are short */
 	char **leaf_dcs; /* data centres as last sent to the directory; NULL: not sent yet */
 	uint64_t inputs_refused; /* inputs that were not a valid request */
 	uint64_t requests_not_ready; /* requests that came before the first configuration */
@@ -78,11 +84,22 @@
 	} else if (!g->map) {
 		g->requests_not_ready++;
 		request_refuse(g, request, RETRYAFTER_NO_CONFIG, "lacks=configuration");
+	} else if (!heldbytes_admits(g->held, clock_now_ms())) {
+		request_refuse(g, request, RETRYAFTER_MEMORY, "why=memory");
 	} else {
 		job_start(&g->env, g->map, request);
 	}
 }
 
+/* The request's body does not fit, so that the request is not read to its end. */
+static void server_overfull(void *arg, struct http_request *request)
+{
+	struct gateway *g = arg;
+
+	heldbytes_admits(g->held, clock_now_ms()); /* counts the refusal */
+	request_refuse(g, request, RETRYAFTER_MEMORY, "why=memory");
+}
+
 static void server_disconnected(void *arg, struct http_request *request)
 {
 	job_caller_left(request);
@@ -99,6 +116,7 @@
 static const struct http_server_ops server_ops = {
 	.request = server_request,
 	.disconnected = server_disconnected,
+	.overfull = server_overfull,
 	.refused = server_refused,
 };
 
@@ -111,6 +129,34 @@
 	};
 }
 
+static void held_changed(void *arg, bool is_short)
+{
+	static const struct timeval period = {0, HELD_TICK_MS * 1000L};
+	struct gateway *g = arg;
+	const struct held_stats *stats = heldbytes_stats(g->held);
+
+	if (is_short)
+		event_add(g->held_tick, &period);
+	else
+		event_del(g->held_tick);
+	log_event(is_short ? LOG_LEVEL_WARNING : LOG_LEVEL_INFO,
+		  is_short ? "held_short" : "held_ample",
+		  "bytes=%" G_GUINT64_FORMAT " bound=%" G_GUINT64_FORMAT
+		  " paused_total=%" G_GUINT64_FORMAT " given_up_total=%" G_GUINT64_FORMAT
+		  " refused_total=%" G_GUINT64_FORMAT,
+		  heldbytes_total(g->held), heldbytes_bound_bytes(g->held), stats->paused,
+		  stats->given_up, stats->refused);
+}
+
+static const struct heldbytes_ops held_ops = {.changed = held_changed};
+
+static void held_tick_handle(evutil_socket_t fd, short what, void *arg)
+{
+	struct gateway *g = arg;
+
+	heldbytes_advance(g->held, clock_now_ms());
+}
+
 static void warmup_changed(void *arg, const struct leaf *leaf, bool is_cold)
 {
 	if (is_cold)
@@ -369,6 +415,28 @@
 	}
 }
 
+static void held_metrics_append(const struct gateway *g, GString *out)
+{
+	const struct held_stats *stats = heldbytes_stats(g->held);
+
+	for (int kind = 0; kind < HELD_KIND_COUNT; kind++)
+		g_string_append_printf(out,
+				       "apricot_held_bytes{kind=\"%s\"} %" G_GUINT64_FORMAT "\n",
+				       held_kind_name((enum held_kind)kind),
+				       heldbytes_of_kind(g->held, (enum held_kind)kind));
+	g_string_append_printf(out,
+			       "apricot_held_bound_bytes %" G_GUINT64_FORMAT "\n"
+			       "apricot_held_peak_bytes %" G_GUINT64_FORMAT "\n"
+			       "apricot_held_answers_waiting %u\n"
+			       "apricot_held_paused_total %" G_GUINT64_FORMAT "\n"
+			       "apricot_held_given_up_total %" G_GUINT64_FORMAT "\n"
+			       "apricot_held_refused_total %" G_GUINT64_FORMAT "\n"
+			       "apricot_held_callers_total %" G_GUINT64_FORMAT "\n",
+			       heldbytes_bound_bytes(g->held), stats->peak_bytes,
+			       heldbytes_waiting(g->held), stats->paused, stats->given_up,
+			       stats->refused, http_server_held_back(g->server));
+}
+
 static json_t *evacuations_status(const struct gateway *g)
 {
 	json_t *list = json_array();
@@ -402,6 +470,7 @@
 		route_metrics_append(out, key, stats);
 	leafset_each(g->env.leaves, leaf_limit_append, out);
 	evacuation_metrics_append(g, out);
+	held_metrics_append(g, out);
 	g_string_append_printf(out,
 			       "apricot_config_version %" G_GUINT64_FORMAT "\n"
 			       "apricot_config_age_ms %" G_GUINT64_FORMAT "\n"
@@ -510,6 +579,9 @@
 	job_end_all(&g->env);
 	http_server_destroy(g->server);
 	upstream_destroy(g->env.upstream);
+	if (g->held_tick)
+		event_free(g->held_tick);
+	heldbytes_destroy(g->held);
 	if (g->warmup_tick)
 		event_free(g->warmup_tick);
 	warmups_destroy(g->env.warmups);
@@ -548,7 +620,9 @@
 	g->env.warmups = warmups_create(&warmup_ops, g);
 	g->warmup_tick = event_new(kernel_base(k), -1, EV_PERSIST, warmup_tick_handle, g);
 	event_add(g->warmup_tick, &warmup_period);
-	g->env.upstream = upstream_create(kernel_base(k));
+	g->held = heldbytes_create(settings->held_bound_bytes, &held_ops, g);
+	g->held_tick = event_new(kernel_base(k), -1, EV_PERSIST, held_tick_handle, g);
+	g->env.upstream = upstream_create(kernel_base(k), g->held);
 	g->env.repeats = repeats_create(&settings->repeats, clock_now_us());
 	vmshare_init(&g->env.vmshare, clock_now_us());
 	g->env.splits = splits_create();
@@ -560,5 +634,6 @@
 		gateway_destroy(&g->service);
 		return NULL;
 	}
+	http_server_hold(g->server, g->held);
 	return &g->service;
 }
--- a/src/gateway.h
+++ b/src/gateway.h
@@ -15,6 +15,7 @@
 	const char *address; /* IP:PORT on which callers connect */
 	const char *dc; /* data centre of this VM */
 	struct repeats_limits repeats;
+	uint64_t held_bound_bytes; /* held for callers and leaves at most; 0: not bounded */
 	uint64_t stop_limit_ms; /* from the announcement of a planned stop until the process ends */
 };
 
--- a/src/httpconn.c
+++ b/src/httpconn.c
@@ -1,5 +1,6 @@
 #include "httpconn.h"
 
+#include "clock.h"
 #include "list.h"
 #include "stream.h"
 
@@ -11,6 +12,8 @@
 	const struct http_conn_ops *ops;
 	void *arg;
 	struct http_reader *reader;
+	struct held_account held;
+	struct held_answer answer;
 	uint64_t received_bytes;
 	unsigned int n_skipped; /* answers to other requests, during the current call */
 	bool is_open;
@@ -19,8 +22,16 @@
 	bool is_destroyed; /* destroyed in ops->answered; freed when ops->answered returns */
 };
 
+/* Nothing is held for the connection any more. */
+static void held_end(struct http_conn *c)
+{
+	held_answer_end(&c->answer);
+	held_account_close(&c->held);
+}
+
 static void conn_free(struct http_conn *c)
 {
+	held_end(c);
 	stream_close(&c->stream);
 	http_reader_destroy(c->reader);
 	g_free(c);
@@ -29,6 +40,7 @@
 static void conn_fail(struct http_conn *c, enum http_failure why)
 {
 	c->has_call = false;
+	held_end(c);
 	stream_close(&c->stream);
 	c->ops->failed(c, c->arg, why);
 }
@@ -59,9 +71,16 @@
 		conn_free(c);
 		return false;
 	}
-	if (was_accepted)
+	if (was_accepted) {
+		/* Otherwise the answer has been dropped with the start of the next call. */
+		if (!c->has_call) {
+			http_reader_reset(c->reader, false);
+			held_answer_end(&c->answer);
+		}
 		return false;
+	}
 	c->has_call = true;
+	held_answer_end(&c->answer);
 	http_reader_reset(c->reader, false);
 	if (++c->n_skipped > SKIPPED_ANSWERS_MAX) {
 		conn_fail(c, HTTP_FAILURE_GARBAGE);
@@ -70,6 +89,32 @@
 	return true;
 }
 
+/* Pauses reading if the rest of the answer has to wait. */
+static void answer_hold(struct http_conn *c)
+{
+	if (held_answer_read(&c->answer, http_reader_body_bytes(c->reader),
+			     (size_t)http_reader_length(c->reader), clock_now_ms()))
+		return;
+	stream_read_pause(&c->stream);
+}
+
+static void held_resume(struct held_answer *answer)
+{
+	struct http_conn *c = list_entry(answer, struct http_conn, answer);
+
+	stream_read_resume(&c->stream);
+}
+
+static void held_give_up(struct held_answer *answer)
+{
+	conn_fail(list_entry(answer, struct http_conn, answer), HTTP_FAILURE_HELD);
+}
+
+static const struct held_answer_ops held_ops = {
+	.resume = held_resume,
+	.give_up = held_give_up,
+};
+
 static void stream_received(struct stream *stream, const char *data, size_t n)
 {
 	struct http_conn *c = list_entry(stream, struct http_conn, stream);
@@ -84,8 +129,10 @@
 			return;
 		}
 		progress = http_reader_feed(c->reader, data, n, &used);
-		if (progress == HTTP_INCOMPLETE)
+		if (progress == HTTP_INCOMPLETE) {
+			answer_hold(c);
 			return;
+		}
 		if (progress != HTTP_COMPLETE) {
 			conn_fail(c, HTTP_FAILURE_GARBAGE);
 			return;
@@ -113,9 +160,18 @@
 	}
 }
 
+static void stream_sent(struct stream *stream)
+{
+	struct http_conn *c = list_entry(stream, struct http_conn, stream);
+
+	held_account_set(&c->held, HELD_LEAVES, stream_unsent_bytes(stream));
+}
+
 static const struct stream_ops conn_stream_ops = {
 	.opened = stream_opened,
 	.received = stream_received,
+	.sent = stream_sent,
+	.drained = stream_sent,
 	.ended = stream_ended,
 };
 
@@ -132,9 +188,15 @@
 		return NULL;
 	}
 	c->reader = http_reader_create(HTTP_MESSAGE_ANSWER, limits);
+	held_answer_init(&c->answer, &held_ops, &c->held);
 	return c;
 }
 
+void http_conn_hold(struct http_conn *c, struct heldbytes *held, struct held_account *leaf)
+{
+	held_account_init(&c->held, held, leaf);
+}
+
 void http_conn_destroy(struct http_conn *c)
 {
 	if (!c)
@@ -152,10 +214,15 @@
 
 bool http_conn_send(struct http_conn *c, const char *request, size_t n)
 {
+	bool was_written;
+
+	held_answer_end(&c->answer);
 	http_reader_reset(c->reader, g_str_has_prefix(request, "HEAD "));
 	c->n_skipped = 0;
 	c->has_call = true;
-	return stream_write(&c->stream, request, n);
+	was_written = stream_write(&c->stream, request, n);
+	held_account_set(&c->held, HELD_LEAVES, stream_unsent_bytes(&c->stream));
+	return was_written;
 }
 
 uint64_t http_conn_received_bytes(const struct http_conn *c)
--- a/src/httpconn.h
+++ b/src/httpconn.h
@@ -8,6 +8,7 @@
 #ifndef APRICOT_HTTPCONN_H
 #define APRICOT_HTTPCONN_H
 
+#include "heldbytes.h"
 #include "httpmsg.h"
 
 #include <event2/event.h>
@@ -23,7 +24,8 @@
 	X(CONNECT, "connect") /* the connection was never established */      \
 	X(CLOSED, "closed") /* closed while no call was in progress */        \
 	X(LOST, "lost") /* closed before the answer to a call was complete */ \
-	X(GARBAGE, "garbage") /* received bytes are no answer to a call */
+	X(GARBAGE, "garbage") /* received bytes are no answer to a call */    \
+	X(HELD, "held") /* given up, since the answer does not fit into what may be held */
 
 enum http_failure {
 #define X(symbol, name) HTTP_FAILURE_##symbol,
@@ -53,6 +55,12 @@
 struct http_conn *http_conn_create(struct event_base *base, const struct sockaddr_in *to,
 				   const struct http_conn_ops *ops, void *arg,
 				   const struct http_limits *limits);
+/*
+ * Counts the bytes of the connection's calls in the set and pauses the reading of answers when it
+ * says so. leaf: the account of all connections to the leaf, which must outlive the connection. To
+ * be called before the first call.
+ */
+void http_conn_hold(struct http_conn *c, struct heldbytes *held, struct held_account *leaf);
 /* Closes the connection without a callback. Accepts NULL. */
 void http_conn_destroy(struct http_conn *c);
 
--- a/src/httpmsg.c
+++ b/src/httpmsg.c
@@ -7,6 +7,10 @@
 
 #define TOKEN_BYTES_MAX 256
 
+/* The memory of a larger body is freed with its message, since a connection may be idle for long.
+ */
+#define BODY_KEPT_BYTES 65536
+
 /* A sender that goes on with interim answers beyond this many never sends the answer itself. */
 #define INTERIM_MAX 16
 
@@ -26,6 +30,7 @@
 	unsigned int n_fields;
 	unsigned int n_interim; /* interim answers before this one */
 	size_t head_bytes; /* bytes of the head that were read so far */
+	uint64_t length; /* of the body, as the head names it; 0: none named */
 	enum http_progress progress;
 	bool is_answer_to_head; /* the message answers a HEAD request */
 	bool has_head; /* the whole head was read */
@@ -105,6 +110,8 @@
 	if (p->upgrade)
 		return stop_with(r, HTTP_MALFORMED);
 	r->keeps_alive = http_should_keep_alive(p);
+	if ((p->flags & F_CONTENTLENGTH) && !r->is_answer_to_head)
+		r->length = MIN(p->content_length, r->limits.body_bytes);
 	if (r->type == HTTP_MESSAGE_ANSWER)
 		return r->is_answer_to_head ? 1 : 0;
 	if ((p->flags & F_CONTENTLENGTH) && p->content_length > r->limits.body_bytes)
@@ -182,6 +189,10 @@
 			 r->type == HTTP_MESSAGE_REQUEST ? HTTP_REQUEST : HTTP_RESPONSE);
 	r->parser.data = r;
 	g_string_truncate(r->text, 0);
+	if (r->body->len > BODY_KEPT_BYTES) {
+		g_byte_array_free(r->body, TRUE);
+		r->body = g_byte_array_new();
+	}
 	g_byte_array_set_size(r->body, 0);
 	r->n_fields = 0;
 	r->n_interim = 0;
@@ -190,6 +201,7 @@
 	r->is_answer_to_head = is_answer_to_head;
 	r->has_head = false;
 	r->has_begun = false;
+	r->length = 0;
 	r->has_text = false;
 	r->keeps_alive = false;
 	r->in_value = false;
@@ -282,6 +294,16 @@
 	return r->has_head;
 }
 
+size_t http_reader_body_bytes(const struct http_reader *r)
+{
+	return r->body->len;
+}
+
+uint64_t http_reader_length(const struct http_reader *r)
+{
+	return r->length;
+}
+
 const char *http_reader_method(const struct http_reader *r)
 {
 	return http_method_str(r->parser.method);
--- a/src/httpmsg.h
+++ b/src/httpmsg.h
@@ -69,6 +69,12 @@
 /* True after the whole head was read. */
 bool http_reader_has_head(const struct http_reader *r);
 
+/* Bytes of the body that were read so far. */
+size_t http_reader_body_bytes(const struct http_reader *r);
+/* Length of the body as the head names it; 0 if it names none, or before the whole head was read.
+ */
+uint64_t http_reader_length(const struct http_reader *r);
+
 /*
  * The following functions may be called once the whole head was read, http_reader_body() once the
  * message is complete.
--- a/src/httpserver.c
+++ b/src/httpserver.c
@@ -41,6 +41,7 @@
 	struct list_head node;
 	struct http_server *server;
 	struct http_reader *reader;
+	struct held_account held;
 	GByteArray *pipelined; /* bytes that follow the current request, or NULL */
 	void *data; /* the owner's */
 	/*
@@ -51,6 +52,8 @@
 	size_t unsent_bytes; /* of the answer, at the last check */
 	bool is_busy; /* the request was passed to the owner, who has not answered yet */
 	bool is_paused; /* reading is paused */
+	bool is_held_back; /* the next request is not read while so much is unsent */
+	bool is_overfull; /* its body does not fit into what may be held */
 	bool is_closing; /* what arrives is dropped; closed once the peer has the last answer */
 	bool is_write_ended; /* the last answer is written; waits for the peer to close */
 };
@@ -66,9 +69,20 @@
 	int fd;
 	unsigned int n_connections;
 	unsigned int n_busy;
+	struct heldbytes *held; /* NULL: nothing is counted */
+	uint64_t n_held_back;
 	bool is_draining;
 };
 
+/* Takes note of what is held for the connection now. */
+static void held_update(struct http_request *r)
+{
+	size_t n_pipelined = r->pipelined ? r->pipelined->len : 0;
+
+	held_account_set(&r->held, HELD_CALLERS, stream_unsent_bytes(&r->stream));
+	held_account_set(&r->held, HELD_BODIES, http_reader_body_bytes(r->reader) + n_pipelined);
+}
+
 static void connection_destroy(struct http_request *r)
 {
 	struct http_server *s = r->server;
@@ -77,6 +91,7 @@
 		s->n_busy--;
 	s->n_connections--;
 	list_del(&r->node);
+	held_account_close(&r->held);
 	stream_close(&r->stream);
 	http_reader_destroy(r->reader);
 	if (r->pipelined)
@@ -112,6 +127,7 @@
 		return false;
 	}
 	g_string_free(out, TRUE);
+	held_update(r);
 	r->is_closing = !keep;
 	if (!keep && r->is_paused) {
 		r->is_paused = false;
@@ -168,17 +184,24 @@
 
 	if (is_first_byte)
 		r->since_ms = clock_now_ms();
-	if (progress == HTTP_INCOMPLETE)
-		return true;
-	if (progress != HTTP_COMPLETE) {
+	if (progress != HTTP_COMPLETE && progress != HTTP_INCOMPLETE) {
 		request_refuse(r, progress_status(progress));
 		return false;
 	}
-	pipelined_add(r, data + used, n - used);
+	if (progress == HTTP_COMPLETE)
+		pipelined_add(r, data + used, n - used);
+	held_update(r);
+	r->is_overfull = progress == HTTP_INCOMPLETE && http_reader_has_head(r->reader) &&
+			 !held_account_body_may_grow(&r->held);
+	if (progress == HTTP_INCOMPLETE && !r->is_overfull)
+		return true;
 	r->is_busy = true;
 	r->server->n_busy++;
-	r->server->ops->request(r->server->arg, r);
-	return true;
+	if (r->is_overfull)
+		r->server->ops->overfull(r->server->arg, r);
+	else
+		r->server->ops->request(r->server->arg, r);
+	return progress == HTTP_COMPLETE;
 }
 
 static void stream_received(struct stream *stream, const char *data, size_t n)
@@ -187,10 +210,12 @@
 
 	if (r->is_closing)
 		return;
-	if (r->is_busy)
+	if (r->is_busy) {
 		pipelined_add(r, data, n);
-	else
+		held_update(r);
+	} else {
 		request_read(r, data, n);
+	}
 }
 
 static void stream_ended(struct stream *stream, int error)
@@ -202,6 +227,52 @@
 	connection_destroy(r);
 }
 
+/* Reads the bytes that arrived after the request that has just been answered. */
+static void connection_continue(struct http_request *r)
+{
+	GByteArray *pipelined = r->pipelined;
+
+	if (r->is_paused) {
+		r->is_paused = false;
+		stream_read_resume(&r->stream);
+	}
+	if (!pipelined)
+		return;
+	r->pipelined = NULL;
+	held_update(r);
+	request_read(r, (const char *)pipelined->data, pipelined->len);
+	g_byte_array_free(pipelined, TRUE);
+}
+
+/*
+ * Reads the caller's next request, or waits with it while too much is unsent to the caller.
+ * Otherwise one that takes nothing could have this VM hold one answer after the other.
+ */
+static void connection_read_next(struct http_request *r)
+{
+	if (!held_account_is_over_share(&r->held)) {
+		connection_continue(r);
+		return;
+	}
+	r->is_held_back = true;
+	r->server->n_held_back++;
+	if (!r->is_paused) {
+		r->is_paused = true;
+		stream_read_pause(&r->stream);
+	}
+}
+
+static void stream_sent(struct stream *stream)
+{
+	struct http_request *r = list_entry(stream, struct http_request, stream);
+
+	held_update(r);
+	if (!r->is_held_back || held_account_is_over_share(&r->held))
+		return;
+	r->is_held_back = false;
+	connection_continue(r);
+}
+
 static void stream_drained(struct stream *stream)
 {
 	struct http_request *r = list_entry(stream, struct http_request, stream);
@@ -211,11 +282,13 @@
 		r->since_ms = clock_now_ms();
 	if (r->is_closing)
 		connection_write_end(r);
+	stream_sent(stream);
 }
 
 static const struct stream_ops connection_ops = {
 	.received = stream_received,
 	.ended = stream_ended,
+	.sent = stream_sent,
 	.drained = stream_drained,
 };
 
@@ -224,6 +297,7 @@
 	struct http_request *r = g_new0(struct http_request, 1);
 
 	r->server = s;
+	held_account_init(&r->held, s->held, NULL);
 	r->reader = http_reader_create(HTTP_MESSAGE_REQUEST, &s->limits.message);
 	r->since_ms = clock_now_ms();
 	list_add_tail(&r->node, &s->connections);
@@ -365,6 +439,16 @@
 				       &limits->message);
 }
 
+void http_server_hold(struct http_server *s, struct heldbytes *held)
+{
+	s->held = held;
+}
+
+uint64_t http_server_held_back(const struct http_server *s)
+{
+	return s->n_held_back;
+}
+
 void http_server_drain(struct http_server *s)
 {
 	struct list_head *pos;
@@ -416,26 +500,11 @@
 	return r->data;
 }
 
-/* Reads the bytes that arrived after the request that has just been answered. */
-static void connection_continue(struct http_request *r)
-{
-	GByteArray *pipelined = r->pipelined;
-
-	if (r->is_paused) {
-		r->is_paused = false;
-		stream_read_resume(&r->stream);
-	}
-	if (!pipelined)
-		return;
-	r->pipelined = NULL;
-	request_read(r, (const char *)pipelined->data, pipelined->len);
-	g_byte_array_free(pipelined, TRUE);
-}
-
 void http_request_answer(struct http_request *r, unsigned int status, const char *fields,
 			 const char *body, size_t n)
 {
-	bool keep = http_reader_keeps_alive(r->reader) && !r->server->is_draining;
+	bool keep =
+		http_reader_keeps_alive(r->reader) && !r->server->is_draining && !r->is_overfull;
 
 	r->is_busy = false;
 	r->server->n_busy--;
@@ -443,5 +512,5 @@
 	r->since_ms = clock_now_ms();
 	http_reader_reset(r->reader, false);
 	if (answer_write(r, status, fields, body, n, keep) && keep)
-		connection_continue(r);
+		connection_read_next(r);
 }
--- a/src/httpserver.h
+++ b/src/httpserver.h
@@ -8,6 +8,7 @@
 #ifndef APRICOT_HTTPSERVER_H
 #define APRICOT_HTTPSERVER_H
 
+#include "heldbytes.h"
 #include "httpmsg.h"
 
 #include <event2/event.h>
@@ -30,6 +31,12 @@
 	void (*request)(void *arg, struct http_request *request);
 	/* The caller disconnected; the request is freed when this returns. */
 	void (*disconnected)(void *arg, struct http_request *request);
+	/*
+	 * A request whose head was read is to be refused now, with http_request_answer, which
+	 * closes the connection: its body does not fit into what may be held. May be NULL if
+	 * nothing is bounded.
+	 */
+	void (*overfull)(void *arg, struct http_request *request);
 	/* The server answered this status to bytes that are no valid request; may be NULL. */
 	void (*refused)(void *arg, unsigned int status);
 };
@@ -46,6 +53,14 @@
 
 /* Replaces the limits, which are copied; they hold for open connections too. */
 void http_server_limits_set(struct http_server *s, const struct http_server_limits *limits);
+/*
+ * Counts the bytes that are held for callers in the set, which must outlive the server, and reads
+ * no further than the set allows. To be called before the first connection.
+ */
+void http_server_hold(struct http_server *s, struct heldbytes *held);
+/* Number of times that a caller's next request was not read yet, since too much was unsent to it.
+ */
+uint64_t http_server_held_back(const struct http_server *s);
 /*
  * From now on each answer closes its connection. An idle connection is closed only after a short
  * time in which nothing arrives on it, since its caller may be sending a request right now.
--- a/src/logevent.h
+++ b/src/logevent.h
@@ -29,6 +29,8 @@
 	X("evacuation_begun", "the operator wants no call to the leaves of a data centre")        \
 	X("evacuation_ended", "calls to the leaves of a data centre are allowed again")           \
 	X("evacuation_refused", "a request to evacuate has no usable name or is one too many")    \
+	X("held_short", "answers wait or requests are refused, since too many bytes are held")    \
+	X("held_ample", "less than half of the bound is held again; what happened since")         \
 	X("leaf_changed", "a leaf is new, has restarted, or changed its state")                   \
 	X("leaf_limited", "a leaf names a limit of calls per second; this VM's part of it")       \
 	X("leaf_unlimited", "a leaf no longer names a limit")                                     \
--- a/src/main.c
+++ b/src/main.c
@@ -7,6 +7,7 @@
 #include "feed.h"
 #include "front.h"
 #include "gateway.h"
+#include "heldbytes.h"
 #include "holder.h"
 #include "kernel.h"
 #include "log.h"
@@ -82,6 +83,7 @@
 	struct gateway_settings gateway = {
 		.address = settings->gateway,
 		.dc = settings->dc,
+		.held_bound_bytes = heldbytes_bound(settings->held_mb, settings->memory_mb),
 		.stop_limit_ms = limit_ms,
 		.repeats = {.ratio = (double)settings->repeat_pct / 100,
 			    .slack = (double)settings->repeat_slack,
--- a/src/retryafter.h
+++ b/src/retryafter.h
@@ -20,6 +20,7 @@
 	RETRYAFTER_LEAVES_FULL,
 	RETRYAFTER_NO_LEAF, /* no leaf of the requested service is known */
 	RETRYAFTER_NO_CONFIG, /* this VM has no configuration yet */
+	RETRYAFTER_MEMORY, /* this VM holds too many bytes for slow callers and leaves */
 	RETRYAFTER_STOPPING, /* this VM stops; another one can serve the request at once */
 };
 
--- a/src/settings.c
+++ b/src/settings.c
@@ -99,13 +99,24 @@
 	return s->cpu ? (uint32_t)(g_ascii_strtod(s->cpu, NULL) * 1000) : 1000;
 }
 
+static bool held_check(uint64_t held_mb, uint64_t memory_mb, GError **error)
+{
+	if (memory_mb == 0 || held_mb <= memory_mb)
+		return true;
+	g_set_error(error, RESULT_ERROR, RESULT_BAD_SETTING,
+		    "--held-mb: %" G_GUINT64_FORMAT " is above --memory-mb %" G_GUINT64_FORMAT,
+		    held_mb, memory_mb);
+	return false;
+}
+
 static bool settings_check(struct settings *s, GError **error)
 {
 	enum log_level level;
 
 	if (!optional_address_check("gateway", s->gateway, error) ||
 	    !optional_address_check("directory", s->directory, error) ||
-	    !optional_address_check("ready", s->ready, error) || !cpu_check(s->cpu, error))
+	    !optional_address_check("ready", s->ready, error) || !cpu_check(s->cpu, error) ||
+	    !held_check(s->held_mb, s->memory_mb, error))
 		return false;
 	if (!name_check("name", s->name, error) || !name_check("dc", s->dc, error) ||
 	    !address_check("http", s->http, error) || !address_check("rpc", s->rpc, error) ||
@@ -193,6 +204,9 @@
 		s->settings = g_strdup(g_getenv("APRICOT_SETTINGS"));
 	if (ok && s->settings)
 		ok = settings_file_load(s->settings, error);
+	/* The template leaves it empty where the platform names no memory. */
+	if (g_strcmp0(g_getenv("APRICOT_MEMORY_MB"), "") == 0)
+		g_unsetenv("APRICOT_MEMORY_MB");
 #define X(field, flag, env, required, help) \
 	ok = ok && text_check(flag, env, required, &s->field, error);
 	SETTINGS_TEXT_LIST(X)
--- a/src/settings.h
+++ b/src/settings.h
@@ -49,6 +49,10 @@
 	  "time over which repeats are counted, ms")                                            \
 	X(repeat_slack, "repeat-slack", "APRICOT_REPEAT_SLACK", 0, 0, 1000000,                  \
 	  "further repeats of a service per repeat window, all VMs together")                   \
+	X(held_mb, "held-mb", "APRICOT_HELD_MB", 0, 0, 1048576,                                 \
+	  "limit on bytes held for callers and leaves, MB; 0: a quarter of memory-mb")          \
+	X(memory_mb, "memory-mb", "APRICOT_MEMORY_MB", 0, 0, 1048576,                           \
+	  "memory of this VM, MB; 0 or empty: unknown")                                         \
 	X(ping_ms, "ping-ms", "APRICOT_PING_MS", 1000, 100, 60000,                              \
 	  "period of heartbeats between VMs, ms")                                               \
 	X(log_lines_s, "log-lines-s", "APRICOT_LOG_LINES_S", 40, 1, 100000,                     \
--- a/src/stream.c
+++ b/src/stream.c
@@ -9,6 +9,11 @@
 #include <unistd.h>
 
 #define READ_BYTES 65536
+/*
+ * Unsent bytes are buffered in blocks of this size, with what libevent adds to each, since a block
+ * is freed only when all of it is sent.
+ */
+#define UNSENT_BLOCK_BYTES (16384 - 64)
 /*
  * A connection ends when sent bytes stay unacknowledged for this time, about as long as a caller
  * waits for an answer.
@@ -72,8 +77,11 @@
 		stream_end(s, errno);
 		return;
 	}
-	if (evbuffer_get_length(s->unsent) > 0)
+	if (evbuffer_get_length(s->unsent) > 0) {
+		if (s->ops->sent)
+			s->ops->sent(s);
 		return;
+	}
 	event_del(s->writable);
 	evbuffer_free(s->unsent);
 	s->unsent = NULL;
@@ -143,6 +151,17 @@
 	setsockopt(s->fd, IPPROTO_TCP, TCP_KEEPCNT, &count, sizeof(count));
 }
 
+static void unsent_add(struct evbuffer *unsent, const char *data, size_t n)
+{
+	while (n > 0) {
+		size_t block = MIN(n, UNSENT_BLOCK_BYTES);
+
+		evbuffer_add(unsent, data, block);
+		data += block;
+		n -= block;
+	}
+}
+
 bool stream_write(struct stream *s, const void *data, size_t n)
 {
 	ssize_t sent = 0;
@@ -160,7 +179,7 @@
 		s->unsent = evbuffer_new();
 		event_add(s->writable, NULL);
 	}
-	evbuffer_add(s->unsent, (const char *)data + sent, n - (size_t)sent);
+	unsent_add(s->unsent, (const char *)data + sent, n - (size_t)sent);
 	return true;
 }
 
--- a/src/stream.h
+++ b/src/stream.h
@@ -22,6 +22,8 @@
 	void (*opened)(struct stream *s); /* an outgoing connection is established */
 	/* The bytes are valid during the callback. */
 	void (*received)(struct stream *s, const char *data, size_t n);
+	/* The socket has accepted some of the buffered bytes, but not all. May be NULL. */
+	void (*sent)(struct stream *s);
 	/* The socket has accepted all buffered bytes. May be NULL. */
 	void (*drained)(struct stream *s);
 	/* The connection is lost. error: 0 when the peer closed it, otherwise an errno. */
--- a/src/upstream.c
+++ b/src/upstream.c
@@ -65,6 +65,7 @@
 	unsigned int n_conns;
 	unsigned int n_connecting;
 	unsigned int n_busy;
+	struct held_account held; /* of all connections */
 	struct window window; /* bounds the calls in flight */
 	unsigned int max_connections; /* the leaf's cap, for all VMs together */
 	unsigned int conn_limit; /* limit of this VM's own connections, adjusted at runtime */
@@ -86,6 +87,7 @@
 
 struct upstream {
 	struct event_base *base;
+	struct heldbytes *held;
 	struct event *sweep;
 	struct list_head links;
 	unsigned int vms;
@@ -126,8 +128,9 @@
 	link->leaf->window = window_size(&link->window);
 }
 
-static void call_end(struct upstream *u, struct leaf_call *call, enum leaf_end end,
-		     const struct http_reader *answer, bool was_sent)
+/* is_of_leaf: false if the end says nothing about the leaf. */
+static void call_end_note(struct upstream *u, struct leaf_call *call, enum leaf_end end,
+			  const struct http_reader *answer, bool was_sent, bool is_of_leaf)
 {
 	struct leaf *leaf = call->leaf;
 	uint64_t now_us = clock_now_us();
@@ -141,6 +144,8 @@
 	sent_us = call->sent_us;
 	useful_us = call->useful_us;
 	end = call->ops->done(call, end, answer, was_sent);
+	if (!is_of_leaf)
+		end = LEAF_END_CANCELLED;
 	was_doubted = leaf_is_quarantined(leaf, now_us) || leaf->is_address_taken;
 	leaf_call_ended(leaf, end, latency_us, now_us);
 	window_update(leaf->link, end, sent_us, useful_us, now_us);
@@ -153,6 +158,12 @@
 	leaf_put(leaf);
 }
 
+static void call_end(struct upstream *u, struct leaf_call *call, enum leaf_end end,
+		     const struct http_reader *answer, bool was_sent)
+{
+	call_end_note(u, call, end, answer, was_sent, true);
+}
+
 static void queue_remove(struct upstream *u, struct leaf_link *link, struct leaf_call *call)
 {
 	list_del(&call->node);
@@ -334,7 +345,7 @@
 	struct leaf_link *link = conn->link;
 	struct upstream *u = conn->upstream;
 	struct leaf_call *call = conn->call;
-	bool was_capped = conn->is_open && !conn->has_answered;
+	bool was_capped = conn->is_open && !conn->has_answered && why != HTTP_FAILURE_HELD;
 
 	conn_destroy(conn);
 	if (was_capped)
@@ -347,7 +358,8 @@
 		if (link->n_conns == 0)
 			queue_fail(u, link, LEAF_END_UNREACHABLE);
 	} else if (call) {
-		call_end(u, call, LEAF_END_LOST, NULL, true);
+		/* An answer that this VM has given up is lost, but not by the leaf. */
+		call_end_note(u, call, LEAF_END_LOST, NULL, true, why != HTTP_FAILURE_HELD);
 	}
 	queue_serve(u, link, clock_now_us());
 }
@@ -369,6 +381,7 @@
 		u->stats.connect_failures++;
 		return false;
 	}
+	http_conn_hold(conn->client, u->held, &link->held);
 	conn->upstream = u;
 	conn->link = link;
 	conn->since_us = now_us;
@@ -463,6 +476,7 @@
 	link = g_new0(struct leaf_link, 1);
 	link->leaf = leaf_get(leaf);
 	link->conn_limit = CONNECTIONS_FIRST;
+	held_account_init(&link->held, NULL, NULL);
 	window_init(&link->window, leaf->slots);
 	leaf->window = window_size(&link->window);
 	list_init(&link->idle);
@@ -565,12 +579,13 @@
 		link_sweep(u, list_entry(pos, struct leaf_link, node), now_us);
 }
 
-struct upstream *upstream_create(struct event_base *base)
+struct upstream *upstream_create(struct event_base *base, struct heldbytes *held)
 {
 	static const struct timeval period = {0, SWEEP_US};
 	struct upstream *u = g_new0(struct upstream, 1);
 
 	u->base = base;
+	u->held = held;
 	u->vms = 1;
 	u->idle_until_us = G_MAXUINT64;
 	list_init(&u->links);
--- a/src/upstream.h
+++ b/src/upstream.h
@@ -54,7 +54,8 @@
 	bool wants_unused;
 };
 
-struct upstream *upstream_create(struct event_base *base);
+/* Counts what is held for leaves in the set, which must outlive the upstream. */
+struct upstream *upstream_create(struct event_base *base, struct heldbytes *held);
 /* Closes all connections. No call may be open. NULL has no effect. */
 void upstream_destroy(struct upstream *u);
 
