Bound what large bodies take, and test slow readers with real processes

Change: a body of known length is allocated at once, its copy is counted, and with a bound memory from 128 KB is returned to the system.

--- a/fakes/routed_site.py
+++ b/fakes/routed_site.py
@@ -516,7 +516,7 @@
     def __init__(self):
         self.store, self.leaves, self.routes, self.version = Store(), {}, [], 0
         self.drain_s, self.runs_by_request, self.signed_payloads, self.shard_sets = 3.0, {}, {}, []
-        self.faults, self.idle_ms = [], 5000
+        self.faults, self.idle_ms, self.body_bytes = [], 5000, 20000
         self.service_fields = {}  # further fields of each service of the configuration
 
     async def start(self):
@@ -563,7 +563,7 @@
                   "services": [{"name": n, "healthCheckPath": "/health", "maxConnections": 40,
                                 "protocol": "h1", "tls": False, **self.service_fields}
                                for n in sorted(services)],
-                  "limits": {"maxHeaderBytes": 4096, "maxBodyBytes": 20000,
+                  "limits": {"maxHeaderBytes": 4096, "maxBodyBytes": self.body_bytes,
                              "headerTimeoutMs": 800, "idleTimeoutMs": self.idle_ms}}
         self.store.put("op/config", json.dumps(config).encode())
 
--- a/soak/soak.py
+++ b/soak/soak.py
@@ -9,7 +9,9 @@
 import asyncio
 import os
 import random
+import re
 import signal
+import socket
 import sys
 import tempfile
 import time
@@ -77,11 +79,14 @@
         self.site.route_set("/all/", gather=[f"s{i}" for i in range(SHARDS)], topK=5,
                             minShardRatio=0.6)
         self.site.route_set("/loan/", service="loans", routeType="unsafe", maxAttempts=2)
+        (await self.site.leaf_add("large", "large")).payload = bytes(400000)
+        self.site.route_set("/large/", service="large")
         self.move()
         for i in range(self.n_daemons):
             proxy = FaultProxy(self.site.store.address)
             await proxy.start()
-            daemon = Daemon(BINARY, f"vm{i}", "ab"[i % 2], self.port + 8 * i, proxy.address)
+            daemon = Daemon(BINARY, f"vm{i}", "ab"[i % 2], self.port + 8 * i, proxy.address,
+                            extra=("--held-mb", "4") if i % 2 else ())
             daemon.peers = ",".join(f"127.0.0.1:{self.port + 8 * k + 4}" for k in range(3))
             daemon.store_proxy, daemon.starts = proxy, 0
             self.daemons.append(daemon)
@@ -128,6 +133,39 @@
                 streams[daemon.name] = kept
             await asyncio.sleep(source.uniform(0, 0.03))
 
+    async def slow_caller(self, number):
+        """Reads large answers slowly, each over a connection with a small receive window."""
+        source = random.Random(1000 + number)
+        while self.running:
+            daemon = source.choice(self.daemons)
+            incarnation, began, sock = daemon.starts, time.monotonic(), socket.socket()
+            sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 8192)
+            sock.setblocking(False)
+            try:
+                ip, port = daemon.gateway.split(":")
+                await asyncio.get_running_loop().sock_connect(sock, (ip, int(port)))
+                streams = await asyncio.open_connection(sock=sock, limit=8192)
+            except OSError:
+                sock.close()
+                await asyncio.sleep(0.1)
+                continue
+            proxy = asyncio.StreamReader()
+            feed = asyncio.create_task(self.slow_read(streams[0], proxy, source.uniform(0.005, 0.03)))
+            request, answer = await call(None, "/large/x", streams=(proxy, streams[1]), timeout_s=8)
+            feed.cancel()
+            streams[1].close()
+            if answer:
+                began = max(began, time.monotonic() - 3)  # how long it takes is up to this caller
+            self.answer_check(daemon, incarnation, began, "/large/x", request, answer)
+
+    @staticmethod
+    async def slow_read(reader, out, pause_s):
+        """Passes on 8000 bytes after each pause."""
+        while data := await reader.read(8000):
+            out.feed_data(data)
+            await asyncio.sleep(pause_s)
+        out.feed_eof()
+
     def answer_check(self, daemon, incarnation, began, path, request, answer):
         route = next(r for r in self.site.routes if path.startswith(r["prefix"]))
         runs = self.site.runs_by_request.get(request, [])
@@ -261,7 +299,7 @@
     def draw(self):
         """Draws a fault: (name, function that returns its coroutine).
 
-        The leaves of the later moves are not drawn from, so that a seed draws the same faults as before
+        The leaves of the later moves and of large answers are not drawn from, so that a seed draws the same faults as before
         there were any.
 
         Returns None if the fault is one of a daemon that already has a fault. "hangup" and "move"
@@ -299,7 +337,7 @@
 
     @staticmethod
     def is_of_later_move(leaf):
-        return leaf.service[0] == "m" and int(leaf.service[1:]) >= MOVES_AHEAD
+        return leaf.id == "large" or leaf.service[0] == "m" and int(leaf.service[1:]) >= MOVES_AHEAD
 
     def has_fault(self, daemon):
         """Whether a fault of this daemon lasts."""
@@ -317,6 +355,7 @@
         if not await wait_for(self.serves_all, 8):
             self.fail("not all daemons serve complete answers 8 s after the start")
         callers = [asyncio.create_task(self.caller(i)) for i in range(8)]
+        callers += [asyncio.create_task(self.slow_caller(i)) for i in range(3)]
         until = time.monotonic() + self.seconds
         while time.monotonic() < until:
             drawn = self.draw()
@@ -330,6 +369,8 @@
             self.fail(f"not all daemons serve complete answers {RECOVER_S:.0f} s after the last fault")
         self.running = False
         await asyncio.gather(*callers)
+        if not await wait_for(self.holds_nothing, 3):
+            self.fail("a daemon counts bytes that it holds for callers or leaves after all connections ended")
         await self.stop()
 
     async def fault_run(self, fault):
@@ -345,6 +386,10 @@
                 return False
         return True
 
+    async def holds_nothing(self):
+        pages = [(await call(daemon.address(3), "/metrics"))[1] for daemon in self.daemons]
+        return all(page and not re.search(rb"apricot_held_bytes{.*} [1-9]", page[2]) for page in pages)
+
     async def stop(self):
         for daemon in self.daemons:
             if daemon.process.returncode not in (None, 0, -signal.SIGKILL):
--- a/src/gateway.c
+++ b/src/gateway.c
@@ -9,6 +9,7 @@
 #include "retryafter.h"
 #include "warmup.h"
 
+#include <malloc.h>
 #include <string.h>
 
 /*
@@ -23,6 +24,12 @@
 /* Period in which answers that wait for room are resumed or given up, while there are any. */
 #define HELD_TICK_MS 20
 
+/*
+ * With a bound, memory from this size is returned to the system when it is freed. glibc raises its
+ * own threshold up to 32 MB, and freed bodies would then stay in the heap beside new ones.
+ */
+#define RETURNED_BYTES_MIN 131072
+
 /* In a planned stop, requests are answered at least this long before the process ends. */
 #define ANSWER_WRITE_MS 100
 
@@ -620,6 +627,8 @@
 	g->env.warmups = warmups_create(&warmup_ops, g);
 	g->warmup_tick = event_new(kernel_base(k), -1, EV_PERSIST, warmup_tick_handle, g);
 	event_add(g->warmup_tick, &warmup_period);
+	if (settings->held_bound_bytes > 0)
+		mallopt(M_MMAP_THRESHOLD, RETURNED_BYTES_MIN);
 	g->held = heldbytes_create(settings->held_bound_bytes, &held_ops, g);
 	g->held_tick = event_new(kernel_base(k), -1, EV_PERSIST, held_tick_handle, g);
 	g->env.upstream = upstream_create(kernel_base(k), g->held);
--- a/src/httpmsg.c
+++ b/src/httpmsg.c
@@ -35,6 +35,7 @@
 	bool is_answer_to_head; /* the message answers a HEAD request */
 	bool has_head; /* the whole head was read */
 	bool has_begun; /* a byte of the message was read */
+	bool has_large_body; /* its memory is allocated */
 	bool has_text; /* a byte of the first line was read; blank lines may precede it */
 	bool keeps_alive;
 	bool in_value; /* the last field's value was read in part or whole */
@@ -97,6 +98,19 @@
 	return 0;
 }
 
+/*
+ * Allocates the whole body at once if its length is known, so that its growth leaves no freed
+ * copies in the heap. What has not arrived takes no memory, as its pages are untouched.
+ */
+static void body_reserve(struct http_reader *r)
+{
+	if (r->length <= BODY_KEPT_BYTES || r->length > r->limits.body_bytes)
+		return;
+	g_byte_array_set_size(r->body, (guint)r->length);
+	g_byte_array_set_size(r->body, 0);
+	r->has_large_body = true;
+}
+
 static int on_headers_complete(http_parser *p)
 {
 	struct http_reader *r = p->data;
@@ -112,10 +126,13 @@
 	r->keeps_alive = http_should_keep_alive(p);
 	if ((p->flags & F_CONTENTLENGTH) && !r->is_answer_to_head)
 		r->length = MIN(p->content_length, r->limits.body_bytes);
-	if (r->type == HTTP_MESSAGE_ANSWER)
+	if (r->type == HTTP_MESSAGE_ANSWER) {
+		body_reserve(r);
 		return r->is_answer_to_head ? 1 : 0;
+	}
 	if ((p->flags & F_CONTENTLENGTH) && p->content_length > r->limits.body_bytes)
 		return stop_with(r, HTTP_BODY_TOO_LARGE);
+	body_reserve(r);
 	return 0;
 }
 
@@ -189,7 +206,7 @@
 			 r->type == HTTP_MESSAGE_REQUEST ? HTTP_REQUEST : HTTP_RESPONSE);
 	r->parser.data = r;
 	g_string_truncate(r->text, 0);
-	if (r->body->len > BODY_KEPT_BYTES) {
+	if (r->has_large_body || r->body->len > BODY_KEPT_BYTES) {
 		g_byte_array_free(r->body, TRUE);
 		r->body = g_byte_array_new();
 	}
@@ -202,6 +219,7 @@
 	r->has_head = false;
 	r->has_begun = false;
 	r->length = 0;
+	r->has_large_body = false;
 	r->has_text = false;
 	r->keeps_alive = false;
 	r->in_value = false;
--- a/src/httpserver.c
+++ b/src/httpserver.c
@@ -35,6 +35,9 @@
  * link.
  */
 #define STALL_MAX_MS 10000
+/* The owner of a request makes a copy of its body, which is counted from the start so that it fits.
+ */
+#define BODY_COPIES 2
 
 struct http_request {
 	struct stream stream;
@@ -78,9 +81,10 @@
 static void held_update(struct http_request *r)
 {
 	size_t n_pipelined = r->pipelined ? r->pipelined->len : 0;
+	size_t n_body = BODY_COPIES * http_reader_body_bytes(r->reader);
 
 	held_account_set(&r->held, HELD_CALLERS, stream_unsent_bytes(&r->stream));
-	held_account_set(&r->held, HELD_BODIES, http_reader_body_bytes(r->reader) + n_pipelined);
+	held_account_set(&r->held, HELD_BODIES, n_body + n_pipelined);
 }
 
 static void connection_destroy(struct http_request *r)
