--- a/src/retryafter.h
+++ b/src/retryafter.h
@@ -24,6 +24,7 @@
 	RETRYAFTER_NO_CONFIG, /* this VM has no configuration yet; another one can serve */
 	RETRYAFTER_ALL_STARTING, /* no VM is known to have a configuration */
 	RETRYAFTER_RENEWAL, /* this VM asks the others for what it needs to answer */
+	RETRYAFTER_MEMORY, /* this VM holds too many bytes for slow callers and leaves */
 	RETRYAFTER_STOPPING, /* this VM stops; another one can serve the request at once */
 };
 
