Admit requests by rank where a deployment asks for it

Cause: route.priority was read but not used. In a burst of searches the leaves' queues made lookups late, which have a third of their target. Change: module rank decides per group of services and rank what is admitted; setting features passes the terms of the deployment to the adapter. Without the feature requests are admitted as before.

--- a/src/backlog.c
+++ b/src/backlog.c
@@ -14,14 +14,14 @@
 	return (uint64_t)(b->service_us * (1 + (b->n_waiting + 1.0) / b->window));
 }
 
-static bool is_overloaded(const struct backlog_gate *g, uint64_t now_us)
+bool backlog_is_overloaded(const struct backlog_gate *g, uint64_t now_us)
 {
 	return g->n_refused > 0 && now_us - g->refused_at_us < OVERLOAD_US;
 }
 
 uint64_t backlog_useful_us(const struct backlog_gate *g, uint64_t useful_us, uint64_t now_us)
 {
-	if (!is_overloaded(g, now_us))
+	if (!backlog_is_overloaded(g, now_us))
 		return useful_us;
 	return (uint64_t)(OVERLOAD_USEFUL_SHARE * (double)useful_us);
 }
@@ -31,12 +31,18 @@
 {
 	if (n_in_time > 0 && n_in_time >= min_share * n_shards)
 		return true;
+	backlog_refused(g, now_us);
+	return false;
+}
+
+void backlog_refused(struct backlog_gate *g, uint64_t now_us)
+{
 	g->refused_at_us = now_us;
 	g->n_refused++;
-	return false;
 }
 
 bool backlog_allows_hedge(const struct backlog_gate *g, const struct backlog *b, uint64_t now_us)
 {
-	return !is_overloaded(g, now_us) || b->n_sent + b->n_waiting < MAX(1, b->window / 2);
+	return !backlog_is_overloaded(g, now_us) ||
+	       b->n_sent + b->n_waiting < MAX(1, b->window / 2);
 }
--- a/src/backlog.h
+++ b/src/backlog.h
@@ -52,6 +52,11 @@
 bool backlog_admit(struct backlog_gate *g, unsigned int n_in_time, unsigned int n_shards,
 		   double min_share, uint64_t now_us);
 
+/* Notes a refusal that was decided elsewhere. */
+void backlog_refused(struct backlog_gate *g, uint64_t now_us);
+/* True for some time after a refusal. */
+bool backlog_is_overloaded(const struct backlog_gate *g, uint64_t now_us);
+
 /* False while a second call to this leaf would only take the place of another request's call. */
 bool backlog_allows_hedge(const struct backlog_gate *g, const struct backlog *b, uint64_t now_us);
 
--- a/src/explain.c
+++ b/src/explain.c
@@ -189,6 +189,35 @@
 	return n;
 }
 
+/* Appends for a request refused by its rank which capacity was short and who had it. */
+static void ranks_append(GString *out, const char *trace)
+{
+	static const struct {
+		const char *verdict;
+		const char *text;
+	} reasons[] = {
+		{" backlog held=", "the leaves had too many calls to answer in time, most of"},
+		{" reserved held=", "its calls would have made late those of"},
+		{" behind held=", "a higher rank was served in time less often:"},
+		{" share held=", "its route had more than its equal part of what was admitted for"},
+	};
+
+	const char *refused = strstr(trace, " refused ");
+	g_auto(GStrv) words = refused ? g_strsplit_set(refused, " ;", 5) : NULL;
+
+	if (!words || g_strv_length(words) < 5)
+		return;
+	for (size_t i = 0; i < G_N_ELEMENTS(reasons); i++) {
+		const char *at = strstr(trace, reasons[i].verdict);
+
+		if (!at)
+			continue;
+		at += strlen(reasons[i].verdict);
+		g_string_append_printf(out, "; %s %.*s (shard %s, leaf %s)", reasons[i].text,
+				       (int)strcspn(at, ";"), at, words[2], words[3]);
+	}
+}
+
 static void missing_append(GString *out, const char *trace)
 {
 	unsigned int no_leaf = words_count(trace, " no leaf;");
@@ -206,6 +235,7 @@
 		g_string_append_printf(out, "; calls to %u leaves were lost", lost);
 	if (strstr(trace, " backlog;"))
 		g_string_append(out, "; the leaves had too many calls to answer in time");
+	ranks_append(out, trace);
 	if (strstr(trace, " denied "))
 		g_string_append(out, "; the budget for repeated calls denied some");
 }
--- a/src/gateway.c
+++ b/src/gateway.c
@@ -516,6 +516,7 @@
 	leafset_destroy(g->env.leaves);
 	evacuations_destroy(g->evacuations);
 	repeats_destroy(g->env.repeats);
+	ranks_destroy(g->env.ranks);
 	splits_destroy(g->env.splits);
 	g_hash_table_destroy(g->env.stats);
 	routemap_put(g->map);
@@ -551,6 +552,8 @@
 	g->env.upstream = upstream_create(kernel_base(k));
 	g->env.repeats = repeats_create(&settings->repeats, clock_now_us());
 	vmshare_init(&g->env.vmshare, clock_now_us());
+	if (settings->features & FEATURE_RANKS)
+		g->env.ranks = ranks_create();
 	g->env.splits = splits_create();
 	g->env.stats = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, route_stats_free);
 	list_init(&g->env.jobs);
--- a/src/job.c
+++ b/src/job.c
@@ -11,6 +11,12 @@
  */
 #define CALLER_LEFT_LINGER_US 200000
 
+/*
+ * A caller that waits by so much less than others have is taken to have asked before. A caller
+ * comes back no sooner than Retry-After says, which is at least 10 ms.
+ */
+#define REPEAT_MIN_MS 5
+
 /* Fewer answered requests of a route tell little about how long they take. */
 #define USUAL_SAMPLES_MIN 20
 
@@ -156,6 +162,11 @@
 	j->deadline_us = policy->deadline_us;
 	if (policy->goal_at_us > j->read_us)
 		j->useful_us = policy->goal_at_us - j->read_us;
+	j->answer_useful_us = j->deadline_us - j->read_us;
+	if (route->goal_ms)
+		j->answer_useful_us = MIN(j->answer_useful_us, scatter_useful_us(route->goal_ms));
+	j->is_repeat = wait.wait_ms && MIN(wait.wait_ms, route->timeout_ms) + REPEAT_MIN_MS <
+					       MIN(wait.longest_wait_ms, route->timeout_ms);
 	policy->hedge_after_us =
 		scatter_hedge_delay_us(j->stats->call_us, (uint64_t)route->goal_ms * 1000);
 	policy->hedge_last_at_us = scatter_hedge_last_at_us(j->stats->call_us, policy->goal_at_us);
@@ -176,6 +187,64 @@
 	       j->read_us + usual_longest_us(j->route, j->stats) > j->env->answer_by_us;
 }
 
+/* What this VM knows of the leaves to which the request's first calls would go. */
+static GArray *rank_shards_create(const struct job *j)
+{
+	GArray *shards = g_array_sized_new(FALSE, TRUE, sizeof(struct rank_shard), j->n_shards);
+
+	for (unsigned int i = 0; i < j->n_shards; i++) {
+		const struct leaf *leaf = j->shards[i].first_leaf;
+		struct rank_shard shard = {.has_leaf = leaf != NULL};
+
+		if (leaf)
+			shard.backlog = leaf_backlog(leaf);
+		for (unsigned int rank = 0; leaf && rank < RANK_COUNT; rank++)
+			shard.n_waiting[rank] = upstream_waiting(leaf, rank);
+		g_array_append_val(shards, shard);
+	}
+	return shards;
+}
+
+static void rank_find(struct job *j)
+{
+	const struct route *route = j->route;
+	g_autofree char *key = g_strconcat(route->host, route->prefix, NULL);
+	char *target = (char *)j->shards[0].service;
+
+	j->rank_group = ranks_group_find(j->env->ranks,
+					 route->shards ? (char **)route->shards->pdata : &target,
+					 j->n_shards);
+	j->rank_route = rank_route_find(j->rank_group, key, rank_of(route->priority));
+}
+
+/* is_admitted() in a deployment that asks for ranks. */
+static bool is_rank_admitted(struct job *j)
+{
+	GArray *shards = rank_shards_create(j);
+	struct rank_request request = {
+		.rank = rank_of(j->route->priority),
+		.useful_us = j->answer_useful_us,
+		.min_share = job_is_sharded(j) ? j->route->min_share : 1,
+		.is_single = !job_is_sharded(j),
+		.is_repeat = j->is_repeat,
+		.shards = (const struct rank_shard *)shards->data,
+		.n_shards = j->n_shards,
+	};
+	struct rank_answer answer;
+	char why[48];
+
+	rank_find(j);
+	answer = rank_admit(j->rank_group, j->rank_route, &request, j->read_us);
+	g_array_free(shards, TRUE);
+	if (answer.verdict == RANK_ADMITTED || answer.verdict == RANK_FLOOR)
+		return true;
+	g_snprintf(why, sizeof(why), "%s held=rank%u", rank_verdict_name(answer.verdict),
+		   answer.holder);
+	jobanswer_trace_add(j, "refused", j->shards[answer.shard].service,
+			    j->shards[answer.shard].first_leaf, why, j->read_us);
+	return false;
+}
+
 /*
  * True when enough leaves are expected to answer while the answer is useful. A caller that comes
  * back after its goal has passed gets no more time than others: the leaves' queues would grow until
@@ -183,13 +252,13 @@
  */
 static bool is_admitted(struct job *j)
 {
-	uint64_t useful_us = j->deadline_us - j->read_us;
+	uint64_t useful_us = j->answer_useful_us;
 	unsigned int n_in_time = 0;
 
+	if (j->env->ranks)
+		return is_rank_admitted(j);
 	if (!job_is_sharded(j))
 		return true;
-	if (j->route->goal_ms)
-		useful_us = MIN(useful_us, scatter_useful_us(j->route->goal_ms));
 	useful_us = backlog_useful_us(&j->env->gate, useful_us, j->read_us);
 	for (unsigned int i = 0; i < j->n_shards; i++) {
 		const struct leaf *leaf = j->shards[i].first_leaf;
@@ -200,8 +269,10 @@
 		b = leaf_backlog(leaf);
 		n_in_time += backlog_answer_us(&b) <= useful_us;
 	}
-	return backlog_admit(&j->env->gate, n_in_time, j->n_shards, j->route->min_share,
-			     j->read_us);
+	if (backlog_admit(&j->env->gate, n_in_time, j->n_shards, j->route->min_share, j->read_us))
+		return true;
+	jobanswer_trace_add(j, "refused", j->shards[0].service, NULL, "backlog", j->read_us);
+	return false;
 }
 
 static void deadline_cap(struct job *j, uint64_t at_us)
@@ -313,8 +384,6 @@
 	}
 	if (!is_admitted(j)) {
 		j->is_unsent = true;
-		jobanswer_trace_add(j, "refused", j->shards[0].service, NULL, "backlog",
-				    j->read_us);
 		jobanswer_refuse(j, RETRYAFTER_LEAVES_FULL);
 		return;
 	}
--- a/src/job.h
+++ b/src/job.h
@@ -14,6 +14,7 @@
 #include "kernel.h"
 #include "leafset.h"
 #include "list.h"
+#include "rank.h"
 #include "repeats.h"
 #include "routemap.h"
 #include "split.h"
@@ -66,6 +67,7 @@
 	GHashTable *stats; /* a route's host and prefix, joined -> struct route_stats */
 	struct list_head jobs;
 	unsigned int n_jobs;
+	struct ranks *ranks; /* NULL: the deployment does not ask for ranks */
 	struct backlog_gate gate; /* refusals because of the leaves' backlog */
 	uint64_t answer_by_us; /* a planned stop ends then; 0: none */
 };
--- a/src/jobanswer.c
+++ b/src/jobanswer.c
@@ -74,6 +74,21 @@
 		      n_answered, j->n_shards);
 }
 
+static void rank_end(const struct job *j, enum job_outcome outcome, uint64_t took_us,
+		     uint64_t now_us)
+{
+	bool is_served = outcome == JOB_COMPLETE || outcome == JOB_PARTIAL || outcome == JOB_PASSED;
+	/* A partial answer is sent when the useful time ends; the goal is later. */
+	uint64_t goal_us = MAX(j->answer_useful_us, (uint64_t)j->route->goal_ms * CLOCK_US_PER_MS);
+	bool is_in_time = took_us <= (j->answer_useful_us + goal_us) / 2;
+
+	if (!j->rank_group || j->is_unsent || (outcome == JOB_CALLER_LEFT && is_in_time))
+		return;
+	rank_ended(j->rank_group, j->rank_route, is_served && is_in_time,
+		   j->enough_at_us ? j->enough_at_us - j->read_us : took_us, j->answer_useful_us,
+		   now_us);
+}
+
 void jobanswer_finish(struct job *j, enum job_outcome outcome, unsigned int status,
 		      uint64_t linger_us)
 {
@@ -83,6 +98,7 @@
 	j->request = NULL;
 	j->stats->outcomes[outcome]++;
 	hist_add(j->stats->answer_us, took_us);
+	rank_end(j, outcome, took_us, now_us);
 	if (outcome != JOB_COMPLETE && outcome != JOB_PASSED && !j->is_unsent)
 		trace_missing_add(j, now_us);
 	end_log(j, outcome, status, took_us);
--- a/src/jobcall.c
+++ b/src/jobcall.c
@@ -143,6 +143,9 @@
 	}
 	if (is_first)
 		jobanswer_part_add(j, answer, signature);
+	if (!j->enough_at_us &&
+	    scatter_answered_count(j->scatter) >= j->route->min_share * j->n_shards)
+		j->enough_at_us = now_us;
 	job_advance(j, now_us);
 }
 
@@ -234,6 +237,7 @@
 	c->is_repeat = sh->n_sent > 0;
 	c->call.ops = &call_ops;
 	c->call.useful_us = j->useful_us;
+	c->call.rank = j->env->ranks ? rank_of(j->route->priority) : 0;
 	c->call.is_optional = job_is_sharded(j);
 	c->call.wants_fresh = !j->route->is_idempotent;
 	list_add_tail(&c->node, &j->calls);
--- a/src/jobstate.h
+++ b/src/jobstate.h
@@ -54,6 +54,11 @@
 	uint64_t deadline_us;
 	uint64_t timer_us; /* when the timer fires; 0: not set */
 	uint64_t useful_us; /* time from read_us within which the goal is met; 0: no goal */
+	struct rank_group *rank_group; /* of its services; NULL without ranks */
+	struct rank_route *rank_route;
+	uint64_t answer_useful_us; /* time within which it must be expected when it arrives */
+	bool is_repeat; /* its caller has asked before */
+	uint64_t enough_at_us; /* when min_share of its shards had answered; 0: not yet */
 	struct topk *top; /* best records of the answers so far; NULL unless sharded */
 	GString *signatures; /* of the answers so far, comma-separated; NULL unless sharded */
 	/* Header fields, body and status of the last error answer of a leaf; NULL: none yet. */
--- /dev/null
+++ b/src/rank.c
@@ -0,0 +1,506 @@
+#include "rank.h"
+
+#include <math.h>
+
+/* Time in which rates and counts fade to 1/e: about nine tenths are gone after 2 s. */
+#define FADE_US 1000000.0
+/* A rank with less than this many requests left in its fading count was not requested lately. */
+#define RECENT_MIN 0.1
+/*
+ * Part of a higher rank's useful time within which its calls must be expected. The expectation is a
+ * mean; a request that needs most of its shards waits for the slow ones.
+ */
+#define RESERVED_SHARE_MAX 0.6
+#define RESERVED_SHARE_MIN 0.05
+/* Factor after a late request of the higher rank, at most once in DECREASE_EVERY_US. */
+#define RESERVED_DECREASE 0.75
+#define DECREASE_EVERY_US 50000
+/* What the share regains in a second. */
+#define RESERVED_INCREASE_PER_S 0.1
+/* An answer that took more than this part of the useful time tells that the next may be late. */
+#define NEARLY_LATE_SHARE 0.8
+/*
+ * A lower rank may be served in time more often than a higher one by this part of the requests. The
+ * deployments allow 0.03 in any 2 s.
+ */
+#define LEAD_MAX 0.01
+/* Part of the admitted requests that a lower rank gets in any case, if it is in time itself. */
+#define FLOOR_SHARE 0.1
+/* A route may be ahead of its equal part by so many requests. */
+#define SHARE_SLACK 1.0
+
+/* Fading counts of requests. */
+struct rank_counts {
+	double asked; /* first attempts */
+	double missed; /* of these, refused or late */
+	double admitted;
+	double refused;
+	uint64_t at_us; /* when they were last faded */
+};
+
+struct route_use {
+	struct rank_route route;
+	struct rank_counts counts;
+};
+
+/* One rank of a group. */
+struct rank_use {
+	struct backlog_gate gate;
+	struct rank_counts counts;
+	uint64_t useful_us; /* of its latest request */
+	double min_share;
+	double reserved_share;
+	uint64_t reserved_set_us;
+	uint64_t decreased_at_us;
+	uint64_t verdicts[RANK_VERDICT_COUNT];
+	uint64_t n_late;
+};
+
+struct rank_group {
+	char *service;
+	unsigned int n_services;
+	struct rank_use uses[RANK_COUNT];
+	GHashTable *routes; /* key -> struct route_use */
+};
+
+struct ranks {
+	GPtrArray *groups;
+	GHashTable *services; /* name -> struct rank_group, borrowed */
+};
+
+static const char *const verdict_names[] = {
+#define X(symbol, name) name,
+	RANK_VERDICT_LIST(X)
+#undef X
+};
+
+const char *rank_verdict_name(enum rank_verdict verdict)
+{
+	return verdict_names[verdict];
+}
+
+static void group_free(gpointer data)
+{
+	struct rank_group *g = data;
+
+	g_hash_table_destroy(g->routes);
+	g_free(g->service);
+	g_free(g);
+}
+
+struct ranks *ranks_create(void)
+{
+	struct ranks *r = g_new0(struct ranks, 1);
+
+	r->groups = g_ptr_array_new_with_free_func(group_free);
+	r->services = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
+	return r;
+}
+
+void ranks_destroy(struct ranks *r)
+{
+	if (!r)
+		return;
+	g_hash_table_destroy(r->services);
+	g_ptr_array_free(r->groups, TRUE);
+	g_free(r);
+}
+
+struct rank_group *ranks_group_find(struct ranks *r, char *const *services, unsigned int n)
+{
+	struct rank_group *g = g_hash_table_lookup(r->services, services[0]);
+
+	if (g && g->n_services >= n)
+		return g;
+	g = g_new0(struct rank_group, 1);
+	g->service = g_strdup(services[0]);
+	g->n_services = n;
+	g->routes = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
+	for (unsigned int i = 0; i < RANK_COUNT; i++)
+		g->uses[i].reserved_share = RESERVED_SHARE_MAX;
+	g_ptr_array_add(r->groups, g);
+	/* A request to one of the shards competes with the searches, so it joins their group. */
+	for (unsigned int i = 0; i < n; i++)
+		g_hash_table_replace(r->services, g_strdup(services[i]), g);
+	return g;
+}
+
+struct rank_route *rank_route_find(struct rank_group *g, const char *key, unsigned int rank)
+{
+	struct route_use *use = g_hash_table_lookup(g->routes, key);
+
+	if (!use) {
+		use = g_new0(struct route_use, 1);
+		g_hash_table_insert(g->routes, g_strdup(key), use);
+	}
+	use->route.rank = rank;
+	return &use->route;
+}
+
+static struct route_use *route_use_of(struct rank_route *route)
+{
+	return (struct route_use *)route; /* its first member */
+}
+
+static double fade_factor(const struct rank_counts *c, uint64_t now_us)
+{
+	return now_us > c->at_us ? exp(-(double)(now_us - c->at_us) / FADE_US) : 1;
+}
+
+static void counts_fade(struct rank_counts *c, uint64_t now_us)
+{
+	double factor = fade_factor(c, now_us);
+
+	c->asked *= factor;
+	c->missed *= factor;
+	c->admitted *= factor;
+	c->refused *= factor;
+	c->at_us = MAX(c->at_us, now_us);
+}
+
+static void counts_admitted(struct rank_counts *c, bool is_repeat)
+{
+	c->admitted++;
+	/* The refusal of the earlier attempt does not count if this one is served. */
+	if (is_repeat)
+		c->missed = MAX(0, c->missed - 1);
+	else
+		c->asked++;
+}
+
+static void counts_refused(struct rank_counts *c, bool is_repeat)
+{
+	c->refused++;
+	if (is_repeat)
+		return;
+	c->asked++;
+	c->missed++;
+}
+
+static bool is_recent(const struct rank_use *use)
+{
+	return use->counts.asked + use->counts.admitted + use->counts.refused >= RECENT_MIN;
+}
+
+static double missed_share(const struct rank_counts *c)
+{
+	return c->asked > 0 ? MIN(1, c->missed / c->asked) : 0;
+}
+
+static void reserved_recover(struct rank_use *use, uint64_t now_us)
+{
+	double passed_s = (double)(now_us - MIN(now_us, use->reserved_set_us)) / 1e6;
+
+	use->reserved_share =
+		MIN(RESERVED_SHARE_MAX, use->reserved_share + RESERVED_INCREASE_PER_S * passed_s);
+	use->reserved_set_us = now_us;
+}
+
+static void reserved_shorten(struct rank_use *use, uint64_t now_us)
+{
+	reserved_recover(use, now_us);
+	if (now_us - use->decreased_at_us < DECREASE_EVERY_US)
+		return;
+	use->reserved_share = MAX(RESERVED_SHARE_MIN, use->reserved_share * RESERVED_DECREASE);
+	use->decreased_at_us = now_us;
+}
+
+/* The backlog that a call of this rank meets: calls at the leaf, and those here that go first. */
+static struct backlog backlog_of(const struct rank_shard *shard, unsigned int rank)
+{
+	struct backlog b = shard->backlog;
+
+	b.n_waiting = 0;
+	for (unsigned int i = 0; i <= rank; i++)
+		b.n_waiting += shard->n_waiting[i];
+	return b;
+}
+
+/* True if the request is expected in time. Otherwise *shard is the first one that is not. */
+static bool is_in_time(const struct rank_request *request, struct rank_use *use,
+		       unsigned int *shard, uint64_t now_us)
+{
+	uint64_t useful_us = backlog_useful_us(&use->gate, request->useful_us, now_us);
+	unsigned int n_in_time = 0;
+
+	for (unsigned int i = 0; i < request->n_shards; i++) {
+		struct backlog b = backlog_of(&request->shards[i], request->rank);
+
+		if (!request->shards[i].has_leaf)
+			continue;
+		if (backlog_answer_us(&b) <= useful_us)
+			n_in_time++;
+		else if (*shard == request->n_shards)
+			*shard = i;
+	}
+	return n_in_time > 0 && n_in_time >= request->min_share * request->n_shards;
+}
+
+/*
+ * Calls of ranks up to this one that are expected here while the request's call is served, this
+ * VM's own.
+ */
+static unsigned int arrivals_expected(const struct rank_group *g, unsigned int rank,
+				      double service_us)
+{
+	double calls = 0;
+
+	for (unsigned int i = 0; i <= rank; i++)
+		calls += g->uses[i].counts.admitted / FADE_US * service_us;
+	return (unsigned int)(calls + 0.5);
+}
+
+/*
+ * True if after the request's calls enough calls of the higher rank would still be in time.
+ * Otherwise *short_shard is the first one at which they would not.
+ */
+static bool leaves_room(struct rank_group *g, const struct rank_request *request,
+			unsigned int higher, unsigned int *short_shard, uint64_t now_us)
+{
+	struct rank_use *use = &g->uses[higher];
+	double within_us;
+	unsigned int n_in_time = 0;
+	unsigned int n_leaves = 0;
+
+	*short_shard = request->n_shards;
+	reserved_recover(use, now_us);
+	within_us = use->reserved_share * (double)use->useful_us;
+	for (unsigned int i = 0; i < request->n_shards; i++) {
+		const struct rank_shard *shard = &request->shards[i];
+		struct backlog b = backlog_of(shard, higher);
+
+		if (!shard->has_leaf)
+			continue;
+		n_leaves++;
+		/* A leaf without a call of this VM is tried, as in backlog_answer_us(). */
+		if (b.n_sent + b.n_waiting == 0) {
+			n_in_time++;
+			continue;
+		}
+		b.n_sent++;
+		b.n_waiting += arrivals_expected(g, higher, b.service_us);
+		if ((double)backlog_answer_us(&b) <= within_us)
+			n_in_time++;
+		else if (*short_shard == request->n_shards)
+			*short_shard = i;
+	}
+	/* A shard without a leaf is missing to the higher rank in any case. */
+	return n_leaves == 0 || n_in_time >= use->min_share * n_leaves;
+}
+
+/* True if the rank gets so little that the request is admitted although a higher rank needs it. */
+static bool is_below_floor(const struct rank_group *g, unsigned int rank, unsigned int higher)
+{
+	const struct rank_counts *own = &g->uses[rank].counts;
+	double admitted = 0;
+
+	for (unsigned int i = 0; i < RANK_COUNT; i++)
+		admitted += g->uses[i].counts.admitted;
+	return own->admitted < FLOOR_SHARE * admitted &&
+	       missed_share(own) > missed_share(&g->uses[higher].counts);
+}
+
+static struct rank_answer ranks_above_check(struct rank_group *g,
+					    const struct rank_request *request, uint64_t now_us)
+{
+	const struct rank_counts *own = &g->uses[request->rank].counts;
+	struct rank_answer answer = {.verdict = RANK_ADMITTED};
+	unsigned int shard;
+
+	for (unsigned int h = 0; h < request->rank; h++) {
+		counts_fade(&g->uses[h].counts, now_us);
+		if (!is_recent(&g->uses[h]))
+			continue;
+		if (missed_share(&g->uses[h].counts) > missed_share(own) + LEAD_MAX)
+			return (struct rank_answer){RANK_BEHIND, h, 0};
+		if (leaves_room(g, request, h, &shard, now_us))
+			continue;
+		if (!is_below_floor(g, request->rank, h))
+			return (struct rank_answer){RANK_RESERVED, h, shard};
+		answer.verdict = RANK_FLOOR;
+	}
+	return answer;
+}
+
+/*
+ * True if the route has had more than its equal part of what its rank got while another route of
+ * the rank that has had less is refused.
+ */
+static bool is_over_share(struct rank_group *g, struct route_use *own, uint64_t now_us)
+{
+	unsigned int n_routes = 0;
+	bool is_other_short = false;
+	double admitted = 0;
+	GHashTableIter iter;
+	gpointer value;
+
+	g_hash_table_iter_init(&iter, g->routes);
+	while (g_hash_table_iter_next(&iter, NULL, &value)) {
+		struct route_use *use = value;
+
+		counts_fade(&use->counts, now_us);
+		if (use->route.rank != own->route.rank ||
+		    use->counts.admitted + use->counts.refused < RECENT_MIN)
+			continue;
+		n_routes++;
+		admitted += use->counts.admitted;
+	}
+	if (n_routes < 2 || own->counts.admitted <= admitted / n_routes + SHARE_SLACK)
+		return false;
+	g_hash_table_iter_init(&iter, g->routes);
+	while (g_hash_table_iter_next(&iter, NULL, &value)) {
+		const struct route_use *use = value;
+
+		is_other_short = is_other_short || (use->route.rank == own->route.rank &&
+						    use->counts.refused >= RECENT_MIN &&
+						    use->counts.admitted < admitted / n_routes);
+	}
+	return is_other_short;
+}
+
+bool rank_is_overloaded(const struct rank_group *g, unsigned int rank, uint64_t now_us)
+{
+	for (unsigned int i = 0; i <= rank; i++)
+		if (backlog_is_overloaded(&g->uses[i].gate, now_us))
+			return true;
+	return false;
+}
+
+/* The rank that got most of the group's capacity lately. */
+static unsigned int holder_find(const struct rank_group *g)
+{
+	unsigned int holder = 0;
+
+	for (unsigned int i = 1; i < RANK_COUNT; i++)
+		if (g->uses[i].counts.admitted > g->uses[holder].counts.admitted)
+			holder = i;
+	return holder;
+}
+
+static struct rank_answer verdict_find(struct rank_group *g, struct rank_route *route,
+				       const struct rank_request *request, uint64_t now_us)
+{
+	struct rank_use *use = &g->uses[request->rank];
+	unsigned int shard = request->n_shards;
+
+	if (!request->is_single && !is_in_time(request, use, &shard, now_us))
+		return (struct rank_answer){RANK_BACKLOG, holder_find(g),
+					    shard % request->n_shards};
+	if (backlog_is_overloaded(&use->gate, now_us) &&
+	    is_over_share(g, route_use_of(route), now_us))
+		return (struct rank_answer){RANK_OVER_SHARE, request->rank, 0};
+	return ranks_above_check(g, request, now_us);
+}
+
+struct rank_answer rank_admit(struct rank_group *g, struct rank_route *route,
+			      const struct rank_request *request, uint64_t now_us)
+{
+	struct rank_use *use = &g->uses[request->rank];
+	struct rank_counts *route_counts = &route_use_of(route)->counts;
+	struct rank_answer answer;
+
+	counts_fade(&use->counts, now_us);
+	counts_fade(route_counts, now_us);
+	use->useful_us = request->useful_us;
+	use->min_share = request->min_share;
+	answer = verdict_find(g, route, request, now_us);
+	use->verdicts[answer.verdict]++;
+	if (answer.verdict == RANK_ADMITTED || answer.verdict == RANK_FLOOR) {
+		counts_admitted(&use->counts, request->is_repeat);
+		counts_admitted(route_counts, request->is_repeat);
+		route->n_admitted++;
+		return answer;
+	}
+	counts_refused(&use->counts, request->is_repeat);
+	counts_refused(route_counts, request->is_repeat);
+	route->n_refused++;
+	backlog_refused(&use->gate, now_us);
+	return answer;
+}
+
+void rank_ended(struct rank_group *g, struct rank_route *route, bool is_in_time, uint64_t took_us,
+		uint64_t useful_us, uint64_t now_us)
+{
+	struct rank_use *use = &g->uses[route->rank];
+
+	if (!is_in_time) {
+		counts_fade(&use->counts, now_us);
+		use->counts.missed++;
+		use->n_late++;
+		route->n_late++;
+	}
+	if (!is_in_time || (double)took_us > NEARLY_LATE_SHARE * (double)useful_us)
+		reserved_shorten(use, now_us);
+}
+
+bool rank_allows_hedge(const struct rank_group *g, unsigned int rank, const struct backlog *b,
+		       uint64_t now_us)
+{
+	if (!rank_is_overloaded(g, rank, now_us))
+		return true;
+	return b->n_sent + b->n_waiting < MAX(1, b->window / (2 * (1 + rank)));
+}
+
+/* The rank of a call that has waited; below 0 it goes before calls of rank 0. */
+static int64_t aged_rank(const struct rank_wait *w)
+{
+	return (int64_t)w->rank - (w->useful_us ? (int64_t)(w->waited_us / w->useful_us) : 0);
+}
+
+int rank_wait_compare(const struct rank_wait *a, const struct rank_wait *b)
+{
+	int64_t aged_a = aged_rank(a);
+	int64_t aged_b = aged_rank(b);
+
+	if (aged_a != aged_b)
+		return aged_a < aged_b ? -1 : 1;
+	if (a->rank != b->rank)
+		return a->rank < b->rank ? -1 : 1;
+	if (a->n_lacking != b->n_lacking)
+		return a->n_lacking < b->n_lacking ? -1 : 1;
+	return 0;
+}
+
+void ranks_each(const struct ranks *r, void (*visit)(const struct rank_state *state, void *arg),
+		void *arg, uint64_t now_us)
+{
+	for (guint i = 0; i < r->groups->len; i++) {
+		const struct rank_group *g = g_ptr_array_index(r->groups, i);
+
+		for (unsigned int rank = 0; rank < RANK_COUNT; rank++) {
+			const struct rank_use *use = &g->uses[rank];
+			double factor = fade_factor(&use->counts, now_us);
+			struct rank_state state = {
+				.service = g->service,
+				.rank = rank,
+				.asked_per_s = use->counts.asked * factor * 1e6 / FADE_US,
+				.in_time_share = 1 - missed_share(&use->counts),
+				.n_late = use->n_late,
+			};
+
+			if (use->useful_us == 0)
+				continue;
+			if (use->counts.asked * factor >= RECENT_MIN)
+				state.reserved_share = use->reserved_share;
+			for (int v = 0; v < RANK_VERDICT_COUNT; v++)
+				state.verdicts[v] = use->verdicts[v];
+			visit(&state, arg);
+		}
+	}
+}
+
+void ranks_routes_each(const struct ranks *r,
+		       void (*visit)(const char *key, const struct rank_route *route, void *arg),
+		       void *arg)
+{
+	for (guint i = 0; i < r->groups->len; i++) {
+		const struct rank_group *g = g_ptr_array_index(r->groups, i);
+		GHashTableIter iter;
+		gpointer key;
+		gpointer value;
+
+		g_hash_table_iter_init(&iter, g->routes);
+		while (g_hash_table_iter_next(&iter, &key, &value))
+			visit(key, &((struct route_use *)value)->route, arg);
+	}
+}
--- a/src/settings.h
+++ b/src/settings.h
@@ -26,6 +26,8 @@
 	  "IP:PORT where callers ask which VMs to use")                                        \
 	X(ready, "ready", "APRICOT_READY", 0, "IP:PORT of status checks")                      \
 	X(settings, "settings", "APRICOT_SETTINGS", 0, "file of lines NAME=VALUE")             \
+	X(features, "features", "APRICOT_FEATURES", 0,                                         \
+	  "what the deployment asks for, as terms of the platform, comma-separated")           \
 	X(cpu, "cpu", "APRICOT_CPU", 0, "processor share of this VM, cores (default 1)")       \
 	X(log_level, "log-level", "APRICOT_LOG_LEVEL", 0, "error, warning or info (default info)")
 
--- a/src/upstream.c
+++ b/src/upstream.c
@@ -62,6 +62,7 @@
 	struct list_head connecting;
 	struct list_head busy;
 	struct list_head queue; /* struct leaf_call */
+	unsigned int n_queued[RANK_COUNT]; /* calls in the queue, by rank */
 	unsigned int n_conns;
 	unsigned int n_connecting;
 	unsigned int n_busy;
@@ -156,6 +157,7 @@
 static void queue_remove(struct upstream *u, struct leaf_link *link, struct leaf_call *call)
 {
 	list_del(&call->node);
+	link->n_queued[call->rank]--;
 	link->leaf->waiting--;
 	u->stats.queued--;
 }
@@ -486,6 +488,7 @@
 	call->sent_us = 0;
 	leaf_call_started(leaf, now_us);
 	list_add_tail(&call->node, &link->queue);
+	link->n_queued[call->rank]++;
 	leaf->waiting++;
 	u->stats.queued++;
 	if (leaf->warmup_cap.is_limited && leaf_wait_us(leaf, now_us) > 0)
@@ -511,6 +514,13 @@
 	leaf_put(leaf);
 }
 
+unsigned int upstream_waiting(const struct leaf *leaf, unsigned int rank)
+{
+	const struct leaf_link *link = leaf->link;
+
+	return link ? link->n_queued[rank] : 0;
+}
+
 void upstream_leaf_retire(struct upstream *u, struct leaf *leaf)
 {
 	struct leaf_link *link = leaf->link;
--- a/src/upstream.h
+++ b/src/upstream.h
@@ -12,6 +12,7 @@
 #include "httpconn.h"
 #include "leafset.h"
 #include "list.h"
+#include "rank.h"
 
 #include <event2/event.h>
 
@@ -48,6 +49,7 @@
 	uint64_t sent_us; /* 0: not sent yet */
 	/* Time from the start of the request within which an answer is useful; 0: no limit. */
 	uint64_t useful_us;
+	unsigned int rank; /* 0 without ranks */
 	bool is_optional; /* the request can be answered without this call */
 	bool wants_fresh; /* must not use a connection that has been idle for long */
 	/* Must use a connection that has carried no answer: a copy of one may still arrive. */
@@ -77,6 +79,9 @@
 void upstream_cancel(struct upstream *u, struct leaf_call *call, enum leaf_end end,
 		     uint64_t now_us);
 
+/* Calls of the rank that wait here for the leaf. */
+unsigned int upstream_waiting(const struct leaf *leaf, unsigned int rank);
+
 /*
  * The leaf drains, pauses or is gone: closes its idle connections and those being opened,
  * and ends its queued calls as not sent. Calls that were sent go on.
