Let queues, hedges, repeats and Retry-After follow the rank

Cause: what waited at a VM for a leaf was sent newest first, and hedges and repeats were spent by whoever came first, whatever the rank. Change: with ranks, calls are sent by rank, aged by one for each useful time waited, within a rank those of requests that lack fewest shards; lower ranks hedge only to nearly idle leaves while requests are refused, leave the repeats that higher ranks spent lately, and come back later.

--- a/src/job.c
+++ b/src/job.c
@@ -238,6 +238,7 @@
 	g_array_free(shards, TRUE);
 	if (answer.verdict == RANK_ADMITTED || answer.verdict == RANK_FLOOR)
 		return true;
+	j->env->gate.n_refused++;
 	g_snprintf(why, sizeof(why), "%s held=rank%u", rank_verdict_name(answer.verdict),
 		   answer.holder);
 	jobanswer_trace_add(j, "refused", j->shards[answer.shard].service,
--- a/src/jobanswer.c
+++ b/src/jobanswer.c
@@ -142,7 +142,12 @@
 
 void jobanswer_refuse(struct job *j, enum retryafter_reason reason)
 {
-	refuse(j, retryafter_choose_s(reason, caller_wait_ms(j), 0, j->env->rand));
+	uint64_t wait_ms = caller_wait_ms(j);
+
+	if (j->env->ranks && reason == RETRYAFTER_LEAVES_FULL)
+		refuse(j, retryafter_choose_rank_s(job_rank(j), wait_ms, j->env->rand));
+	else
+		refuse(j, retryafter_choose_s(reason, wait_ms, 0, j->env->rand));
 }
 
 /*
--- a/src/jobcall.c
+++ b/src/jobcall.c
@@ -17,7 +17,8 @@
 	struct job *j = c->job;
 
 	if (c->is_repeat && !c->call.conn)
-		repeats_refund(j->env->repeats, j->shards[c->shard].service, now_us);
+		repeats_rank_refund(j->env->repeats, j->shards[c->shard].service, job_rank(j),
+				    now_us);
 	upstream_cancel(j->env->upstream, &c->call, end, now_us);
 	g_free(c);
 }
@@ -101,7 +102,7 @@
 	uint64_t now_us = clock_now_us();
 
 	if (c->is_repeat && c->call.sent_us == 0)
-		repeats_refund(j->env->repeats, j->shards[shard].service, now_us);
+		repeats_rank_refund(j->env->repeats, j->shards[shard].service, job_rank(j), now_us);
 	list_del(&c->node);
 	g_free(c);
 	jobanswer_trace_add(j, "lost", j->shards[shard].service, leaf, leaf_end_name(end), now_us);
@@ -207,10 +208,18 @@
 	return call_lost(c, leaf, LEAF_END_ERRORED, true);
 }
 
+static unsigned int call_lacking(const struct leaf_call *call)
+{
+	const struct job *j = list_entry(call, struct job_call, call)->job;
+
+	return j->n_shards - scatter_answered_count(j->scatter);
+}
+
 static const struct leaf_call_ops call_ops = {
 	.render = call_render,
 	.matches = call_matches,
 	.done = call_done,
+	.lacking = call_lacking,
 };
 
 /* True when a call of the shard was sent to the leaf before. */
@@ -237,7 +246,9 @@
 	c->is_repeat = sh->n_sent > 0;
 	c->call.ops = &call_ops;
 	c->call.useful_us = j->useful_us;
-	c->call.rank = j->env->ranks ? rank_of(j->route->priority) : 0;
+	c->call.rank = job_rank(j);
+	c->call.ages_us = j->answer_useful_us;
+	c->call.is_ranked = j->env->ranks != NULL;
 	c->call.is_optional = job_is_sharded(j);
 	c->call.wants_fresh = !j->route->is_idempotent;
 	list_add_tail(&c->node, &j->calls);
@@ -295,11 +306,20 @@
 	call_start(j, shard, leaf, now_us);
 }
 
+/* False while a second call to the leaf would take the place of another request's call. */
+static bool allows_hedge(const struct job *j, const struct leaf *leaf, uint64_t now_us)
+{
+	struct backlog backlog = leaf_backlog(leaf);
+
+	if (j->rank_group)
+		return rank_allows_hedge(j->rank_group, job_rank(j), &backlog, now_us);
+	return backlog_allows_hedge(&j->env->gate, &backlog, now_us);
+}
+
 bool jobcall_send(struct job *j, unsigned int shard, uint64_t now_us)
 {
 	struct job_shard *sh = &j->shards[shard];
 	bool is_hedge = scatter_has_open_call(j->scatter, shard);
-	struct backlog backlog;
 	struct leaf *leaf;
 
 	if (sh->n_tried == JOB_TRIED_MAX || !scatter_may_call(j->scatter, shard) ||
@@ -309,11 +329,11 @@
 	/* A hedge does not wait: it would take the call of another request. */
 	if (!leaf || leaf_wait_us(leaf, now_us) > (is_hedge ? 0 : wait_longest_us(j, now_us)))
 		return false;
-	backlog = leaf_backlog(leaf);
-	if (is_hedge && !backlog_allows_hedge(&j->env->gate, &backlog, now_us))
+	if (is_hedge && !allows_hedge(j, leaf, now_us))
 		return false;
-	if (sh->n_sent > 0 && !repeats_spend(j->env->repeats, sh->service,
-					     is_hedge ? REPEATS_HEDGE : REPEATS_RECOVERY, now_us)) {
+	if (sh->n_sent > 0 &&
+	    !repeats_rank_spend(j->env->repeats, sh->service,
+				is_hedge ? REPEATS_HEDGE : REPEATS_RECOVERY, job_rank(j), now_us)) {
 		j->n_denied++;
 		jobanswer_trace_add(j, "denied", sh->service, leaf, "budget", now_us);
 		return false;
@@ -360,7 +380,8 @@
 	 * call_cancel() refunded its cost, so the cost is taken from the budget again.
 	 */
 	if (sh->n_sent > 0)
-		repeats_spend(j->env->repeats, sh->service, REPEATS_RECOVERY, now_us);
+		repeats_rank_spend(j->env->repeats, sh->service, REPEATS_RECOVERY, job_rank(j),
+				   now_us);
 	scatter_call_withdrawn(j->scatter, shard);
 	jobanswer_trace_add(j, "move", sh->service, leaf, NULL, now_us);
 	j->n_moved++;
@@ -371,8 +392,8 @@
 {
 	for (unsigned int shard = 0; scatter_hedge_next(j->scatter, &shard, now_us); shard++) {
 		struct job_call *waiting = unsent_find(j, shard);
-		double left = repeats_unspent_share(j->env->repeats, j->shards[shard].service,
-						    REPEATS_HEDGE, now_us);
+		double left = repeats_rank_unspent_share(j->env->repeats, j->shards[shard].service,
+							 REPEATS_HEDGE, job_rank(j), now_us);
 
 		if (waiting)
 			call_move(j, waiting, now_us);
--- a/src/jobstate.h
+++ b/src/jobstate.h
@@ -83,6 +83,12 @@
 	return j->route->shards != NULL;
 }
 
+/* The rank of the request's calls; 0 without ranks. */
+static inline unsigned int job_rank(const struct job *j)
+{
+	return j->env->ranks ? rank_of(j->route->priority) : 0;
+}
+
 /* job.c */
 
 /* Frees the job, which must have no open call. */
--- a/src/repeats.c
+++ b/src/repeats.c
@@ -2,6 +2,8 @@
 
 #include "vmcount.h"
 
+#include <string.h>
+
 /*
  * The sliding window is divided into buckets of equal length, and one more bucket holds the time
  * that is just leaving the window. Repeats are summed over all of them, so that no time span of a
@@ -23,10 +25,15 @@
 /* A VM that has just started takes itself for an entry VM until it knows others: less than this. */
 #define SETTLED_US 5000000
 
+/* Factor for each bucket: what a rank has spent is kept for it for about one more window. */
+#define KEPT_FADE 0.9
+
 struct service_usage {
 	uint64_t bucket; /* number of the newest bucket, counted from time 0 */
 	unsigned int requests[N_BUCKETS];
 	unsigned int repeats[N_BUCKETS];
+	unsigned int rank_repeats[N_BUCKETS][RANK_COUNT]; /* the same by rank */
+	double kept[RANK_COUNT]; /* what the rank has spent in a window lately; fades */
 };
 
 struct repeats {
@@ -91,6 +98,29 @@
 	return r->limits.slack * OTHERS_PART / vmcount_get(&r->others, now_us);
 }
 
+/* Repeats of the rank within the window. */
+static double rank_spent(const struct service_usage *usage, unsigned int rank)
+{
+	double repeats = 0;
+
+	for (unsigned int i = 0; i < N_BUCKETS; i++)
+		repeats += usage->rank_repeats[i][rank];
+	return repeats;
+}
+
+/* Begins a bucket, which replaces the oldest one. */
+static void bucket_begin(struct service_usage *usage)
+{
+	unsigned int newest;
+
+	for (unsigned int rank = 0; rank < RANK_COUNT; rank++)
+		usage->kept[rank] = MAX(usage->kept[rank] * KEPT_FADE, rank_spent(usage, rank));
+	newest = ++usage->bucket % N_BUCKETS;
+	usage->requests[newest] = 0;
+	usage->repeats[newest] = 0;
+	memset(usage->rank_repeats[newest], 0, sizeof(usage->rank_repeats[newest]));
+}
+
 /* The counts of the service, created if missing, with the buckets advanced to now_us. */
 static struct service_usage *usage_find(struct repeats *r, const char *service, uint64_t now_us)
 {
@@ -102,11 +132,8 @@
 		usage->bucket = bucket;
 		g_hash_table_insert(r->services, g_strdup(service), usage);
 	}
-	for (unsigned int i = 0; usage->bucket < bucket && i < N_BUCKETS; i++) {
-		usage->bucket++;
-		usage->requests[usage->bucket % N_BUCKETS] = 0;
-		usage->repeats[usage->bucket % N_BUCKETS] = 0;
-	}
+	for (unsigned int i = 0; usage->bucket < bucket && i < N_BUCKETS; i++)
+		bucket_begin(usage);
 	usage->bucket = bucket;
 	return usage;
 }
@@ -145,42 +172,71 @@
 	return repeats;
 }
 
-double repeats_unspent_share(struct repeats *r, const char *service, enum repeats_purpose purpose,
-			     uint64_t now_us)
+/* What is kept for the higher ranks beyond what they have spent within the window. */
+static double usage_kept(const struct service_usage *usage, unsigned int rank)
+{
+	double kept = 0;
+
+	for (unsigned int i = 0; i < rank; i++)
+		kept += MAX(0, usage->kept[i] - rank_spent(usage, i));
+	return kept;
+}
+
+double repeats_rank_unspent_share(struct repeats *r, const char *service,
+				  enum repeats_purpose purpose, unsigned int rank, uint64_t now_us)
 {
 	const struct service_usage *usage = usage_find(r, service, now_us);
 	double allowed = usage_allowed(r, usage, purpose, now_us);
-	double left = allowed - usage_spent(usage);
+	double left = allowed - usage_spent(usage) - usage_kept(usage, rank);
 
 	return left < 1 ? 0 : left / allowed;
 }
 
-bool repeats_spend(struct repeats *r, const char *service, enum repeats_purpose purpose,
-		   uint64_t now_us)
+double repeats_unspent_share(struct repeats *r, const char *service, enum repeats_purpose purpose,
+			     uint64_t now_us)
+{
+	return repeats_rank_unspent_share(r, service, purpose, 0, now_us);
+}
+
+bool repeats_rank_spend(struct repeats *r, const char *service, enum repeats_purpose purpose,
+			unsigned int rank, uint64_t now_us)
 {
 	struct service_usage *usage = usage_find(r, service, now_us);
+	double left = usage_allowed(r, usage, purpose, now_us) - usage_spent(usage);
 
-	if (usage_allowed(r, usage, purpose, now_us) - usage_spent(usage) < 1)
+	if (left - usage_kept(usage, rank) < 1)
 		return false;
 	usage->repeats[usage->bucket % N_BUCKETS]++;
+	usage->rank_repeats[usage->bucket % N_BUCKETS][rank]++;
 	return true;
 }
 
-void repeats_refund(struct repeats *r, const char *service, uint64_t now_us)
+bool repeats_spend(struct repeats *r, const char *service, enum repeats_purpose purpose,
+		   uint64_t now_us)
+{
+	return repeats_rank_spend(r, service, purpose, 0, now_us);
+}
+
+void repeats_rank_refund(struct repeats *r, const char *service, unsigned int rank, uint64_t now_us)
 {
 	struct service_usage *usage = usage_find(r, service, now_us);
 
 	/*
 	 * The bucket in which the repeat was counted is not known and may have left the window.
-	 * The newest bucket that has a repeat is reduced.
+	 * The newest bucket that has a repeat of the rank is reduced.
 	 */
 	for (unsigned int i = 0; i < N_BUCKETS; i++) {
-		unsigned int *repeats =
-			&usage->repeats[(usage->bucket + N_BUCKETS - i) % N_BUCKETS];
+		unsigned int bucket = (usage->bucket + N_BUCKETS - i) % N_BUCKETS;
 
-		if (*repeats == 0)
+		if (usage->rank_repeats[bucket][rank] == 0)
 			continue;
-		(*repeats)--;
+		usage->rank_repeats[bucket][rank]--;
+		usage->repeats[bucket]--;
 		return;
 	}
 }
+
+void repeats_refund(struct repeats *r, const char *service, uint64_t now_us)
+{
+	repeats_rank_refund(r, service, 0, now_us);
+}
--- a/src/repeats.h
+++ b/src/repeats.h
@@ -10,6 +10,8 @@
 #ifndef APRICOT_REPEATS_H
 #define APRICOT_REPEATS_H
 
+#include "rank.h"
+
 #include <glib.h>
 #include <stdbool.h>
 #include <stdint.h>
@@ -64,6 +66,17 @@
 double repeats_unspent_share(struct repeats *r, const char *service, enum repeats_purpose purpose,
 			     uint64_t now_us);
 
+/*
+ * The same for a rank below RANK_COUNT: a lower rank leaves what higher ranks have spent lately,
+ * also while they do not spend it. Those above are for rank 0, for which the whole budget is there.
+ */
+bool repeats_rank_spend(struct repeats *r, const char *service, enum repeats_purpose purpose,
+			unsigned int rank, uint64_t now_us);
+void repeats_rank_refund(struct repeats *r, const char *service, unsigned int rank,
+			 uint64_t now_us);
+double repeats_rank_unspent_share(struct repeats *r, const char *service,
+				  enum repeats_purpose purpose, unsigned int rank, uint64_t now_us);
+
 G_END_DECLS
 
 #endif
--- a/src/retryafter.c
+++ b/src/retryafter.c
@@ -6,6 +6,11 @@
  */
 #define LEAVES_FULL_MIN_S 0.05
 #define LEAVES_FULL_MAX_S 0.3
+/*
+ * Each rank below the first adds this part to both bounds. Twice the bounds for rank 1 would exceed
+ * a target of 250 ms in nearly all cases.
+ */
+#define RANK_STEP 0.5
 /* Spreads the callers of a stopping VM over the others. */
 #define STOPPING_MIN_S 0.01
 #define STOPPING_MAX_S 0.05
@@ -45,6 +50,17 @@
 	return MIN(longest_s(caller_wait_ms), spread_s);
 }
 
+double retryafter_choose_rank_s(unsigned int rank, uint64_t caller_wait_ms, GRand *rand)
+{
+	double factor = 1 + RANK_STEP * rank;
+	double max_s = MIN(LEAVES_FULL_MAX_S * factor, longest_s(caller_wait_ms));
+
+	if (rank == 0)
+		return retryafter_choose_s(RETRYAFTER_LEAVES_FULL, caller_wait_ms, 0, rand);
+	/* Callers that wait for little more come back early, but spread as well. */
+	return g_rand_double_range(rand, MIN(LEAVES_FULL_MIN_S * factor, max_s / 2), max_s);
+}
+
 double retryafter_choose_s(enum retryafter_reason reason, uint64_t caller_wait_ms,
 			   uint64_t uptime_ms, GRand *rand)
 {
--- a/src/retryafter.h
+++ b/src/retryafter.h
@@ -37,6 +37,12 @@
  */
 double retryafter_choose_limited_s(uint64_t leaf_wait_us, uint64_t caller_wait_ms, GRand *rand);
 
+/*
+ * The same for a request refused by its rank, see rank.h: the lower the rank, the later its callers
+ * come back, and the wider they are spread.
+ */
+double retryafter_choose_rank_s(unsigned int rank, uint64_t caller_wait_ms, GRand *rand);
+
 G_END_DECLS
 
 #endif
--- a/src/upstream.c
+++ b/src/upstream.c
@@ -416,23 +416,58 @@
 		conn_destroy(list_entry(node, struct leaf_conn, node));
 }
 
+static struct rank_wait rank_wait_of(const struct leaf_call *call, uint64_t now_us)
+{
+	return (struct rank_wait){
+		.rank = call->rank,
+		.waited_us = now_us - call->started_us,
+		.useful_us = call->ages_us,
+		.n_lacking = call->ops->lacking(call),
+	};
+}
+
+/* The call that is first by rank; of equal ones that which is next to first in the direction. */
+static struct leaf_call *queue_first_ranked(const struct leaf_link *link, struct leaf_call *first,
+					    bool is_backward, uint64_t now_us)
+{
+	struct rank_wait best = rank_wait_of(first, now_us);
+	struct list_head *node = &first->node;
+
+	while ((node = is_backward ? node->prev : node->next) != &link->queue) {
+		struct leaf_call *call = list_entry(node, struct leaf_call, node);
+		struct rank_wait wait = rank_wait_of(call, now_us);
+
+		if (rank_wait_compare(&wait, &best) >= 0)
+			continue;
+		best = wait;
+		first = call;
+	}
+	return first;
+}
+
 /*
  * The call to send next; the queue must not be empty. The newest call goes first if it is optional,
  * since it has the most time left: with the oldest first, a queue that does not get shorter would
- * make all calls late. Otherwise the oldest call goes first.
+ * make all calls late. Otherwise the oldest call goes first. With ranks this is the order of calls
+ * that rank_wait_compare() treats alike.
  */
-static struct leaf_call *queue_next(const struct leaf_link *link)
+static struct leaf_call *queue_next(const struct leaf_link *link, uint64_t now_us)
 {
 	struct leaf_call *newest = list_entry(link->queue.prev, struct leaf_call, node);
+	bool is_newest_first = newest->is_optional;
+	struct leaf_call *first =
+		is_newest_first ? newest : list_entry(link->queue.next, struct leaf_call, node);
 
-	return newest->is_optional ? newest : list_entry(link->queue.next, struct leaf_call, node);
+	if (!first->is_ranked)
+		return first;
+	return queue_first_ranked(link, first, is_newest_first, now_us);
 }
 
 static void queue_serve(struct upstream *u, struct leaf_link *link, uint64_t now_us)
 {
 	while (link->leaf->waiting > 0 && link->n_busy < window_size(&link->window) &&
 	       leaf_limit_wait_us(link->leaf, 0, now_us) == 0) {
-		struct leaf_call *call = queue_next(link);
+		struct leaf_call *call = queue_next(link, now_us);
 		struct leaf_conn *conn = idle_pick(link, call, now_us);
 
 		if (!conn)
--- a/src/upstream.h
+++ b/src/upstream.h
@@ -38,6 +38,8 @@
 	 */
 	enum leaf_end (*done)(struct leaf_call *call, enum leaf_end end,
 			      const struct http_reader *answer, bool was_sent);
+	/* Shards that the request of the call still lacks; used for calls with is_ranked. */
+	unsigned int (*lacking)(const struct leaf_call *call);
 };
 
 struct leaf_call {
@@ -50,6 +52,8 @@
 	/* Time from the start of the request within which an answer is useful; 0: no limit. */
 	uint64_t useful_us;
 	unsigned int rank; /* 0 without ranks */
+	uint64_t ages_us; /* waiting time after which its rank rises by one; 0: it does not */
+	bool is_ranked; /* waiting calls are sent by rank */
 	bool is_optional; /* the request can be answered without this call */
 	bool wants_fresh; /* must not use a connection that has been idle for long */
 	/* Must use a connection that has carried no answer: a copy of one may still arrive. */
