--- a/src/gateway.c
+++ b/src/gateway.c
@@ -127,12 +127,27 @@
 
 static const struct warmup_ops warmup_ops = {.changed = warmup_changed};
 
+static void rank_changed(const struct rank_state *state, void *arg)
+{
+	if (state->is_short)
+		log_event(LOG_LEVEL_WARNING, "rank_short",
+			  "service=%s rank=%u why=%s held=rank%u asked_per_s=%.1f", state->service,
+			  state->rank, rank_verdict_name(state->refusal), state->holder,
+			  state->asked_per_s);
+	else
+		log_event(LOG_LEVEL_INFO, "rank_served",
+			  "service=%s rank=%u after_ms=%" G_GUINT64_FORMAT, state->service,
+			  state->rank, (clock_now_us() - state->short_since_us) / CLOCK_US_PER_MS);
+}
+
 static void warmup_tick_handle(evutil_socket_t fd, short what, void *arg)
 {
 	struct gateway *g = arg;
 	uint64_t now_us = clock_now_us();
 
 	warmups_advance(g->env.warmups, vmshare_get(&g->env.vmshare, now_us), g->env.rand, now_us);
+	if (g->env.ranks)
+		ranks_advance(g->env.ranks, rank_changed, g, now_us);
 }
 
 /* Takes the leaf's limit while it is cold from its service, and applies it if the leaf is cold. */
@@ -345,6 +360,53 @@
 		leaf->id, leaf->service, leaf->ratecap.rate_per_s);
 }
 
+static void rank_state_append(const struct rank_state *state, void *arg)
+{
+	GString *out = arg;
+	g_autofree char *labels =
+		g_strdup_printf("service=\"%s\",rank=\"%u\"", state->service, state->rank);
+
+	for (int i = 0; i < RANK_VERDICT_COUNT; i++)
+		g_string_append_printf(out,
+				       "apricot_rank_requests_total{%s,verdict=\"%s\"} "
+				       "%" G_GUINT64_FORMAT "\n",
+				       labels, rank_verdict_name((enum rank_verdict)i),
+				       state->verdicts[i]);
+	g_string_append_printf(out,
+			       "apricot_rank_late_total{%s} %" G_GUINT64_FORMAT "\n"
+			       "apricot_rank_asked_per_s{%s} %.2f\n"
+			       "apricot_rank_in_time_share{%s} %.3f\n"
+			       "apricot_rank_reserved_share{%s} %.2f\n",
+			       labels, state->n_late, labels, state->asked_per_s, labels,
+			       state->in_time_share, labels, state->reserved_share);
+}
+
+static void rank_route_append(const char *key, const struct rank_route *route, void *arg)
+{
+	const struct {
+		const char *outcome;
+		uint64_t n;
+	} rows[] = {
+		{"admitted", route->n_admitted},
+		{"refused", route->n_refused},
+		{"late", route->n_late},
+	};
+
+	for (size_t i = 0; i < G_N_ELEMENTS(rows); i++)
+		g_string_append_printf(arg,
+				       "apricot_rank_route_requests_total{route=\"%s\","
+				       "rank=\"%u\",outcome=\"%s\"} %" G_GUINT64_FORMAT "\n",
+				       key, route->rank, rows[i].outcome, rows[i].n);
+}
+
+static void rank_metrics_append(const struct gateway *g, GString *out)
+{
+	if (!g->env.ranks)
+		return;
+	ranks_each(g->env.ranks, rank_state_append, out, clock_now_us());
+	ranks_routes_each(g->env.ranks, rank_route_append, out);
+}
+
 static void evacuated_count(const struct leaf *leaf, void *arg)
 {
 	*(unsigned int *)arg += leaf->is_evacuated;
@@ -402,6 +464,7 @@
 		route_metrics_append(out, key, stats);
 	leafset_each(g->env.leaves, leaf_limit_append, out);
 	evacuation_metrics_append(g, out);
+	rank_metrics_append(g, out);
 	g_string_append_printf(out,
 			       "apricot_config_version %" G_GUINT64_FORMAT "\n"
 			       "apricot_config_age_ms %" G_GUINT64_FORMAT "\n"
--- a/src/logevent.h
+++ b/src/logevent.h
@@ -39,6 +39,8 @@
 	X("leaf_gone", "a leaf was removed or its entry became unusable; the store's revision")   \
 	X("leaf_doubted", "a leaf is quarantined for a time or its address is another's; why")    \
 	X("leaf_entry_refused", "an entry of the store does not describe a usable leaf; why")     \
+	X("rank_short", "requests of a rank are refused for lack of room; why, and who holds it") \
+	X("rank_served", "requests of a rank have not been refused for 2 s")                      \
 	X("store_entries_unreadable", "entries of an answer of the store that were left out")     \
 	X("store_lost", "the store does not answer; the last revision known")                     \
 	X("store_back", "the store answers again; how long it did not")                           \
--- a/src/rank.c
+++ b/src/rank.c
@@ -26,6 +26,8 @@
 #define LEAD_MAX 0.01
 /* Part of the admitted requests that a lower rank gets in any case, if it is in time itself. */
 #define FLOOR_SHARE 0.1
+/* A rank is reported as short of room until so long after the last refusal. */
+#define SHORT_HOLD_US 2000000
 /* A route may be ahead of its equal part by so many requests. */
 #define SHARE_SLACK 1.0
 
@@ -54,6 +56,10 @@
 	uint64_t decreased_at_us;
 	uint64_t verdicts[RANK_VERDICT_COUNT];
 	uint64_t n_late;
+	enum rank_verdict refusal; /* the last one */
+	unsigned int holder;
+	bool is_short;
+	uint64_t short_since_us;
 };
 
 struct rank_group {
@@ -415,6 +421,8 @@
 	counts_refused(route_counts, request->is_repeat);
 	route->n_refused++;
 	backlog_refused(&use->gate, now_us);
+	use->refusal = answer.verdict;
+	use->holder = answer.holder;
 	return answer;
 }
 
@@ -461,6 +469,28 @@
 	return 0;
 }
 
+static struct rank_state state_of(const struct rank_group *g, unsigned int rank, uint64_t now_us)
+{
+	const struct rank_use *use = &g->uses[rank];
+	double asked = use->counts.asked * fade_factor(&use->counts, now_us);
+	struct rank_state state = {
+		.service = g->service,
+		.rank = rank,
+		.asked_per_s = asked * 1e6 / FADE_US,
+		.in_time_share = 1 - missed_share(&use->counts),
+		.reserved_share = asked >= RECENT_MIN ? use->reserved_share : 0,
+		.n_late = use->n_late,
+		.refusal = use->refusal,
+		.holder = use->holder,
+		.is_short = use->is_short,
+		.short_since_us = use->short_since_us,
+	};
+
+	for (int v = 0; v < RANK_VERDICT_COUNT; v++)
+		state.verdicts[v] = use->verdicts[v];
+	return state;
+}
+
 void ranks_each(const struct ranks *r, void (*visit)(const struct rank_state *state, void *arg),
 		void *arg, uint64_t now_us)
 {
@@ -468,23 +498,40 @@
 		const struct rank_group *g = g_ptr_array_index(r->groups, i);
 
 		for (unsigned int rank = 0; rank < RANK_COUNT; rank++) {
-			const struct rank_use *use = &g->uses[rank];
-			double factor = fade_factor(&use->counts, now_us);
-			struct rank_state state = {
-				.service = g->service,
-				.rank = rank,
-				.asked_per_s = use->counts.asked * factor * 1e6 / FADE_US,
-				.in_time_share = 1 - missed_share(&use->counts),
-				.n_late = use->n_late,
-			};
-
-			if (use->useful_us == 0)
+			struct rank_state state = state_of(g, rank, now_us);
+
+			if (g->uses[rank].useful_us > 0)
+				visit(&state, arg);
+		}
+	}
+}
+
+/* True if the rank begins or ceases to be short of room. */
+static bool use_advance(struct rank_use *use, uint64_t now_us)
+{
+	bool is_short = use->gate.n_refused > 0 && now_us - use->gate.refused_at_us < SHORT_HOLD_US;
+
+	if (is_short == use->is_short)
+		return false;
+	use->is_short = is_short;
+	if (is_short)
+		use->short_since_us = now_us;
+	return true;
+}
+
+void ranks_advance(struct ranks *r, void (*changed)(const struct rank_state *state, void *arg),
+		   void *arg, uint64_t now_us)
+{
+	for (guint i = 0; i < r->groups->len; i++) {
+		struct rank_group *g = g_ptr_array_index(r->groups, i);
+
+		for (unsigned int rank = 0; rank < RANK_COUNT; rank++) {
+			struct rank_state state;
+
+			if (!use_advance(&g->uses[rank], now_us))
 				continue;
-			if (use->counts.asked * factor >= RECENT_MIN)
-				state.reserved_share = use->reserved_share;
-			for (int v = 0; v < RANK_VERDICT_COUNT; v++)
-				state.verdicts[v] = use->verdicts[v];
-			visit(&state, arg);
+			state = state_of(g, rank, now_us);
+			changed(&state, arg);
 		}
 	}
 }
--- a/src/rank.h
+++ b/src/rank.h
@@ -136,8 +136,19 @@
 	double reserved_share;
 	uint64_t verdicts[RANK_VERDICT_COUNT];
 	uint64_t n_late;
+	enum rank_verdict refusal; /* the last one, if there was any */
+	unsigned int holder; /* of that */
+	bool is_short; /* requests of the rank are refused */
+	uint64_t short_since_us;
 };
 
+/*
+ * Calls changed for each rank whose requests have begun to be refused, or have not been for 2 s.
+ * To be called several times a second.
+ */
+void ranks_advance(struct ranks *r, void (*changed)(const struct rank_state *state, void *arg),
+		   void *arg, uint64_t now_us);
+
 /* Calls visit for each rank that was ever asked for. */
 void ranks_each(const struct ranks *r, void (*visit)(const struct rank_state *state, void *arg),
 		void *arg, uint64_t now_us);
