--- a/src/jobanswer.c
+++ b/src/jobanswer.c
@@ -74,19 +74,35 @@
 		      n_answered, j->n_shards);
 }
 
+/* True if an answer at this time meets the goal, counted from the caller's first attempt. */
+static bool is_in_time(const struct job *j, uint64_t took_us)
+{
+	uint64_t useful_us = scatter_useful_us(j->route->goal_ms);
+	/* A partial answer is sent when the useful time ends, somewhat before the goal. */
+	uint64_t margin_us = ((uint64_t)j->route->goal_ms * CLOCK_US_PER_MS - useful_us) / 2;
+
+	if (!j->route->goal_ms)
+		return true;
+	if (!j->is_repeat)
+		return took_us <= useful_us + margin_us;
+	return j->useful_us > 0 && took_us <= j->useful_us + margin_us;
+}
+
 static void rank_end(const struct job *j, enum job_outcome outcome, uint64_t took_us,
 		     uint64_t now_us)
 {
-	bool is_served = outcome == JOB_COMPLETE || outcome == JOB_PARTIAL || outcome == JOB_PASSED;
-	/* A partial answer is sent when the useful time ends; the goal is later. */
-	uint64_t goal_us = MAX(j->answer_useful_us, (uint64_t)j->route->goal_ms * CLOCK_US_PER_MS);
-	bool is_in_time = took_us <= (j->answer_useful_us + goal_us) / 2;
-
-	if (!j->rank_group || j->is_unsent || (outcome == JOB_CALLER_LEFT && is_in_time))
-		return;
-	rank_ended(j->rank_group, j->rank_route, is_served && is_in_time,
-		   j->enough_at_us ? j->enough_at_us - j->read_us : took_us, j->answer_useful_us,
-		   now_us);
+	/* A caller that leaves before its goal does not count as missed. */
+	bool is_served = outcome == JOB_COMPLETE || outcome == JOB_PARTIAL ||
+			 outcome == JOB_PASSED || outcome == JOB_CALLER_LEFT;
+	struct rank_end end = {
+		.is_in_time = is_served && is_in_time(j, took_us),
+		.is_repeat = j->is_repeat,
+		.took_us = j->enough_at_us ? j->enough_at_us - j->read_us : took_us,
+		.useful_us = j->answer_useful_us,
+	};
+
+	if (j->rank_group && !j->is_unsent)
+		rank_ended(j->rank_group, j->rank_route, &end, now_us);
 }
 
 void jobanswer_finish(struct job *j, enum job_outcome outcome, unsigned int status,
--- a/src/rank.c
+++ b/src/rank.c
@@ -19,15 +19,23 @@
 #define RESERVED_INCREASE_PER_S 0.1
 /* An answer that took more than this part of the useful time tells that the next may be late. */
 #define NEARLY_LATE_SHARE 0.8
+/* A higher rank that has missed no more than this part is taken to be served. */
+#define MISSED_IGNORED 0.01
 /*
- * A lower rank may be served in time more often than a higher one by this part of the requests. The
- * deployments allow 0.03 in any 2 s.
+ * While a higher rank misses more, a lower rank is to have missed more than that by this part. The
+ * deployments allow it to be served more often by 0.03 in any 2 s; the rest is for windows in which
+ * the higher rank asks for most when it is served worst.
  */
-#define LEAD_MAX 0.01
+#define LAG_MIN 0.05
 /* Part of the admitted requests that a lower rank gets in any case, if it is in time itself. */
 #define FLOOR_SHARE 0.1
 /* A rank is reported as short of room until so long after the last refusal. */
 #define SHORT_HOLD_US 2000000
+/*
+ * A route of which no more than this part is refused is taken to get what it asks for. If single
+ * refusals counted, the leaves would idle while the others wait for it to ask.
+ */
+#define SHORT_SHARE 0.1
 /* A route may be ahead of its equal part by so many requests. */
 #define SHARE_SLACK 1.0
 
@@ -49,6 +57,8 @@
 struct rank_use {
 	struct backlog_gate gate;
 	struct rank_counts counts;
+	/* Admitted repeats that have not ended; the refusals before them count as missed so far. */
+	unsigned int n_repeats_open;
 	uint64_t useful_us; /* of its latest request */
 	double min_share;
 	double reserved_share;
@@ -167,10 +177,7 @@
 static void counts_admitted(struct rank_counts *c, bool is_repeat)
 {
 	c->admitted++;
-	/* The refusal of the earlier attempt does not count if this one is served. */
-	if (is_repeat)
-		c->missed = MAX(0, c->missed - 1);
-	else
+	if (!is_repeat)
 		c->asked++;
 }
 
@@ -193,6 +200,17 @@
 	return c->asked > 0 ? MIN(1, c->missed / c->asked) : 0;
 }
 
+/*
+ * The same for the rank that is to give way. Its open repeats count as served: their callers may be
+ * served more often than the counts tell.
+ */
+static double own_missed_share(const struct rank_use *use)
+{
+	double missed = MAX(0, use->counts.missed - use->n_repeats_open);
+
+	return use->counts.asked > 0 ? MIN(1, missed / use->counts.asked) : 0;
+}
+
 static void reserved_recover(struct rank_use *use, uint64_t now_us)
 {
 	double passed_s = (double)(now_us - MIN(now_us, use->reserved_set_us)) / 1e6;
@@ -297,19 +315,27 @@
 /* True if the rank gets so little that the request is admitted although a higher rank needs it. */
 static bool is_below_floor(const struct rank_group *g, unsigned int rank, unsigned int higher)
 {
-	const struct rank_counts *own = &g->uses[rank].counts;
+	const struct rank_use *own = &g->uses[rank];
 	double admitted = 0;
 
 	for (unsigned int i = 0; i < RANK_COUNT; i++)
 		admitted += g->uses[i].counts.admitted;
-	return own->admitted < FLOOR_SHARE * admitted &&
-	       missed_share(own) > missed_share(&g->uses[higher].counts);
+	return own->counts.admitted < FLOOR_SHARE * admitted &&
+	       own_missed_share(own) > missed_share(&g->uses[higher].counts);
+}
+
+/* True if the higher rank is served in time less often than the lower one may be. */
+static bool is_behind(const struct rank_use *higher, const struct rank_use *lower)
+{
+	double missed = missed_share(&higher->counts);
+
+	return missed > MISSED_IGNORED && MIN(1, missed + LAG_MIN) > own_missed_share(lower);
 }
 
 static struct rank_answer ranks_above_check(struct rank_group *g,
 					    const struct rank_request *request, uint64_t now_us)
 {
-	const struct rank_counts *own = &g->uses[request->rank].counts;
+	const struct rank_use *own = &g->uses[request->rank];
 	struct rank_answer answer = {.verdict = RANK_ADMITTED};
 	unsigned int shard;
 
@@ -317,7 +343,7 @@
 		counts_fade(&g->uses[h].counts, now_us);
 		if (!is_recent(&g->uses[h]))
 			continue;
-		if (missed_share(&g->uses[h].counts) > missed_share(own) + LEAD_MAX)
+		if (is_behind(&g->uses[h], own))
 			return (struct rank_answer){RANK_BEHIND, h, 0};
 		if (leaves_room(g, request, h, &shard, now_us))
 			continue;
@@ -328,6 +354,15 @@
 	return answer;
 }
 
+/* True if the route of the rank has had less than its equal part and more is refused to it. */
+static bool is_short_of_share(const struct route_use *use, unsigned int rank, double equal)
+{
+	const struct rank_counts *c = &use->counts;
+
+	return use->route.rank == rank && c->admitted < equal &&
+	       c->refused > SHORT_SHARE * (c->admitted + c->refused);
+}
+
 /*
  * True if the route has had more than its equal part of what its rank got while another route of
  * the rank that has had less is refused.
@@ -354,13 +389,9 @@
 	if (n_routes < 2 || own->counts.admitted <= admitted / n_routes + SHARE_SLACK)
 		return false;
 	g_hash_table_iter_init(&iter, g->routes);
-	while (g_hash_table_iter_next(&iter, NULL, &value)) {
-		const struct route_use *use = value;
-
-		is_other_short = is_other_short || (use->route.rank == own->route.rank &&
-						    use->counts.refused >= RECENT_MIN &&
-						    use->counts.admitted < admitted / n_routes);
-	}
+	while (g_hash_table_iter_next(&iter, NULL, &value))
+		is_other_short = is_other_short ||
+				 is_short_of_share(value, own->route.rank, admitted / n_routes);
 	return is_other_short;
 }
 
@@ -415,6 +446,7 @@
 		counts_admitted(&use->counts, request->is_repeat);
 		counts_admitted(route_counts, request->is_repeat);
 		route->n_admitted++;
+		use->n_repeats_open += request->is_repeat;
 		return answer;
 	}
 	counts_refused(&use->counts, request->is_repeat);
@@ -426,18 +458,24 @@
 	return answer;
 }
 
-void rank_ended(struct rank_group *g, struct rank_route *route, bool is_in_time, uint64_t took_us,
-		uint64_t useful_us, uint64_t now_us)
+void rank_ended(struct rank_group *g, struct rank_route *route, const struct rank_end *end,
+		uint64_t now_us)
 {
 	struct rank_use *use = &g->uses[route->rank];
 
-	if (!is_in_time) {
-		counts_fade(&use->counts, now_us);
-		use->counts.missed++;
+	counts_fade(&use->counts, now_us);
+	if (end->is_repeat && use->n_repeats_open > 0)
+		use->n_repeats_open--;
+	if (!end->is_in_time) {
 		use->n_late++;
 		route->n_late++;
 	}
-	if (!is_in_time || (double)took_us > NEARLY_LATE_SHARE * (double)useful_us)
+	/* A repeat was counted as missed when its first attempt was refused. */
+	if (end->is_repeat && end->is_in_time)
+		use->counts.missed = MAX(0, use->counts.missed - 1);
+	else if (!end->is_repeat && !end->is_in_time)
+		use->counts.missed++;
+	if ((double)end->took_us > NEARLY_LATE_SHARE * (double)end->useful_us)
 		reserved_shorten(use, now_us);
 }
 
--- a/src/rank.h
+++ b/src/rank.h
@@ -99,12 +99,17 @@
 /* Decides whether the request is admitted, and counts it. */
 struct rank_answer rank_admit(struct rank_group *g, struct rank_route *route,
 			      const struct rank_request *request, uint64_t now_us);
-/*
- * An admitted request has ended. took_us: from reading it until enough of its shards had answered,
- * or until its end. useful_us as in its rank_request.
- */
-void rank_ended(struct rank_group *g, struct rank_route *route, bool is_in_time, uint64_t took_us,
-		uint64_t useful_us, uint64_t now_us);
+struct rank_end {
+	bool is_in_time; /* counted from its caller's first attempt */
+	bool is_repeat; /* as in its rank_request */
+	/* From reading it until enough of its shards had answered, or until its end. */
+	uint64_t took_us;
+	uint64_t useful_us; /* as in its rank_request */
+};
+
+/* An admitted request has ended. */
+void rank_ended(struct rank_group *g, struct rank_route *route, const struct rank_end *end,
+		uint64_t now_us);
 
 /* False while a second call to this leaf would take the place of another request's call. */
 bool rank_allows_hedge(const struct rank_group *g, unsigned int rank, const struct backlog *b,
--- a/tests/rank_test.cc
+++ b/tests/rank_test.cc
@@ -1,5 +1,7 @@
 #include "backlog.h"
 #include "rank.h"
+#include "repeats.h"
+#include "retryafter.h"
 #include "script.h"
 #include "window.h"
 
@@ -137,6 +139,7 @@
 	uint64_t now_us = 20 * S_US;
 	uint64_t begin_us = now_us;
 	uint64_t stop_us = 0;
+	struct repeats *budget = nullptr;
 	GRand *rand = g_rand_new_with_seed(1);
 	GRand *arrivals = g_rand_new_with_seed(2); /* alike with ranks and without */
 
@@ -144,6 +147,7 @@
 	{
 		for (auto &v : vms)
 			ranks_destroy(v.ranks);
+		repeats_destroy(budget);
 		g_rand_free(rand);
 		g_rand_free(arrivals);
 	}
@@ -293,7 +297,9 @@
 		for (unsigned int i = 0; i < n_shards; i++)
 			chosen.push_back(leaf_choose(r->vm, i, -1));
 		if (!is_admitted(r, chosen)) {
-			double wait_s = g_rand_double_range(rand, 0.05, 0.3);
+			uint64_t left_us = r->first_us + r->route->timeout_us - now_us;
+			double wait_s = retryafter_choose_rank_s(has_ranks ? r->route->rank : 0,
+								 left_us / MS_US, rand);
 
 			r->n_attempts++;
 			if (now_us + wait_s * S_US > r->first_us + r->route->target_us)
@@ -446,17 +452,19 @@
 
 	void request_end(struct request *r, bool is_answered)
 	{
-		uint64_t late_us = (r->route->target_us + r->route->useful_us()) / 2;
+		uint64_t margin_us = (r->route->target_us - r->route->useful_us()) / 2;
 		uint64_t took_us = now_us - r->read_us;
+		struct rank_end end = {
+			is_answered && now_us <= r->first_us + r->route->target_us - margin_us,
+			r->n_attempts > 0, r->enough_us ? r->enough_us - r->read_us : took_us,
+			r->route->useful_us()};
 
 		r->is_ended = true;
 		for (unsigned int i = 0; i < leaves.size() && r->n_answered < n_shards; i++)
 			waiting_drop_ended(link_of(r->vm, i));
 		finish(r, is_answered, false);
 		if (r->group)
-			rank_ended(r->group, r->rank_route, is_answered && took_us <= late_us,
-				   r->enough_us ? r->enough_us - r->read_us : took_us,
-				   r->route->useful_us(), now_us);
+			rank_ended(r->group, r->rank_route, &end, now_us);
 	}
 
 	void arrive(struct route *r)
@@ -583,6 +591,71 @@
 		}
 	}
 
+	/* Which of two calls, each of four words, is sent first. */
+	static std::string order(const std::vector<std::string> &w)
+	{
+		struct rank_wait waits[2];
+		int order;
+
+		for (size_t i = 0; i < 2; i++)
+			waits[i] = {(unsigned int)std::stoul(w[1 + 4 * i]),
+				    std::stoull(w[2 + 4 * i]) * MS_US,
+				    std::stoull(w[3 + 4 * i]) * MS_US,
+				    (unsigned int)std::stoul(w[4 + 4 * i])};
+		order = rank_wait_compare(&waits[0], &waits[1]);
+		return order < 0 ? "the first\n" : order > 0 ? "the second\n" : "either\n";
+	}
+
+	/* How many of N repeats of the rank the budget allows now. */
+	unsigned int repeats_allowed(unsigned int rank, unsigned int n)
+	{
+		unsigned int n_allowed = 0;
+
+		for (unsigned int i = 0; i < n; i++)
+			n_allowed +=
+				repeats_rank_spend(budget, "s", REPEATS_RECOVERY, rank, now_us);
+		return n_allowed;
+	}
+
+	std::string delays(unsigned int rank, uint64_t wait_ms)
+	{
+		double least = 1e9, most = 0;
+		char text[64];
+
+		for (int i = 0; i < 1000; i++) {
+			double s = retryafter_choose_rank_s(rank, wait_ms, rand);
+
+			least = std::min(least, s);
+			most = std::max(most, s);
+		}
+		g_snprintf(text, sizeof(text), "%.2f to %.2f s\n", least, most);
+		return text;
+	}
+
+	/* Steps that need no site. */
+	std::string small_step(const std::vector<std::string> &w)
+	{
+		if (w[0] == "order") /* order RANK WAITED_MS USEFUL_MS LACKING, twice */
+			return order(w);
+		if (w[0] == "delay") /* delay RANK CALLER_WAIT_MS */
+			return delays((unsigned int)std::stoul(w[1]), std::stoull(w[2]));
+		if (w[0] == "budget") { /* budget REPEATS_IN_10_S */
+			struct repeats_limits limits = {0, std::stod(w[1]), 10 * S_US};
+
+			budget = repeats_create(&limits, now_us);
+			now_us += 40 * S_US;
+			repeats_vms_set(budget, 1, 0, true, now_us);
+			now_us += 40 * S_US;
+			return "";
+		}
+		if (w[0] == "spend") /* spend RANK N */
+			return std::to_string(repeats_allowed((unsigned int)std::stoul(w[1]),
+							      (unsigned int)std::stoul(w[2]))) +
+			       "\n";
+		now_us += std::stoull(w[1]) * MS_US; /* pass MS */
+		return "";
+	}
+
 	struct route *route_named(const std::string &name)
 	{
 		for (auto &r : routes)
@@ -622,8 +695,10 @@
 			for (const std::string &word : w)
 				fault += word + " ";
 			faults.push_back(fault);
-		} else { /* run SECONDS */
+		} else if (w[0] == "run") { /* run SECONDS */
 			return simulate(std::stod(w[1]));
+		} else {
+			return small_step(w);
 		}
 		return "";
 	}
