Keep room for the shortest target of a rank, not the latest request's

Cause: the room kept for a rank followed its latest request, so that a caller with 5 ms left would have shut out the ranks below, and a caller that names 5 ms less than others counted as having asked before. Change: the shortest target of the rank's routes counts for 2 s; a caller counts as a repeat from 40 ms less on; a test of the explanation.

--- a/src/job.c
+++ b/src/job.c
@@ -12,10 +12,10 @@
 #define CALLER_LEFT_LINGER_US 200000
 
 /*
- * A caller that waits by so much less than others have is taken to have asked before. A caller
- * comes back no sooner than Retry-After says, which is at least 10 ms.
+ * A caller that waits by so much less than others have is taken to have asked before: one that was
+ * refused because of full leaves comes back after 50 ms or more.
  */
-#define REPEAT_MIN_MS 5
+#define REPEAT_MIN_MS 40
 
 /* Fewer answered requests of a route tell little about how long they take. */
 #define USUAL_SAMPLES_MIN 20
@@ -217,6 +217,13 @@
 	j->rank_route = rank_route_find(j->rank_group, key, rank_of(route->priority));
 }
 
+/* Time within which an answer of the route is useful, however long its caller still waits. */
+static uint64_t rank_target_us(const struct route *route)
+{
+	return route->goal_ms ? scatter_useful_us(route->goal_ms)
+			      : (uint64_t)route->timeout_ms * CLOCK_US_PER_MS;
+}
+
 /* is_admitted() in a deployment that asks for ranks. */
 static bool is_rank_admitted(struct job *j)
 {
@@ -224,6 +231,7 @@
 	struct rank_request request = {
 		.rank = rank_of(j->route->priority),
 		.useful_us = j->answer_useful_us,
+		.target_us = rank_target_us(j->route),
 		.min_share = job_is_sharded(j) ? j->route->min_share : 1,
 		.is_single = !job_is_sharded(j),
 		.is_repeat = j->is_repeat,
--- a/src/rank.c
+++ b/src/rank.c
@@ -29,6 +29,8 @@
 #define LAG_MIN 0.05
 /* Part of the admitted requests that a lower rank gets in any case, if it is in time itself. */
 #define FLOOR_SHARE 0.1
+/* The shortest target of a rank's routes counts for so long after its last request. */
+#define TARGET_HOLD_US 2000000
 /* A rank is reported as short of room until so long after the last refusal. */
 #define SHORT_HOLD_US 2000000
 /*
@@ -59,8 +61,9 @@
 	struct rank_counts counts;
 	/* Admitted repeats that have not ended; the refusals before them count as missed so far. */
 	unsigned int n_repeats_open;
-	uint64_t useful_us; /* of its latest request */
-	double min_share;
+	uint64_t target_us; /* shortest of its routes lately; 0: never asked for */
+	uint64_t target_set_us;
+	double min_share; /* of that route */
 	double reserved_share;
 	uint64_t reserved_set_us;
 	uint64_t decreased_at_us;
@@ -288,7 +291,7 @@
 
 	*short_shard = request->n_shards;
 	reserved_recover(use, now_us);
-	within_us = use->reserved_share * (double)use->useful_us;
+	within_us = use->reserved_share * (double)use->target_us;
 	for (unsigned int i = 0; i < request->n_shards; i++) {
 		const struct rank_shard *shard = &request->shards[i];
 		struct backlog b = backlog_of(shard, higher);
@@ -429,6 +432,17 @@
 	return ranks_above_check(g, request, now_us);
 }
 
+/* Notes for the ranks below how soon calls of this rank must be answered. */
+static void target_note(struct rank_use *use, const struct rank_request *request, uint64_t now_us)
+{
+	if (use->target_us > 0 && request->target_us > use->target_us &&
+	    now_us - use->target_set_us < TARGET_HOLD_US)
+		return;
+	use->target_us = request->target_us;
+	use->target_set_us = now_us;
+	use->min_share = request->min_share;
+}
+
 struct rank_answer rank_admit(struct rank_group *g, struct rank_route *route,
 			      const struct rank_request *request, uint64_t now_us)
 {
@@ -438,8 +452,7 @@
 
 	counts_fade(&use->counts, now_us);
 	counts_fade(route_counts, now_us);
-	use->useful_us = request->useful_us;
-	use->min_share = request->min_share;
+	target_note(use, request, now_us);
 	answer = verdict_find(g, route, request, now_us);
 	use->verdicts[answer.verdict]++;
 	if (answer.verdict == RANK_ADMITTED || answer.verdict == RANK_FLOOR) {
@@ -538,7 +551,7 @@
 		for (unsigned int rank = 0; rank < RANK_COUNT; rank++) {
 			struct rank_state state = state_of(g, rank, now_us);
 
-			if (g->uses[rank].useful_us > 0)
+			if (g->uses[rank].target_us > 0)
 				visit(&state, arg);
 		}
 	}
--- a/src/rank.h
+++ b/src/rank.h
@@ -55,6 +55,7 @@
 struct rank_request {
 	unsigned int rank; /* see rank_of() */
 	uint64_t useful_us; /* time within which its answer is useful */
+	uint64_t target_us; /* the same for any request of its route */
 	double min_share; /* least part of the shards that the answer must cover */
 	bool is_single; /* not refused for being late itself, as without ranks */
 	bool is_repeat; /* its caller has asked before and was refused */
--- a/tests/explain_test.cc
+++ b/tests/explain_test.cc
@@ -86,6 +86,26 @@
 	EXPECT_NE(out.find("this VM was about to end its planned stop"), std::string::npos) << out;
 }
 
+/* Guards against a refusal by rank that does not say which capacity was short and who held it. */
+TEST(explain, refusal_by_rank_names_the_holder)
+{
+	bool found;
+	std::string out = explain(
+		"ab12",
+		"2026-12-04T12:00:02.000Z level=warning vm=n1 event=request_done request=ab12 "
+		"outcome=refused status=503 route=r version=4 in=0 of=20 calls=0 hedges=0 "
+		"retries=0 "
+		"denied=0 wait_ms=1500 took_us=90 trace=\"+0 refused s3 i-7 reserved "
+		"held=rank0;\"\n",
+		&found);
+
+	EXPECT_TRUE(found);
+	EXPECT_NE(out.find("no leaf ran it; its calls would have made late those of rank0 (shard "
+			   "s3, leaf i-7)"),
+		  std::string::npos)
+		<< out;
+}
+
 /* Guards against an evacuation that is not named, or that is named after its end. */
 TEST(explain, evacuations_are_named)
 {
--- a/tests/rank_test.cc
+++ b/tests/rank_test.cc
@@ -267,6 +267,7 @@
 		}
 		request.rank = r->route->rank;
 		request.useful_us = r->route->useful_us();
+		request.target_us = r->route->useful_us();
 		request.min_share = r->route->min_share;
 		request.is_repeat = r->n_attempts > 0;
 		request.shards = shards.data();
