--- a/src/job.h
+++ b/src/job.h
@@ -14,6 +14,7 @@
 #include "kernel.h"
 #include "leafset.h"
 #include "list.h"
+#include "rank.h"
 #include "repeats.h"
 #include "routemap.h"
 #include "split.h"
@@ -68,6 +69,7 @@
 	unsigned int n_jobs;
 	uint64_t n_loads; /* loads that leaves named in answers */
 	uint64_t n_loads_malformed; /* of these, loads that could not be used */
+	struct ranks *ranks; /* NULL: the deployment does not ask for ranks */
 	struct backlog_gate gate; /* refusals because of the leaves' backlog */
 	uint64_t answer_by_us; /* a planned stop ends then; 0: none */
 };
--- a/src/jobanswer.c
+++ b/src/jobanswer.c
@@ -74,6 +74,37 @@
 		      n_answered, j->n_shards);
 }
 
+/* True if an answer at this time meets the goal, counted from the caller's first attempt. */
+static bool is_in_time(const struct job *j, uint64_t took_us)
+{
+	uint64_t useful_us = scatter_useful_us(j->route->goal_ms);
+	/* A partial answer is sent when the useful time ends, somewhat before the goal. */
+	uint64_t margin_us = ((uint64_t)j->route->goal_ms * CLOCK_US_PER_MS - useful_us) / 2;
+
+	if (!j->route->goal_ms)
+		return true;
+	if (!j->is_repeat)
+		return took_us <= useful_us + margin_us;
+	return j->useful_us > 0 && took_us <= j->useful_us + margin_us;
+}
+
+static void rank_end(const struct job *j, enum job_outcome outcome, uint64_t took_us,
+		     uint64_t now_us)
+{
+	/* A caller that leaves before its goal does not count as missed. */
+	bool is_served = outcome == JOB_COMPLETE || outcome == JOB_PARTIAL ||
+			 outcome == JOB_PASSED || outcome == JOB_CALLER_LEFT;
+	struct rank_end end = {
+		.is_in_time = is_served && is_in_time(j, took_us),
+		.is_repeat = j->is_repeat,
+		.took_us = j->enough_at_us ? j->enough_at_us - j->read_us : took_us,
+		.useful_us = j->answer_useful_us,
+	};
+
+	if (j->rank_group && !j->is_unsent)
+		rank_ended(j->rank_group, j->rank_route, &end, now_us);
+}
+
 void jobanswer_finish(struct job *j, enum job_outcome outcome, unsigned int status,
 		      uint64_t linger_us)
 {
@@ -83,6 +114,7 @@
 	j->request = NULL;
 	j->stats->outcomes[outcome]++;
 	hist_add(j->stats->answer_us, took_us);
+	rank_end(j, outcome, took_us, now_us);
 	if (outcome != JOB_COMPLETE && outcome != JOB_PASSED && !j->is_unsent)
 		trace_missing_add(j, now_us);
 	end_log(j, outcome, status, took_us);
@@ -126,7 +158,12 @@
 
 void jobanswer_refuse(struct job *j, enum retryafter_reason reason)
 {
-	refuse(j, retryafter_choose_s(reason, caller_wait_ms(j), 0, j->env->rand));
+	uint64_t wait_ms = caller_wait_ms(j);
+
+	if (j->env->ranks && reason == RETRYAFTER_LEAVES_FULL)
+		refuse(j, retryafter_choose_rank_s(job_rank(j), wait_ms, j->env->rand));
+	else
+		refuse(j, retryafter_choose_s(reason, wait_ms, 0, j->env->rand));
 }
 
 /*
