Spread calls while a service is unevenly loaded

Cause: every VM takes the leaf with the least expected time, from knowledge that is 0.1 to 1 s old. Change: spread measures what the leaves of a service tell of their load. While the greatest is 1.5 times the mean and calls wait there, first calls go to the better of two random leaves, one of them in the own data centre.

--- a/Makefile
+++ b/Makefile
@@ -80,7 +80,8 @@
 $B/example-%: $B/examples/%.o $B/libapricot.a
 	$(CC) -o $@ $^ $(LDLIBS)
 
-$B/unit: $(TEST_OBJS) $B/libtasks.a $B/libapricot.a
+# The test of spread runs the model of the bench.
+$B/unit: $(TEST_OBJS) $B/bench/common/spreadmodel.o $B/libtasks.a $B/libapricot.a
 	$(CXX) -o $@ $^ $(LDLIBS) -lgtest -lpthread
 
 build-tests: all $B/unit
--- a/src/gateway.c
+++ b/src/gateway.c
@@ -133,8 +133,23 @@
 	uint64_t now_us = clock_now_us();
 
 	warmups_advance(g->env.warmups, vmshare_get(&g->env.vmshare, now_us), g->env.rand, now_us);
+	leafset_spread_advance(g->env.leaves, now_us);
 }
 
+static void spread_changed(void *arg, const char *service, const struct spread *spread)
+{
+	if (spread->is_in_force)
+		log_event(LOG_LEVEL_INFO, "spread_begun",
+			  "service=%s load_uneven=%.2f calls_uneven=%.2f", service,
+			  spread->load_uneven, spread->calls_uneven);
+	else
+		log_event(LOG_LEVEL_INFO, "spread_ended",
+			  "service=%s load_uneven=%.2f calls_uneven=%.2f", service,
+			  spread->load_uneven, spread->calls_uneven);
+}
+
+static const struct leafset_spread_ops spread_ops = {.changed = spread_changed};
+
 /* Takes the leaf's limit while it is cold from its service, and applies it if the leaf is cold. */
 static void leaf_warmup_apply(struct gateway *g, struct leaf *leaf, uint64_t now_us)
 {
@@ -362,6 +377,16 @@
 			       n_leaves, g->env.n_loads, g->env.n_loads_malformed);
 }
 
+static void spread_append(const char *service, const struct spread *spread, void *arg)
+{
+	g_string_append_printf(arg,
+			       "apricot_service_calls_uneven{service=\"%s\"} %.2f\n"
+			       "apricot_service_load_uneven{service=\"%s\"} %.2f\n"
+			       "apricot_service_spread{service=\"%s\"} %d\n",
+			       service, spread->calls_uneven, service, spread->load_uneven, service,
+			       spread->is_in_force);
+}
+
 static void evacuated_count(const struct leaf *leaf, void *arg)
 {
 	*(unsigned int *)arg += leaf->is_evacuated;
@@ -419,6 +444,7 @@
 		route_metrics_append(out, key, stats);
 	leafset_each(g->env.leaves, leaf_limit_append, out);
 	evacuation_metrics_append(g, out);
+	leafset_spread_each(g->env.leaves, spread_append, out);
 	load_metrics_append(g, out);
 	g_string_append_printf(out,
 			       "apricot_config_version %" G_GUINT64_FORMAT "\n"
@@ -562,6 +588,8 @@
 	g->stop_limit_ms = MAX(settings->stop_limit_ms, ANSWER_WRITE_MS);
 	g->env.adapter = adapter;
 	g->env.leaves = leafset_create(settings->dc);
+	if (settings->has_spread)
+		leafset_spread_enable(g->env.leaves, g->env.rand, &spread_ops, g);
 	g->evacuations = evacuations_create();
 	g->env.warmups = warmups_create(&warmup_ops, g);
 	g->warmup_tick = event_new(kernel_base(k), -1, EV_PERSIST, warmup_tick_handle, g);
--- a/src/gateway.h
+++ b/src/gateway.h
@@ -15,6 +15,7 @@
 	const char *address; /* IP:PORT on which callers connect */
 	const char *dc; /* data centre of this VM */
 	struct repeats_limits repeats;
+	bool has_spread; /* services that are unevenly loaded are spread */
 	uint64_t stop_limit_ms; /* from the announcement of a planned stop until the process ends */
 };
 
--- a/src/leafset.c
+++ b/src/leafset.c
@@ -43,17 +43,44 @@
 struct leafset {
 	char *own_dc;
 	GHashTable *ids; /* id -> struct leaf */
-	GHashTable *services; /* name -> GPtrArray of struct leaf, borrowed */
+	GHashTable *services; /* name -> struct leaf_service */
+	const struct leafset_spread_ops *spread_ops; /* NULL: no spreading */
+	void *spread_arg;
+	GRand *rand;
+	uint64_t window_end_us; /* of the measure of load */
+	GPtrArray *found; /* reused by choices: the leaves that may be called */
+	GArray *candidates; /* reused by choices: struct spread_candidate of each */
 };
 
+struct leaf_service {
+	GPtrArray *leaves; /* struct leaf, borrowed */
+	struct spread spread;
+};
+
+static void leaf_service_free(gpointer data)
+{
+	struct leaf_service *service = data;
+
+	g_ptr_array_free(service->leaves, TRUE);
+	g_free(service);
+}
+
+static const GPtrArray *leaves_of(const struct leafset *s, const char *name)
+{
+	const struct leaf_service *service = g_hash_table_lookup(s->services, name);
+
+	return service ? service->leaves : NULL;
+}
+
 struct leafset *leafset_create(const char *own_dc)
 {
 	struct leafset *s = g_new0(struct leafset, 1);
 
 	s->own_dc = g_strdup(own_dc);
 	s->ids = g_hash_table_new_full(g_str_hash, g_str_equal, NULL, (GDestroyNotify)leaf_put);
-	s->services = g_hash_table_new_full(g_str_hash, g_str_equal, g_free,
-					    (GDestroyNotify)g_ptr_array_unref);
+	s->services = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, leaf_service_free);
+	s->found = g_ptr_array_new();
+	s->candidates = g_array_new(FALSE, FALSE, sizeof(struct spread_candidate));
 	return s;
 }
 
@@ -61,6 +88,8 @@
 {
 	if (!s)
 		return;
+	g_array_free(s->candidates, TRUE);
+	g_ptr_array_free(s->found, TRUE);
 	g_hash_table_destroy(s->services);
 	g_hash_table_destroy(s->ids);
 	g_free(s->own_dc);
@@ -115,23 +144,24 @@
 
 static void leaf_detach(struct leafset *s, struct leaf *l)
 {
-	GPtrArray *list = g_hash_table_lookup(s->services, l->service);
+	struct leaf_service *service = g_hash_table_lookup(s->services, l->service);
 
 	l->state = LEAF_GONE;
-	if (list)
-		g_ptr_array_remove(list, l);
+	if (service)
+		g_ptr_array_remove(service->leaves, l);
 	g_hash_table_remove(s->ids, l->id);
 }
 
 static void leaf_attach(struct leafset *s, struct leaf *l)
 {
-	GPtrArray *list = g_hash_table_lookup(s->services, l->service);
+	struct leaf_service *service = g_hash_table_lookup(s->services, l->service);
 
-	if (!list) {
-		list = g_ptr_array_new();
-		g_hash_table_insert(s->services, g_strdup(l->service), list);
+	if (!service) {
+		service = g_new0(struct leaf_service, 1);
+		service->leaves = g_ptr_array_new();
+		g_hash_table_insert(s->services, g_strdup(l->service), service);
 	}
-	g_ptr_array_add(list, l);
+	g_ptr_array_add(service->leaves, l);
 	g_hash_table_insert(s->ids, l->id, l);
 }
 
@@ -340,7 +370,7 @@
 bool leafset_wait_us(const struct leafset *s, const char *service, uint64_t now_us,
 		     uint64_t *wait_us)
 {
-	const GPtrArray *list = g_hash_table_lookup(s->services, service);
+	const GPtrArray *list = leaves_of(s, service);
 	bool is_found = false;
 
 	for (guint i = 0; list && i < list->len; i++) {
@@ -365,6 +395,9 @@
 		return 0;
 	/* The call that is being answered is among the outstanding ones and in the report. */
 	leafload_note(&l->load, &signals->load, l->outstanding - l->waiting, now_us);
+	spread_load_add(&l->spread_meter,
+			(double)(signals->load.n_running + signals->load.n_waiting) /
+				signals->load.slots);
 	return l->load.n_reports == 1 ? LEAF_SIGNALS_LOAD : 0;
 }
 
@@ -391,10 +424,39 @@
 	return changes;
 }
 
-struct leaf *leafset_choose(const struct leafset *s, const char *service, struct leaf *const *tried,
-			    unsigned int n_tried, uint64_t now_us)
+/*
+ * One of two random leaves that may be called at once, or NULL if there is none: a leaf that is
+ * quarantined, cold, limited or paused takes no call from one that is not.
+ */
+static struct leaf *spread_leaf_choose(const struct leafset *s, const GPtrArray *list,
+				       uint64_t now_us)
 {
-	const GPtrArray *list = g_hash_table_lookup(s->services, service);
+	g_ptr_array_set_size(s->found, 0);
+	g_array_set_size(s->candidates, 0);
+	for (guint i = 0; i < list->len; i++) {
+		struct leaf *l = g_ptr_array_index(list, i);
+		struct spread_candidate candidate;
+
+		if (!leaf_is_usable(l, now_us) || leaf_is_quarantined(l, now_us) ||
+		    now_us < l->warmup_until_us || leaf_wait_us(l, now_us) > 0)
+			continue;
+		candidate.cost_us = leaf_cost_us(l, s->own_dc, now_us);
+		candidate.is_near = strcmp(l->dc, s->own_dc) == 0;
+		g_ptr_array_add(s->found, l);
+		g_array_append_val(s->candidates, candidate);
+	}
+	if (s->found->len == 0)
+		return NULL;
+	return g_ptr_array_index(s->found,
+				 spread_choose((const struct spread_candidate *)s->candidates->data,
+					       s->found->len, s->rand));
+}
+
+static struct leaf *fastest_leaf_choose(const struct leafset *s, const char *service,
+					struct leaf *const *tried, unsigned int n_tried,
+					uint64_t now_us)
+{
+	const GPtrArray *list = leaves_of(s, service);
 	struct leaf *best = NULL;
 	double best_us = 0;
 	bool best_is_quarantined = false;
@@ -417,11 +479,84 @@
 	return best;
 }
 
+struct leaf *leafset_choose(const struct leafset *s, const char *service, struct leaf *const *tried,
+			    unsigned int n_tried, uint64_t now_us)
+{
+	const struct leaf_service *found = g_hash_table_lookup(s->services, service);
+	struct leaf *leaf = NULL;
+
+	if (n_tried == 0 && found && found->spread.is_in_force)
+		leaf = spread_leaf_choose(s, found->leaves, now_us);
+	return leaf ? leaf : fastest_leaf_choose(s, service, tried, n_tried, now_us);
+}
+
+void leafset_spread_enable(struct leafset *s, GRand *rand, const struct leafset_spread_ops *ops,
+			   void *arg)
+{
+	s->rand = rand;
+	s->spread_ops = ops;
+	s->spread_arg = arg;
+}
+
+static void service_window_end(struct leafset *s, const char *name, struct leaf_service *service,
+			       uint64_t now_us)
+{
+	g_autoptr(GPtrArray) meters = g_ptr_array_new();
+
+	for (guint i = 0; i < service->leaves->len; i++) {
+		struct leaf *l = g_ptr_array_index(service->leaves, i);
+
+		if (leaf_is_in_service(l))
+			g_ptr_array_add(meters, &l->spread_meter);
+	}
+	if (spread_window_end(&service->spread, (struct spread_meter *const *)meters->pdata,
+			      meters->len, now_us))
+		s->spread_ops->changed(s->spread_arg, name, &service->spread);
+}
+
+void leafset_spread_advance(struct leafset *s, uint64_t now_us)
+{
+	GHashTableIter iter;
+	gpointer name;
+	gpointer service;
+
+	if (!s->spread_ops || now_us < s->window_end_us)
+		return;
+	s->window_end_us = now_us + SPREAD_WINDOW_US;
+	g_hash_table_iter_init(&iter, s->services);
+	while (g_hash_table_iter_next(&iter, &name, &service))
+		service_window_end(s, name, service, now_us);
+}
+
+struct spread *leafset_spread(const struct leafset *s, const char *service)
+{
+	struct leaf_service *found = g_hash_table_lookup(s->services, service);
+
+	return found ? &found->spread : NULL;
+}
+
+void leafset_spread_each(const struct leafset *s,
+			 void (*visit)(const char *service, const struct spread *spread, void *arg),
+			 void *arg)
+{
+	GHashTableIter iter;
+	gpointer name;
+	gpointer value;
+
+	g_hash_table_iter_init(&iter, s->services);
+	while (g_hash_table_iter_next(&iter, &name, &value)) {
+		const struct leaf_service *service = value;
+
+		if (service->leaves->len >= 2)
+			visit(name, &service->spread, arg);
+	}
+}
+
 struct leaf *leafset_choose_healthy(const struct leafset *s, const char *service,
 				    struct leaf *const *tried, unsigned int n_tried,
 				    uint64_t now_us)
 {
-	struct leaf *leaf = leafset_choose(s, service, tried, n_tried, now_us);
+	struct leaf *leaf = fastest_leaf_choose(s, service, tried, n_tried, now_us);
 
 	return leaf && !leaf_is_quarantined(leaf, now_us) ? leaf : NULL;
 }
@@ -430,6 +565,7 @@
 {
 	if (l->outstanding++ == 0)
 		l->waiting_since_us = now_us;
+	spread_call_add(&l->spread_meter);
 }
 
 /*
--- a/src/leafset.h
+++ b/src/leafset.h
@@ -15,6 +15,7 @@
 #include "backlog.h"
 #include "leafload.h"
 #include "ratecap.h"
+#include "spread.h"
 
 #include <glib.h>
 #include <netinet/in.h>
@@ -101,6 +102,7 @@
 
 	struct ratecap ratecap;
 	struct leafload load; /* as it says in answers */
+	struct spread_meter spread_meter;
 	uint64_t n_loads_malformed; /* loads that it named and that cannot be used */
 	bool is_leaving; /* as it says itself; its entry may still say ready */
 	bool is_evacuated; /* the operator wants no call to the leaves of its data centre */
@@ -162,6 +164,27 @@
  */
 GPtrArray *leafset_list(const struct leafset *s, const char *dc);
 
+struct leafset_spread_ops {
+	/* Spreading begins or ends for a service. Must not change the set. */
+	void (*changed)(void *arg, const char *service, const struct spread *spread);
+};
+
+/*
+ * Spreads first calls (spread.h) over the leaves of each service that is unevenly loaded, from the
+ * next leafset_spread_advance() on. Without this call every choice is the least expected time. ops
+ * must outlive the set.
+ */
+void leafset_spread_enable(struct leafset *s, GRand *rand, const struct leafset_spread_ops *ops,
+			   void *arg);
+/* Ends windows of the measure of load that are over. To be called several times a second. */
+void leafset_spread_advance(struct leafset *s, uint64_t now_us);
+/* The measures of the service, or NULL if there is no such service (borrowed). */
+struct spread *leafset_spread(const struct leafset *s, const char *service);
+/* Calls visit for each service with at least two leaves, in no order. */
+void leafset_spread_each(const struct leafset *s,
+			 void (*visit)(const char *service, const struct spread *spread, void *arg),
+			 void *arg);
+
 /* leaf_get() takes a reference and leaf_put() drops one; leaf_put() accepts NULL. */
 struct leaf *leaf_get(struct leaf *l);
 void leaf_put(struct leaf *l);
@@ -169,14 +192,16 @@
 /*
  * The ready leaf of the service with the shortest expected time to an answer, or NULL (borrowed).
  * Leaves in tried[] and leaves whose address is taken are left out. A quarantined leaf is chosen
- * only when no other is left.
+ * only when no other is left. If the service is being spread and n_tried is 0, one of two random
+ * leaves among those that may be called at once.
  */
 struct leaf *leafset_choose(const struct leafset *s, const char *service, struct leaf *const *tried,
 			    unsigned int n_tried, uint64_t now_us);
 
 /*
- * Like leafset_choose(), but NULL instead of a quarantined leaf. For the second and later calls of
- * a request: a quarantined leaf is unlikely to answer, and the request has called a leaf already.
+ * Like leafset_choose(), but never spread, and NULL instead of a quarantined leaf. For the second
+ * and later calls of a request: a quarantined leaf is unlikely to answer, and the request has
+ * called a leaf already.
  */
 struct leaf *leafset_choose_healthy(const struct leafset *s, const char *service,
 				    struct leaf *const *tried, unsigned int n_tried,
--- a/src/logevent.h
+++ b/src/logevent.h
@@ -6,55 +6,57 @@
 #define APRICOT_LOGEVENT_H
 
 /* X(event, description) */
-#define LOG_EVENT_LIST(X)                                                                         \
-	X("started", "the process has started to serve; its addresses")                           \
-	X("stopped", "the process ends")                                                          \
-	X("stop_announced", "a planned stop began; time until no list in use names this VM")      \
-	X("stop_done", "a planned stop is finished; why")                                         \
-	X("stop_bound_reached", "a planned stop reached its time limit; number of requests cut")  \
-	X("reloaded", "the settings were read again; what caused it")                             \
-	X("reload_refused", "changed settings are invalid and were not applied; why")             \
-	X("log_dropped", "number of lines dropped since the last line of this kind")              \
-	X("request_begun", "a request that must not be repeated was sent to a leaf")              \
-	X("requests_begun", "ids of the requests that arrived since the last line of this kind")  \
-	X("requests_brief",                                                                       \
-	  "ends of requests without a line of their own: id:outcome:status:in/of")                \
-	X("request_done",                                                                         \
-	  "the end of one request: route, version, shards in, calls, trace of decisions")         \
-	X("request_refused",                                                                      \
-	  "one request was refused, such as one that matches no route or lacks a field")          \
-	X("input_refused", "bytes from a caller were no valid request; the status sent")          \
-	X("config_applied", "a configuration version is in force, and the one before")            \
-	X("config_refused", "a configuration cannot be read; the one before stays in force")      \
-	X("evacuation_begun", "the operator wants no call to the leaves of a data centre")        \
-	X("evacuation_ended", "calls to the leaves of a data centre are allowed again")           \
-	X("evacuation_refused", "a request to evacuate has no usable name or is one too many")    \
-	X("leaf_changed", "a leaf is new, has restarted, or changed its state")                   \
-	X("leaf_limited", "a leaf names a limit of calls per second; this VM's part of it")       \
-	X("leaf_unlimited", "a leaf no longer names a limit")                                     \
-	X("leaf_cold", "a leaf is cold; how long, what it takes, and this VM's part of it")       \
-	X("leaf_warm", "a leaf is warm again or gone; its limit while cold has ended")            \
-	X("leaf_load_told", "a leaf names its load in an answer for the first time")              \
-	X("leaf_load_refused", "a leaf names a load that cannot be used, for the first time")     \
-	X("leaf_paused", "a leaf refused a call and wants none for a time")                       \
-	X("leaf_leaving", "a leaf says in an answer that it leaves; it gets no further calls")    \
-	X("leaf_gone", "a leaf was removed or its entry became unusable; the store's revision")   \
-	X("leaf_doubted", "a leaf is quarantined for a time or its address is another's; why")    \
-	X("leaf_entry_refused", "an entry of the store does not describe a usable leaf; why")     \
-	X("store_entries_unreadable", "entries of an answer of the store that were left out")     \
-	X("store_lost", "the store does not answer; the last revision known")                     \
-	X("store_back", "the store answers again; how long it did not")                           \
-	X("store_listed", "all keys of the store were read")                                      \
-	X("store_history_lost", "the store has dropped its history; all keys are read again")     \
-	X("store_reading", "whether this VM now reads the store or gets changes from peers; why") \
-	X("second_reader_asked",                                                                  \
-	  "changes that a reader knows have not arrived from the first one; another is asked")    \
-	X("entries_chosen", "number of entry VMs, those whose addresses callers get")             \
-	X("member_changed", "another VM is live, leaving, suspected or removed")                  \
-	X("pause_detected", "this process did not run for longer than its lease")                 \
-	X("backend_leaving", "own interface: a backend server is marked as leaving")              \
-	X("backend_live", "own interface: a backend server is no longer marked as leaving")       \
-	X("platform_down", "own interface: the configuration service does not answer")            \
+#define LOG_EVENT_LIST(X)                                                                          \
+	X("started", "the process has started to serve; its addresses")                            \
+	X("stopped", "the process ends")                                                           \
+	X("stop_announced", "a planned stop began; time until no list in use names this VM")       \
+	X("stop_done", "a planned stop is finished; why")                                          \
+	X("stop_bound_reached", "a planned stop reached its time limit; number of requests cut")   \
+	X("reloaded", "the settings were read again; what caused it")                              \
+	X("reload_refused", "changed settings are invalid and were not applied; why")              \
+	X("log_dropped", "number of lines dropped since the last line of this kind")               \
+	X("request_begun", "a request that must not be repeated was sent to a leaf")               \
+	X("requests_begun", "ids of the requests that arrived since the last line of this kind")   \
+	X("requests_brief",                                                                        \
+	  "ends of requests without a line of their own: id:outcome:status:in/of")                 \
+	X("request_done",                                                                          \
+	  "the end of one request: route, version, shards in, calls, trace of decisions")          \
+	X("request_refused",                                                                       \
+	  "one request was refused, such as one that matches no route or lacks a field")           \
+	X("input_refused", "bytes from a caller were no valid request; the status sent")           \
+	X("config_applied", "a configuration version is in force, and the one before")             \
+	X("config_refused", "a configuration cannot be read; the one before stays in force")       \
+	X("evacuation_begun", "the operator wants no call to the leaves of a data centre")         \
+	X("evacuation_ended", "calls to the leaves of a data centre are allowed again")            \
+	X("evacuation_refused", "a request to evacuate has no usable name or is one too many")     \
+	X("leaf_changed", "a leaf is new, has restarted, or changed its state")                    \
+	X("leaf_limited", "a leaf names a limit of calls per second; this VM's part of it")        \
+	X("leaf_unlimited", "a leaf no longer names a limit")                                      \
+	X("leaf_cold", "a leaf is cold; how long, what it takes, and this VM's part of it")        \
+	X("leaf_warm", "a leaf is warm again or gone; its limit while cold has ended")             \
+	X("leaf_load_told", "a leaf names its load in an answer for the first time")               \
+	X("leaf_load_refused", "a leaf names a load that cannot be used, for the first time")      \
+	X("leaf_paused", "a leaf refused a call and wants none for a time")                        \
+	X("leaf_leaving", "a leaf says in an answer that it leaves; it gets no further calls")     \
+	X("leaf_gone", "a leaf was removed or its entry became unusable; the store's revision")    \
+	X("leaf_doubted", "a leaf is quarantined for a time or its address is another's; why")     \
+	X("leaf_entry_refused", "an entry of the store does not describe a usable leaf; why")      \
+	X("spread_begun", "calls are spread over the leaves of a service; how uneven its load is") \
+	X("spread_ended", "calls go to the fastest leaf of a service again")                       \
+	X("store_entries_unreadable", "entries of an answer of the store that were left out")      \
+	X("store_lost", "the store does not answer; the last revision known")                      \
+	X("store_back", "the store answers again; how long it did not")                            \
+	X("store_listed", "all keys of the store were read")                                       \
+	X("store_history_lost", "the store has dropped its history; all keys are read again")      \
+	X("store_reading", "whether this VM now reads the store or gets changes from peers; why")  \
+	X("second_reader_asked",                                                                   \
+	  "changes that a reader knows have not arrived from the first one; another is asked")     \
+	X("entries_chosen", "number of entry VMs, those whose addresses callers get")              \
+	X("member_changed", "another VM is live, leaving, suspected or removed")                   \
+	X("pause_detected", "this process did not run for longer than its lease")                  \
+	X("backend_leaving", "own interface: a backend server is marked as leaving")               \
+	X("backend_live", "own interface: a backend server is no longer marked as leaving")        \
+	X("platform_down", "own interface: the configuration service does not answer")             \
 	X("platform_up", "own interface: the configuration service answers again")
 
 #endif
--- a/src/main.c
+++ b/src/main.c
@@ -83,6 +83,7 @@
 		.address = settings->gateway,
 		.dc = settings->dc,
 		.stop_limit_ms = limit_ms,
+		.has_spread = settings_has_spread(settings),
 		.repeats = {.ratio = (double)settings->repeat_pct / 100,
 			    .slack = (double)settings->repeat_slack,
 			    .window_us = settings->repeat_window_ms * CLOCK_US_PER_MS},
--- a/src/settings.c
+++ b/src/settings.c
@@ -99,6 +99,11 @@
 	return s->cpu ? (uint32_t)(g_ascii_strtod(s->cpu, NULL) * 1000) : 1000;
 }
 
+bool settings_has_spread(const struct settings *s)
+{
+	return g_strcmp0(s->spread, "off") != 0;
+}
+
 static bool settings_check(struct settings *s, GError **error)
 {
 	enum log_level level;
@@ -113,6 +118,11 @@
 		return false;
 	if (s->peers && !addresses_check("peers", s->peers, error))
 		return false;
+	if (s->spread && strcmp(s->spread, "auto") != 0 && strcmp(s->spread, "off") != 0) {
+		g_set_error(error, RESULT_ERROR, RESULT_BAD_SETTING,
+			    "--spread: '%s' is not auto or off", s->spread);
+		return false;
+	}
 	if (s->log_level && !log_level_parse(s->log_level, &level)) {
 		g_set_error(error, RESULT_ERROR, RESULT_BAD_SETTING,
 			    "--log-level: '%s' is not error, warning or info", s->log_level);
--- a/src/settings.h
+++ b/src/settings.h
@@ -8,6 +8,7 @@
 #define APRICOT_SETTINGS_H
 
 #include <glib.h>
+#include <stdbool.h>
 #include <stdint.h>
 
 G_BEGIN_DECLS
@@ -26,6 +27,8 @@
 	  "IP:PORT where callers ask which VMs to use")                                        \
 	X(ready, "ready", "APRICOT_READY", 0, "IP:PORT of status checks")                      \
 	X(settings, "settings", "APRICOT_SETTINGS", 0, "file of lines NAME=VALUE")             \
+	X(spread, "spread", "APRICOT_SPREAD", 0,                                               \
+	  "spread calls over unevenly loaded leaves: auto or off (default auto)")              \
 	X(cpu, "cpu", "APRICOT_CPU", 0, "processor share of this VM, cores (default 1)")       \
 	X(log_level, "log-level", "APRICOT_LOG_LEVEL", 0, "error, warning or info (default info)")
 
@@ -81,6 +84,8 @@
 
 /* Processor share of this VM in thousandths of a core; 1000 without the setting. */
 uint32_t settings_cpu_milli(const struct settings *s);
+/* False only if the setting is off. */
+bool settings_has_spread(const struct settings *s);
 
 G_END_DECLS
 
