--- a/src/gateway.c
+++ b/src/gateway.c
@@ -204,8 +204,23 @@
 	warmups_advance(g->env.warmups, vmshare_get(&g->env.vmshare, now_us), g->env.rand, now_us);
 	if (g->env.ranks)
 		ranks_advance(g->env.ranks, rank_changed, g, now_us);
+	leafset_spread_advance(g->env.leaves, now_us);
 }
 
+static void spread_changed(void *arg, const char *service, const struct spread *spread)
+{
+	if (spread->is_in_force)
+		log_event(LOG_LEVEL_INFO, "spread_begun",
+			  "service=%s load_uneven=%.2f calls_uneven=%.2f", service,
+			  spread->load_uneven, spread->calls_uneven);
+	else
+		log_event(LOG_LEVEL_INFO, "spread_ended",
+			  "service=%s load_uneven=%.2f calls_uneven=%.2f", service,
+			  spread->load_uneven, spread->calls_uneven);
+}
+
+static const struct leafset_spread_ops spread_ops = {.changed = spread_changed};
+
 /* Takes the leaf's limit while it is cold from its service, and applies it if the leaf is cold. */
 static void leaf_warmup_apply(struct gateway *g, struct leaf *leaf, uint64_t now_us)
 {
@@ -491,6 +506,16 @@
 	ranks_routes_each(g->env.ranks, rank_route_append, out);
 }
 
+static void spread_append(const char *service, const struct spread *spread, void *arg)
+{
+	g_string_append_printf(arg,
+			       "apricot_service_calls_uneven{service=\"%s\"} %.2f\n"
+			       "apricot_service_load_uneven{service=\"%s\"} %.2f\n"
+			       "apricot_service_spread{service=\"%s\"} %d\n",
+			       service, spread->calls_uneven, service, spread->load_uneven, service,
+			       spread->is_in_force);
+}
+
 static void evacuated_count(const struct leaf *leaf, void *arg)
 {
 	*(unsigned int *)arg += leaf->is_evacuated;
@@ -570,6 +595,7 @@
 		route_metrics_append(out, key, stats);
 	leafset_each(g->env.leaves, leaf_limit_append, out);
 	evacuation_metrics_append(g, out);
+	leafset_spread_each(g->env.leaves, spread_append, out);
 	load_metrics_append(g, out);
 	held_metrics_append(g, out);
 	rank_metrics_append(g, out);
@@ -722,6 +748,8 @@
 	g->stop_limit_ms = MAX(settings->stop_limit_ms, ANSWER_WRITE_MS);
 	g->env.adapter = adapter;
 	g->env.leaves = leafset_create(settings->dc);
+	if (settings->has_spread)
+		leafset_spread_enable(g->env.leaves, g->env.rand, &spread_ops, g);
 	g->evacuations = evacuations_create();
 	g->env.warmups = warmups_create(&warmup_ops, g);
 	g->warmup_tick = event_new(kernel_base(k), -1, EV_PERSIST, warmup_tick_handle, g);
--- a/src/rank.c
+++ b/src/rank.c
@@ -7,9 +7,9 @@
 /* A rank with less than this many requests left in its fading count was not requested lately. */
 #define RECENT_MIN 0.1
 /*
- * Part of a higher rank's useful time within which its calls must be expected: the whole of it while
- * the rank is not short of room. The expectation is a mean, and a request that needs most of its
- * shards waits for the slow ones, so the part shrinks while the rank is refused.
+ * Part of a higher rank's useful time within which its calls must be expected: the whole of it
+ * while the rank is not short of room. The expectation is a mean, and a request that needs most of
+ * its shards waits for the slow ones, so the part shrinks while the rank is refused.
  */
 #define RESERVED_SHARE_MAX 1.0
 #define RESERVED_SHARE_MIN 0.05
--- a/src/settings.h
+++ b/src/settings.h
@@ -8,6 +8,7 @@
 #define APRICOT_SETTINGS_H
 
 #include <glib.h>
+#include <stdbool.h>
 #include <stdint.h>
 
 G_BEGIN_DECLS
@@ -28,6 +29,8 @@
 	X(settings, "settings", "APRICOT_SETTINGS", 0, "file of lines NAME=VALUE")             \
 	X(features, "features", "APRICOT_FEATURES", 0,                                         \
 	  "what the deployment asks for, as terms of the platform, comma-separated")           \
+	X(spread, "spread", "APRICOT_SPREAD", 0,                                               \
+	  "spread calls over unevenly loaded leaves: auto or off (default auto)")              \
 	X(cpu, "cpu", "APRICOT_CPU", 0, "processor share of this VM, cores (default 1)")       \
 	X(link_mbps, "link-mbps", "APRICOT_LINK_MBPS", 0,                                      \
 	  "speed of this VM's link, megabits a second (0 or empty: unknown)")                  \
@@ -89,6 +92,8 @@
 
 /* Processor share of this VM in thousandths of a core; 1000 without the setting. */
 uint32_t settings_cpu_milli(const struct settings *s);
+/* False only if the setting is off. */
+bool settings_has_spread(const struct settings *s);
 
 /* Speed of this VM's link in megabits a second; 0: unknown. */
 double settings_link_mbps(const struct settings *s);
