Count the address lists that name VMs elsewhere

Cause: operators see that VMs are short, but not that callers are told so. Change: counter lists_widened, with its row for operators. Result: check-routed short_vms_send_callers_elsewhere (which checks it), gathers_all and vm_that_was_frozen_names_no_gone_vm pass; unit logevent, matrix, entrychoice, demand and rpc (20 tests) pass.

--- a/src/counter.h
+++ b/src/counter.h
@@ -51,6 +51,7 @@
 	X(CONFIG_APPLIED, "config_applied", "configuration versions put in force")                \
 	X(CONFIG_REFUSED, "config_refused", "configuration versions refused")                     \
 	X(STORE_ENTRIES_REFUSED, "store_entries_refused", "malformed entries of the platform")    \
+	X(LISTS_WIDENED, "lists_widened", "address lists with VMs elsewhere for short ones")      \
 	X(MEMBER_CHANGES, "member_changes", "changes of state of member VMs")                     \
 	X(PAUSES, "pauses", "gaps of the event loop longer than the lease")
 
--- a/src/directory.c
+++ b/src/directory.c
@@ -150,13 +150,20 @@
 	g_autofree char *dc = parameter_find(target, d->adapter->entries_dc_parameter);
 	GPtrArray *addresses = g_ptr_array_new();
 	g_autofree char *body = NULL;
+	unsigned int n_own = 0;
 	unsigned int n;
 
 	pause_check(d);
 	n = d->roster && !roster_is_stale(d) ? d->roster->n_vms : 0;
-	for (unsigned int i = 0; i < n && addresses->len < ENTRIES_MAX; i++)
-		if (entrychoice_is_offered(d->choice, n, i, dc))
-			g_ptr_array_add(addresses, d->roster->vms[i].http);
+	for (unsigned int i = 0; i < n && addresses->len < ENTRIES_MAX; i++) {
+		if (!entrychoice_is_offered(d->choice, n, i, dc))
+			continue;
+		g_ptr_array_add(addresses, d->roster->vms[i].http);
+		n_own += strcmp(d->roster->vms[i].dc, dc) == 0;
+	}
+	/* With a single one of their own, callers are told of others in any case. */
+	if (n_own > 1 && addresses->len > n_own)
+		counter_increment(kernel_counters(d->service.kernel), COUNTER_LISTS_WIDENED);
 	if (addresses->len == 0) {
 		entries_refuse(d, request);
 	} else {
