Free the memory of large bodies only when no answer is in use

Cause: a reset freed a large body, and a reset happens inside the callback that still has the answer when the next call is sent on the same connection (a pipelined request that is answered there). Change: http_reader_body_release is separate; http_conn calls it after the callback, http_server after the request's end. Result: slow_callers_are_bounded, slow_leaf_is_bounded, held_bytes_end_with_connections and bound_is_checked_at_start pass.

--- a/src/httpconn.c
+++ b/src/httpconn.c
@@ -77,6 +77,7 @@
 			http_reader_reset(c->reader, false);
 			held_answer_end(&c->answer);
 		}
+		http_reader_body_release(c->reader);
 		return false;
 	}
 	c->has_call = true;
--- a/src/httpmsg.c
+++ b/src/httpmsg.c
@@ -35,7 +35,7 @@
 	bool is_answer_to_head; /* the message answers a HEAD request */
 	bool has_head; /* the whole head was read */
 	bool has_begun; /* a byte of the message was read */
-	bool has_large_body; /* its memory is allocated */
+	bool has_large_body; /* body's memory is or was of a large one */
 	bool has_text; /* a byte of the first line was read; blank lines may precede it */
 	bool keeps_alive;
 	bool in_value; /* the last field's value was read in part or whole */
@@ -143,6 +143,7 @@
 	if (r->body->len + n > r->limits.body_bytes)
 		return stop_with(r, HTTP_BODY_TOO_LARGE);
 	g_byte_array_append(r->body, (const guint8 *)at, (guint)n);
+	r->has_large_body = r->has_large_body || r->body->len > BODY_KEPT_BYTES;
 	return 0;
 }
 
@@ -206,10 +207,6 @@
 			 r->type == HTTP_MESSAGE_REQUEST ? HTTP_REQUEST : HTTP_RESPONSE);
 	r->parser.data = r;
 	g_string_truncate(r->text, 0);
-	if (r->has_large_body || r->body->len > BODY_KEPT_BYTES) {
-		g_byte_array_free(r->body, TRUE);
-		r->body = g_byte_array_new();
-	}
 	g_byte_array_set_size(r->body, 0);
 	r->n_fields = 0;
 	r->n_interim = 0;
@@ -219,7 +216,6 @@
 	r->has_head = false;
 	r->has_begun = false;
 	r->length = 0;
-	r->has_large_body = false;
 	r->has_text = false;
 	r->keeps_alive = false;
 	r->in_value = false;
@@ -228,6 +224,15 @@
 	r->in_blank_line = false;
 }
 
+void http_reader_body_release(struct http_reader *r)
+{
+	if (r->has_begun || !r->has_large_body)
+		return;
+	g_byte_array_free(r->body, TRUE);
+	r->body = g_byte_array_new();
+	r->has_large_body = false;
+}
+
 void http_reader_limits_set(struct http_reader *r, const struct http_limits *limits)
 {
 	r->limits = *limits;
--- a/src/httpmsg.h
+++ b/src/httpmsg.h
@@ -48,6 +48,11 @@
  * HEAD request, so it has no body even if its fields announce one.
  */
 void http_reader_reset(struct http_reader *r, bool is_answer_to_head);
+/*
+ * Frees the memory of a large body after a reset; does nothing if the next message has begun.
+ * Separate from the reset, since a reset may happen while the last message is still in use.
+ */
+void http_reader_body_release(struct http_reader *r);
 /* Replaces the limits, which are copied. */
 void http_reader_limits_set(struct http_reader *r, const struct http_limits *limits);
 
--- a/src/httpserver.c
+++ b/src/httpserver.c
@@ -515,6 +515,7 @@
 	r->data = NULL;
 	r->since_ms = clock_now_ms();
 	http_reader_reset(r->reader, false);
+	http_reader_body_release(r->reader);
 	if (answer_write(r, status, fields, body, n, keep) && keep)
 		connection_read_next(r);
 }
