Test what callers and operators are told at the bound on held bytes

Cause: the delay of requests refused at the bound was the same for all callers with little time left, and no test covered it or the sentence of apricotctl explain.

--- a/src/retryafter.c
+++ b/src/retryafter.c
@@ -10,8 +10,8 @@
 #define STOPPING_MIN_S 0.01
 #define STOPPING_MAX_S 0.05
 /* Callers on slow links take a part of what is held for them within this time. */
-#define MEMORY_MIN_S 0.3
 #define MEMORY_MAX_S 1.0
+#define MEMORY_JITTER_MIN 0.3 /* least random factor of that delay */
 /* Within about this time after its start, a process has its configuration. */
 #define STARTING_MS 1000
 #define STARTING_MIN_S 0.1
@@ -54,8 +54,8 @@
 	if (reason == RETRYAFTER_LEAVES_FULL)
 		return g_rand_double_range(rand, LEAVES_FULL_MIN_S, LEAVES_FULL_MAX_S);
 	if (reason == RETRYAFTER_MEMORY)
-		return MIN(longest_s(caller_wait_ms),
-			   g_rand_double_range(rand, MEMORY_MIN_S, MEMORY_MAX_S));
+		return MIN(longest_s(caller_wait_ms), MEMORY_MAX_S) *
+		       g_rand_double_range(rand, MEMORY_JITTER_MIN, 1);
 	if (reason == RETRYAFTER_STOPPING)
 		return g_rand_double_range(rand, STOPPING_MIN_S, STOPPING_MAX_S);
 	if (reason == RETRYAFTER_NO_CONFIG && uptime_ms < STARTING_MS)
--- a/tests/explain_test.cc
+++ b/tests/explain_test.cc
@@ -84,6 +84,12 @@
 		"status=503 why=stopping\n",
 		&found);
 	EXPECT_NE(out.find("this VM was about to end its planned stop"), std::string::npos) << out;
+	out = explain(
+		"ef",
+		"2026-12-04T12:00:02.000Z level=warning vm=n1 event=request_refused request=ef "
+		"status=503 why=memory\n",
+		&found);
+	EXPECT_NE(out.find("held as many bytes for slow callers"), std::string::npos) << out;
 }
 
 /* Guards against an evacuation that is not named, or that is named after its end. */
--- a/tests/retryafter_test.cc
+++ b/tests/retryafter_test.cc
@@ -15,6 +15,7 @@
 			{"full", RETRYAFTER_LEAVES_FULL},
 			{"no_leaf", RETRYAFTER_NO_LEAF},
 			{"no_config", RETRYAFTER_NO_CONFIG},
+			{"memory", RETRYAFTER_MEMORY},
 			{"stopping", RETRYAFTER_STOPPING}};
 		GRand *rand = g_rand_new_with_seed(1);
 		double low = 1e9;
