Do not blame a leaf whose answer this VM does not read

Cause: a call that reaches its time limit while the reading of its answer pauses was recorded as silent, which quarantines the leaf.

--- a/src/httpconn.c
+++ b/src/httpconn.c
@@ -226,6 +226,11 @@
 	return was_written;
 }
 
+bool http_conn_is_waiting(const struct http_conn *c)
+{
+	return c->answer.is_waiting;
+}
+
 uint64_t http_conn_received_bytes(const struct http_conn *c)
 {
 	return c->received_bytes;
--- a/src/httpconn.h
+++ b/src/httpconn.h
@@ -71,6 +71,8 @@
  * False when the connection is lost; ops->failed may still be called later, from the event loop.
  */
 bool http_conn_send(struct http_conn *c, const char *request, size_t n);
+/* True while the reading of an answer pauses because of what is held. */
+bool http_conn_is_waiting(const struct http_conn *c);
 /* Number of bytes received on the connection so far. */
 uint64_t http_conn_received_bytes(const struct http_conn *c);
 const char *http_failure_name(enum http_failure failure);
--- a/src/upstream.c
+++ b/src/upstream.c
@@ -515,6 +515,9 @@
 
 	call->leaf = NULL;
 	call->conn = NULL;
+	/* The leaf is not silent if it was this VM that did not read. */
+	if (conn && http_conn_is_waiting(conn->client))
+		end = LEAF_END_CANCELLED;
 	leaf_call_ended(leaf, end, now_us - call->started_us, now_us);
 	if (conn)
 		conn_destroy(conn);
