--- a/src/httpconn.c
+++ b/src/httpconn.c
@@ -77,6 +77,7 @@
 			http_reader_reset(c->reader, false);
 			held_answer_end(&c->answer);
 		}
+		http_reader_body_release(c->reader);
 		return false;
 	}
 	c->has_call = true;
@@ -225,6 +226,11 @@
 	return was_written;
 }
 
+bool http_conn_is_waiting(const struct http_conn *c)
+{
+	return c->answer.is_waiting;
+}
+
 uint64_t http_conn_received_bytes(const struct http_conn *c)
 {
 	return c->received_bytes;
--- a/tests/retryafter_test.cc
+++ b/tests/retryafter_test.cc
@@ -17,6 +17,7 @@
 			{"no_config", RETRYAFTER_NO_CONFIG},
 			{"all_starting", RETRYAFTER_ALL_STARTING},
 			{"renewal", RETRYAFTER_RENEWAL},
+			{"memory", RETRYAFTER_MEMORY},
 			{"stopping", RETRYAFTER_STOPPING}};
 		GRand *rand = g_rand_new_with_seed(1);
 		double low = 1e9;
