--- a/src/gateway.c
+++ b/src/gateway.c
@@ -351,7 +351,7 @@
 	leaf->is_evacuated = false;
 	if (!service || service->warmup_calls_per_s <= 0)
 		return;
-	if (leaf->warmup_until_us < now_us + service->warmup_ms * CLOCK_US_PER_MS)
+	if (leaf->warmup_until_us < now_us + (uint64_t)service->warmup_ms * CLOCK_US_PER_MS)
 		leaf_warmup_set(leaf, service->warmup_ms, now_us);
 	leaf_warmup_apply(g, leaf, now_us);
 }
