Take full leaves, not only refusals, as a shortage of a rank

Change: a rank is pressed while more of its leaves than it can do without have as many calls of this VM as slots, and until 0.5 s later.

--- a/src/rank.c
+++ b/src/rank.c
@@ -38,6 +38,8 @@
 #define FLOOR_SHARE 0.1
 /* The shortest target of a rank's routes counts for so long after its last request. */
 #define TARGET_HOLD_US 2000000
+/* Leaves count as full for so long after they were found to be. */
+#define PRESSED_HOLD_US 500000
 /* A rank is reported as short of room until so long after the last refusal. */
 #define SHORT_HOLD_US 2000000
 /*
@@ -68,6 +70,8 @@
 	struct rank_counts counts;
 	/* Admitted repeats that have not ended; the refusals before them count as missed so far. */
 	unsigned int n_repeats_open;
+	uint64_t pressed_at_us; /* when its leaves were last found to have calls of this VM waiting
+				 */
 	uint64_t target_us; /* shortest of its routes lately; 0: never asked for */
 	uint64_t target_set_us;
 	double min_share; /* of that route */
@@ -221,6 +225,33 @@
 	return use->counts.asked > 0 ? MIN(1, missed / use->counts.asked) : 0;
 }
 
+/* True if the rank is refused, or its leaves have no room, or were so until just now. */
+static bool is_pressed(const struct rank_use *use, uint64_t now_us)
+{
+	return backlog_is_overloaded(&use->gate, now_us) ||
+	       (use->pressed_at_us > 0 && now_us - use->pressed_at_us < PRESSED_HOLD_US);
+}
+
+/*
+ * Notes whether more of the request's leaves than it can do without have no room. A leaf has none
+ * when as many calls of this VM are there as it has slots: other VMs send as much.
+ */
+static void pressure_note(struct rank_use *use, const struct rank_request *request, uint64_t now_us)
+{
+	unsigned int n_full = 0;
+
+	for (unsigned int i = 0; i < request->n_shards; i++) {
+		const struct rank_shard *shard = &request->shards[i];
+		unsigned int n_calls = shard->backlog.n_sent;
+
+		for (unsigned int rank = 0; rank < RANK_COUNT; rank++)
+			n_calls += shard->n_waiting[rank];
+		n_full += shard->has_leaf && n_calls >= MAX(1, shard->backlog.window / 2);
+	}
+	if (n_full > (1 - request->min_share) * request->n_shards)
+		use->pressed_at_us = now_us;
+}
+
 static void reserved_recover(struct rank_use *use, uint64_t now_us)
 {
 	double passed_s = (double)(now_us - MIN(now_us, use->reserved_set_us)) / 1e6;
@@ -344,7 +375,7 @@
 	double missed = missed_share(&higher->counts);
 	double allowed = MIN(missed + LAG_MIN, 1 - SERVED_MIN);
 
-	return backlog_is_overloaded(&higher->gate, now_us) && missed > MISSED_IGNORED &&
+	return is_pressed(higher, now_us) && missed > MISSED_IGNORED &&
 	       allowed > own_missed_share(lower);
 }
 
@@ -466,6 +497,7 @@
 	counts_fade(&use->counts, now_us);
 	counts_fade(route_counts, now_us);
 	target_note(use, request, now_us);
+	pressure_note(use, request, now_us);
 	answer = verdict_find(g, route, request, now_us);
 	use->verdicts[answer.verdict]++;
 	if (answer.verdict == RANK_ADMITTED || answer.verdict == RANK_FLOOR) {
@@ -503,8 +535,8 @@
 		use->counts.missed = MAX(0, use->counts.missed - 1);
 	else if (!end->is_repeat && !end->is_in_time)
 		use->counts.missed++;
-	/* While the rank is not refused, leaves that pause make it late, not other ranks. */
-	if (backlog_is_overloaded(&use->gate, now_us) &&
+	/* While its leaves have room, pauses make the rank late, not other ranks. */
+	if (is_pressed(use, now_us) &&
 	    (double)end->took_us > NEARLY_LATE_SHARE * (double)end->useful_us)
 		reserved_shorten(use, now_us);
 }
