Read bounds that are fractions, and the ratio of repeats

Cause: bounds of the platform may be fractions. The template wrote 6.5 s as 6.5000, with which a daemon does not start, and the ratio of repeats was built in.

--- a/src/settings.c
+++ b/src/settings.c
@@ -138,6 +138,39 @@
 	return g_strcmp0(s->spread, "off") != 0;
 }
 
+/*
+ * Sets *out to the decimal number times the factor, rounded down, unless the text is empty or NULL.
+ * The result must lie between min and max.
+ */
+static bool decimal_check(const char *flag, const char *text, double factor, uint64_t min,
+			  uint64_t max, uint64_t *out, GError **error)
+{
+	char *end = NULL;
+	double value;
+
+	if (!text || !*text)
+		return true;
+	value = g_ascii_strtod(text, &end) * factor;
+	/* 0.29 * 100 is a little below 29 in binary. */
+	value += 1e-6;
+	if (end == text || *end != '\0' || !(value >= (double)min && value < (double)max + 1)) {
+		g_set_error(error, RESULT_ERROR, RESULT_BAD_SETTING,
+			    "--%s: '%s' is not a number from %g to %g", flag, text,
+			    (double)min / factor, (double)max / factor);
+		return false;
+	}
+	*out = (uint64_t)value;
+	return true;
+}
+
+static bool decimals_check(struct settings *s, GError **error)
+{
+	return decimal_check("stop-s", s->stop_s, 1000, 100, 600000, &s->stop_ms, error) &&
+	       decimal_check("repeat-window-s", s->repeat_window_s, 1000, 100, 600000,
+			     &s->repeat_window_ms, error) &&
+	       decimal_check("repeat-ratio", s->repeat_ratio, 100, 0, 100, &s->repeat_pct, error);
+}
+
 static bool settings_check(struct settings *s, GError **error)
 {
 	enum log_level level;
@@ -153,6 +186,8 @@
 		return false;
 	if (s->peers && !addresses_check("peers", s->peers, error))
 		return false;
+	if (!decimals_check(s, error))
+		return false;
 	if (s->spread && strcmp(s->spread, "auto") != 0 && strcmp(s->spread, "off") != 0) {
 		g_set_error(error, RESULT_ERROR, RESULT_BAD_SETTING,
 			    "--spread: '%s' is not auto or off", s->spread);
--- a/src/settings.h
+++ b/src/settings.h
@@ -31,6 +31,15 @@
 	  "what the deployment asks for, as terms of the platform, comma-separated")           \
 	X(spread, "spread", "APRICOT_SPREAD", 0,                                               \
 	  "spread calls over unevenly loaded leaves: auto or off (default auto)")              \
+	X(stop_s, "stop-s", "APRICOT_STOP_S", 0,                                               \
+	  "longest duration of a planned stop in seconds, also a fraction; goes before "       \
+	  "stop-ms")                                                                           \
+	X(repeat_window_s, "repeat-window-s", "APRICOT_REPEAT_WINDOW_S", 0,                    \
+	  "time over which repeats are counted in seconds, also a fraction; goes before "      \
+	  "repeat-window-ms")                                                                  \
+	X(repeat_ratio, "repeat-ratio", "APRICOT_REPEAT_RATIO", 0,                             \
+	  "limit on repeated leaf calls of a service for each of its requests, 0 to 1, in "    \
+	  "steps of 0.01; goes before repeat-pct")                                             \
 	X(cpu, "cpu", "APRICOT_CPU", 0, "processor share of this VM, cores (default 1)")       \
 	X(link_mbps, "link-mbps", "APRICOT_LINK_MBPS", 0,                                      \
 	  "speed of this VM's link, megabits a second (0 or empty: unknown)")                  \
--- a/tests/settings_test.cc
+++ b/tests/settings_test.cc
@@ -58,6 +58,27 @@
 	EXPECT_EQ(s->memory_mb, 256u);
 }
 
+/* Guards against a VM that does not start, or that stops at once, where bounds are fractions. */
+TEST(settings, bounds_may_be_fractions)
+{
+	auto s = create({"--stop-s=6.5", "--repeat-window-s=2.25", "--repeat-ratio=0.29"});
+	auto whole = create({"--stop-s=6", "--repeat-window-s=10", "--repeat-ratio=0.2"});
+	auto empty = create({"--stop-s=", "--repeat-ratio="});
+
+	ASSERT_TRUE(s && whole && empty);
+	EXPECT_EQ(s->stop_ms, 6500u);
+	EXPECT_EQ(s->repeat_window_ms, 2250u);
+	EXPECT_EQ(s->repeat_pct, 29u);
+	EXPECT_EQ(whole->stop_ms, 6000u);
+	EXPECT_EQ(whole->repeat_window_ms, 10000u);
+	EXPECT_EQ(whole->repeat_pct, 20u);
+	EXPECT_EQ(empty->stop_ms, 60000u);
+	EXPECT_EQ(empty->repeat_pct, 20u);
+	for (const char *flag : {"--stop-s=6x", "--stop-s=-1", "--stop-s=0.05", "--stop-s=601",
+				 "--stop-s=nan", "--repeat-ratio=1.5", "--repeat-ratio=inf"})
+		EXPECT_FALSE(create({flag})) << flag;
+}
+
 /* Guards against limits that are taken as something else than what was written. */
 TEST(settings, malformed_limits_are_refused)
 {
