--- a/src/mapcheck.c
+++ b/src/mapcheck.c
@@ -241,9 +241,6 @@
 	const struct routemap *m = c->document.map;
 	g_autoptr(GHashTable) uses = g_hash_table_new_full(g_str_hash, g_str_equal, NULL, g_free);
 
-	if (m->version > G_MAXINT64)
-		finding_add(c, MAPCHECK_VERSION_NEGATIVE, g_strdup("version"),
-			    "daemons read it as %" G_GUINT64_FORMAT, m->version);
 	for (guint i = 0; i < m->routes->len; i++)
 		route_check(c, i, uses);
 	services_check(c, uses);
--- a/src/mapcheck.h
+++ b/src/mapcheck.h
@@ -32,10 +32,6 @@
 	  "an object has a member twice and daemons use the last one; only the first such member " \
 	  "is named",                                                                              \
 	  "warning member_repeated line 3: duplicate object key near '\"version\"'")               \
-	X(VERSION_NEGATIVE, "version_negative", WARNING,                                           \
-	  "daemons read a negative version as one above all others and keep it until they "        \
-	  "restart",                                                                               \
-	  "warning version_negative version: daemons read it as 18446744073709551615")             \
 	X(ROUTE_HIDDEN, "route_hidden", WARNING,                                                   \
 	  "another route of the same host and prefix comes first and gets all requests",           \
 	  "warning route_hidden routes[1] b: routes[0] a has the same host and prefix")            \
--- a/src/rank.h
+++ b/src/rank.h
@@ -8,8 +8,8 @@
  * higher rank that was requested lately would still be in time.
  *
  * The expectation is corrected by what this VM observes while the higher rank is short of room: the
- * time within which its calls must be expected is shortened after its requests were refused or late,
- * and a lower rank is refused as long as it is served in time more often. A group is a set of
+ * time within which its calls must be expected is shortened after its requests were refused or
+ * late, and a lower rank is refused as long as it is served in time more often. A group is a set of
  * services that requests use together, such as the shards of a search.
  *
  * Rank 0 is served first. Rates and counts fade over about two seconds. Times are in microseconds;
