Split what operators see of the gateway from its work

Change: gatewaymetrics.c renders metrics and status; the struct stands in a private header, as for jobs. Private headers are no longer installed.

--- a/Makefile
+++ b/Makefile
@@ -18,7 +18,7 @@
 
 # Files that use sockets or clocks. All other files of src/ are part of libapricot.
 TASKS = kernel message request log peer rpc clock http front searcher commander holder leafgroup leafpool marks configurer membership stopper settings \
-	stream httpserver httpconn upstream job jobcall jobanswer gateway feed relay directory reload loadmeter
+	stream httpserver httpconn upstream job jobcall jobanswer gateway gatewaymetrics feed relay directory reload loadmeter
 MAINS = main ctl
 
 ALL_SRCS = $(wildcard src/*.c)
@@ -122,7 +122,7 @@
 	install -d $(PREFIX)/bin $(PREFIX)/lib $(PREFIX)/include/apricot $(PREFIX)/share/man/man1
 	install $B/apricotd $B/apricotctl $(PREFIX)/bin
 	install -m 644 $B/libapricot.a $(PREFIX)/lib
-	install -m 644 $(filter-out $(TASKS:%=src/%.h) src/procedure.h,$(wildcard src/*.h)) $(PREFIX)/include/apricot
+	install -m 644 $(filter-out $(TASKS:%=src/%.h) src/procedure.h src/jobstate.h src/gatewaystate.h,$(wildcard src/*.h)) $(PREFIX)/include/apricot
 	install -m 644 docs/apricot.1 $(PREFIX)/share/man/man1
 
 clean:
