Prefer requests that can be in time to late repeats in an overload

Change: while requests are refused, a repeat that would be late is admitted only within 0.3 of the useful time, new ones within 0.6 as before.

--- a/src/backlog.c
+++ b/src/backlog.c
@@ -4,6 +4,8 @@
 #define OVERLOAD_US 500000
 /* Share of the useful time that counts while they are overloaded. */
 #define OVERLOAD_USEFUL_SHARE 0.6
+/* The same for requests that would be late. New ones keep the leaves at the share above. */
+#define OVERLOAD_LATE_SHARE 0.3
 
 uint64_t backlog_answer_us(const struct backlog *b)
 {
@@ -26,6 +28,16 @@
 	return (uint64_t)(OVERLOAD_USEFUL_SHARE * (double)useful_us);
 }
 
+uint64_t backlog_repeat_useful_us(const struct backlog_gate *g, uint64_t useful_us,
+				  uint64_t left_us, uint64_t now_us)
+{
+	uint64_t late_us = (uint64_t)(OVERLOAD_LATE_SHARE * (double)useful_us);
+
+	if (!backlog_is_overloaded(g, now_us))
+		return useful_us;
+	return MAX(late_us, MIN(left_us, backlog_useful_us(g, useful_us, now_us)));
+}
+
 bool backlog_admit(struct backlog_gate *g, unsigned int n_in_time, unsigned int n_shards,
 		   double min_share, uint64_t now_us)
 {
--- a/src/backlog.h
+++ b/src/backlog.h
@@ -45,6 +45,14 @@
  */
 uint64_t backlog_useful_us(const struct backlog_gate *g, uint64_t useful_us, uint64_t now_us);
 
+/*
+ * The same for a caller that comes back after a refusal, whose answer is in time only within
+ * left_us from now on. While requests are refused, one that would be late anyway is accepted only
+ * where others leave room, since it would take the place of one that can be in time.
+ */
+uint64_t backlog_repeat_useful_us(const struct backlog_gate *g, uint64_t useful_us,
+				  uint64_t left_us, uint64_t now_us);
+
 /*
  * True when the request is to be accepted, otherwise it is noted as refused. n_in_time: shards
  * whose leaf is expected to answer in time. n_shards includes those without a leaf.
--- a/src/job.c
+++ b/src/job.c
@@ -254,11 +254,7 @@
 	return false;
 }
 
-/*
- * True when enough leaves are expected to answer while the answer is useful. A caller that comes
- * back after its goal has passed gets no more time than others: the leaves' queues would grow until
- * everybody is late.
- */
+/* True when enough leaves are expected to answer while the answer is useful. */
 static bool is_admitted(struct job *j)
 {
 	uint64_t useful_us = j->answer_useful_us;
@@ -268,7 +264,11 @@
 		return is_rank_admitted(j);
 	if (!job_is_sharded(j))
 		return true;
-	useful_us = backlog_useful_us(&j->env->gate, useful_us, j->read_us);
+	if (j->is_repeat && j->route->goal_ms)
+		useful_us = backlog_repeat_useful_us(&j->env->gate, useful_us, j->useful_us,
+						     j->read_us);
+	else
+		useful_us = backlog_useful_us(&j->env->gate, useful_us, j->read_us);
 	for (unsigned int i = 0; i < j->n_shards; i++) {
 		const struct leaf *leaf = j->shards[i].first_leaf;
 		struct backlog b;
--- a/tests/backlog_test.cc
+++ b/tests/backlog_test.cc
@@ -34,6 +34,12 @@
 				       backlog_useful_us(&gate, std::stoull(w[1]) * 1000, now_us) /
 				       1000) +
 			       " ms\n";
+		if (w[0] == "repeat") /* repeat useful MS left MS */
+			return std::to_string(
+				       backlog_repeat_useful_us(&gate, std::stoull(w[2]) * 1000,
+								std::stoull(w[4]) * 1000, now_us) /
+				       1000) +
+			       " ms\n";
 		if (w[0] == "hedge") { /* hedge sent N waiting N window N */
 			struct backlog b = {(unsigned int)std::stoul(w[2]),
 					    (unsigned int)std::stoul(w[4]),
