Compare ranks over the last two seconds

Cause: in_time shares came from counts that fade to 1/e in 1 s, while the deployment compares ranks in windows of 2 s. Change: first attempts are counted in slots of 0.1 s over 2 s, and a lower rank is refused if it would be ahead with this request.

--- a/src/rank.c
+++ b/src/rank.c
@@ -4,12 +4,15 @@
 
 /* Time in which rates and counts fade to 1/e: about nine tenths are gone after 2 s. */
 #define FADE_US 1000000.0
+/* Slots of a record, the present one included. */
+#define RECORD_SLOT_US 100000
+#define RECORD_SLOTS 21
 /* A rank with less than this many requests left in its fading count was not requested lately. */
 #define RECENT_MIN 0.1
 /*
  * Part of a higher rank's useful time within which its calls must be expected: the whole of it
- * while the rank is not short of room. The expectation is a mean, and a request that needs most of
- * its shards waits for the slow ones, so the part shrinks while the rank is refused.
+ * while the rank is not short of room. The expectation is a mean, so the part shrinks while the
+ * rank is refused.
  */
 #define RESERVED_SHARE_MAX 1.0
 #define RESERVED_SHARE_MIN 0.05
@@ -52,13 +55,22 @@
 
 /* Fading counts of requests. */
 struct rank_counts {
-	double asked; /* first attempts */
-	double missed; /* of these, refused or late */
 	double admitted;
 	double refused;
 	uint64_t at_us; /* when they were last faded */
 };
 
+/*
+ * First attempts of the last two seconds, the time in which the deployments compare ranks. With
+ * fading counts a lower rank whose requests were all served until a burst began was ahead in the
+ * windows that hold the beginning.
+ */
+struct rank_record {
+	unsigned int asked[RECORD_SLOTS];
+	unsigned int missed[RECORD_SLOTS]; /* of these, refused or late */
+	uint64_t slot; /* of the last call: time divided by RECORD_SLOT_US */
+};
+
 struct route_use {
 	struct rank_route route;
 	struct rank_counts counts;
@@ -68,10 +80,10 @@
 struct rank_use {
 	struct backlog_gate gate;
 	struct rank_counts counts;
+	struct rank_record record;
 	/* Admitted repeats that have not ended; the refusals before them count as missed so far. */
 	unsigned int n_repeats_open;
-	uint64_t pressed_at_us; /* when its leaves were last found to have calls of this VM waiting
-				 */
+	uint64_t pressed_at_us; /* when its leaves were last found to be full */
 	uint64_t target_us; /* shortest of its routes lately; 0: never asked for */
 	uint64_t target_set_us;
 	double min_share; /* of that route */
@@ -181,48 +193,82 @@
 {
 	double factor = fade_factor(c, now_us);
 
-	c->asked *= factor;
-	c->missed *= factor;
 	c->admitted *= factor;
 	c->refused *= factor;
 	c->at_us = MAX(c->at_us, now_us);
 }
 
-static void counts_admitted(struct rank_counts *c, bool is_repeat)
+static void record_advance(struct rank_record *r, uint64_t now_us)
+{
+	uint64_t slot = now_us / RECORD_SLOT_US;
+	uint64_t n_passed = slot > r->slot ? slot - r->slot : 0;
+
+	for (uint64_t i = 1; i <= MIN(n_passed, RECORD_SLOTS); i++) {
+		r->asked[(r->slot + i) % RECORD_SLOTS] = 0;
+		r->missed[(r->slot + i) % RECORD_SLOTS] = 0;
+	}
+	r->slot = MAX(r->slot, slot);
+}
+
+/* The slot of a time, or the oldest one if it is older than the record. */
+static unsigned int record_slot_at(const struct rank_record *r, uint64_t at_us)
 {
-	c->admitted++;
-	if (!is_repeat)
-		c->asked++;
+	uint64_t oldest = r->slot - MIN(r->slot, RECORD_SLOTS - 1);
+
+	return (unsigned int)(CLAMP(at_us / RECORD_SLOT_US, oldest, r->slot) % RECORD_SLOTS);
 }
 
-static void counts_refused(struct rank_counts *c, bool is_repeat)
+/* A request that was counted as missed has been served after all. */
+static void record_missed_take(struct rank_record *r)
 {
-	c->refused++;
-	if (is_repeat)
+	for (unsigned int i = 0; i < RECORD_SLOTS; i++) {
+		unsigned int *missed = &r->missed[(r->slot + RECORD_SLOTS - i) % RECORD_SLOTS];
+
+		if (*missed == 0)
+			continue;
+		(*missed)--;
 		return;
-	c->asked++;
-	c->missed++;
+	}
+}
+
+static unsigned int slots_sum(const unsigned int *slots)
+{
+	unsigned int sum = 0;
+
+	for (unsigned int i = 0; i < RECORD_SLOTS; i++)
+		sum += slots[i];
+	return sum;
 }
 
 static bool is_recent(const struct rank_use *use)
 {
-	return use->counts.asked + use->counts.admitted + use->counts.refused >= RECENT_MIN;
+	return use->counts.admitted + use->counts.refused >= RECENT_MIN;
 }
 
-static double missed_share(const struct rank_counts *c)
+static double missed_share(const struct rank_record *r)
 {
-	return c->asked > 0 ? MIN(1, c->missed / c->asked) : 0;
+	unsigned int asked = slots_sum(r->asked);
+
+	return asked > 0 ? MIN(1, (double)slots_sum(r->missed) / asked) : 0;
 }
 
 /*
- * The same for the rank that is to give way. Its open repeats count as served: their callers may be
- * served more often than the counts tell.
+ * The same for the rank that is to give way, if a further request of it is served. Its open repeats
+ * count as served: their callers may be served more often than the record tells.
  */
-static double own_missed_share(const struct rank_use *use)
+static double own_missed_share(const struct rank_use *use, bool is_repeat)
 {
-	double missed = MAX(0, use->counts.missed - use->n_repeats_open);
+	unsigned int asked = slots_sum(use->record.asked) + !is_repeat;
+	unsigned int missed = slots_sum(use->record.missed);
 
-	return use->counts.asked > 0 ? MIN(1, missed / use->counts.asked) : 0;
+	missed -= MIN(missed, use->n_repeats_open + is_repeat);
+	return asked > 0 ? MIN(1, (double)missed / asked) : 0;
+}
+
+static void use_advance(struct rank_use *use, uint64_t now_us)
+{
+	counts_fade(&use->counts, now_us);
+	record_advance(&use->record, now_us);
 }
 
 /* True if the rank is refused, or its leaves have no room, or were so until just now. */
@@ -282,10 +328,11 @@
 }
 
 /* True if the request is expected in time. Otherwise *shard is the first one that is not. */
-static bool is_in_time(const struct rank_request *request, struct rank_use *use,
+static bool is_in_time(const struct rank_group *g, const struct rank_request *request,
 		       unsigned int *shard, uint64_t now_us)
 {
-	uint64_t useful_us = backlog_useful_us(&use->gate, request->useful_us, now_us);
+	uint64_t useful_us =
+		backlog_useful_us(&g->uses[request->rank].gate, request->useful_us, now_us);
 	unsigned int n_in_time = 0;
 
 	for (unsigned int i = 0; i < request->n_shards; i++) {
@@ -354,15 +401,17 @@
 }
 
 /* True if the rank gets so little that the request is admitted although a higher rank needs it. */
-static bool is_below_floor(const struct rank_group *g, unsigned int rank, unsigned int higher)
+static bool is_below_floor(const struct rank_group *g, const struct rank_request *request,
+			   unsigned int higher)
 {
-	const struct rank_use *own = &g->uses[rank];
+	const struct rank_use *own = &g->uses[request->rank];
 	double admitted = 0;
 
 	for (unsigned int i = 0; i < RANK_COUNT; i++)
 		admitted += g->uses[i].counts.admitted;
 	return own->counts.admitted < FLOOR_SHARE * admitted &&
-	       own_missed_share(own) > MIN(missed_share(&g->uses[higher].counts), 1 - SERVED_MIN);
+	       own_missed_share(own, request->is_repeat) >
+		       MIN(missed_share(&g->uses[higher].record), 1 - SERVED_MIN);
 }
 
 /*
@@ -370,13 +419,14 @@
  * be. Lateness alone is no sign: a short target is missed by pauses of leaves as well, and refusing
  * others would not mend that.
  */
-static bool is_behind(const struct rank_use *higher, const struct rank_use *lower, uint64_t now_us)
+static bool is_behind(const struct rank_use *higher, const struct rank_use *lower, bool is_repeat,
+		      uint64_t now_us)
 {
-	double missed = missed_share(&higher->counts);
+	double missed = missed_share(&higher->record);
 	double allowed = MIN(missed + LAG_MIN, 1 - SERVED_MIN);
 
 	return is_pressed(higher, now_us) && missed > MISSED_IGNORED &&
-	       allowed > own_missed_share(lower);
+	       allowed > own_missed_share(lower, is_repeat);
 }
 
 static struct rank_answer ranks_above_check(struct rank_group *g,
@@ -387,14 +437,14 @@
 	unsigned int shard;
 
 	for (unsigned int h = 0; h < request->rank; h++) {
-		counts_fade(&g->uses[h].counts, now_us);
+		use_advance(&g->uses[h], now_us);
 		if (!is_recent(&g->uses[h]))
 			continue;
-		if (is_behind(&g->uses[h], own, now_us))
+		if (is_behind(&g->uses[h], own, request->is_repeat, now_us))
 			return (struct rank_answer){RANK_BEHIND, h, 0};
 		if (leaves_room(g, request, h, &shard, now_us))
 			continue;
-		if (!is_below_floor(g, request->rank, h))
+		if (!is_below_floor(g, request, h))
 			return (struct rank_answer){RANK_RESERVED, h, shard};
 		answer.verdict = RANK_FLOOR;
 	}
@@ -467,7 +517,7 @@
 	struct rank_use *use = &g->uses[request->rank];
 	unsigned int shard = request->n_shards;
 
-	if (!request->is_single && !is_in_time(request, use, &shard, now_us))
+	if (!request->is_single && !is_in_time(g, request, &shard, now_us))
 		return (struct rank_answer){RANK_BACKLOG, holder_find(g),
 					    shard % request->n_shards};
 	if (backlog_is_overloaded(&use->gate, now_us) &&
@@ -494,23 +544,30 @@
 	struct rank_counts *route_counts = &route_use_of(route)->counts;
 	struct rank_answer answer;
 
-	counts_fade(&use->counts, now_us);
+	use_advance(use, now_us);
 	counts_fade(route_counts, now_us);
 	target_note(use, request, now_us);
 	pressure_note(use, request, now_us);
 	answer = verdict_find(g, route, request, now_us);
 	use->verdicts[answer.verdict]++;
 	if (answer.verdict == RANK_ADMITTED || answer.verdict == RANK_FLOOR) {
-		counts_admitted(&use->counts, request->is_repeat);
-		counts_admitted(route_counts, request->is_repeat);
+		use->counts.admitted++;
+		route_counts->admitted++;
+		use->record.asked[record_slot_at(&use->record, now_us)] += !request->is_repeat;
 		route->n_admitted++;
 		use->n_repeats_open += request->is_repeat;
 		return answer;
 	}
 	if (answer.verdict == RANK_BACKLOG)
 		reserved_shorten(use, now_us);
-	counts_refused(&use->counts, request->is_repeat);
-	counts_refused(route_counts, request->is_repeat);
+	use->counts.refused++;
+	route_counts->refused++;
+	if (!request->is_repeat) {
+		unsigned int slot = record_slot_at(&use->record, now_us);
+
+		use->record.asked[slot]++;
+		use->record.missed[slot]++;
+	}
 	route->n_refused++;
 	backlog_refused(&use->gate, now_us);
 	use->refusal = answer.verdict;
@@ -523,7 +580,7 @@
 {
 	struct rank_use *use = &g->uses[route->rank];
 
-	counts_fade(&use->counts, now_us);
+	use_advance(use, now_us);
 	if (end->is_repeat && use->n_repeats_open > 0)
 		use->n_repeats_open--;
 	if (!end->is_in_time) {
@@ -532,9 +589,10 @@
 	}
 	/* A repeat was counted as missed when its first attempt was refused. */
 	if (end->is_repeat && end->is_in_time)
-		use->counts.missed = MAX(0, use->counts.missed - 1);
+		record_missed_take(&use->record);
 	else if (!end->is_repeat && !end->is_in_time)
-		use->counts.missed++;
+		use->record
+			.missed[record_slot_at(&use->record, now_us - MIN(now_us, end->took_us))]++;
 	/* While its leaves have room, pauses make the rank late, not other ranks. */
 	if (is_pressed(use, now_us) &&
 	    (double)end->took_us > NEARLY_LATE_SHARE * (double)end->useful_us)
@@ -572,13 +630,15 @@
 static struct rank_state state_of(const struct rank_group *g, unsigned int rank, uint64_t now_us)
 {
 	const struct rank_use *use = &g->uses[rank];
-	double asked = use->counts.asked * fade_factor(&use->counts, now_us);
+	bool is_asked =
+		(use->counts.admitted + use->counts.refused) * fade_factor(&use->counts, now_us) >=
+		RECENT_MIN;
 	struct rank_state state = {
 		.service = g->service,
 		.rank = rank,
-		.asked_per_s = asked * 1e6 / FADE_US,
-		.in_time_share = 1 - missed_share(&use->counts),
-		.reserved_share = asked >= RECENT_MIN ? use->reserved_share : 0,
+		.asked_per_s = slots_sum(use->record.asked) * 1e6 / RECORD_SLOTS / RECORD_SLOT_US,
+		.in_time_share = 1 - missed_share(&use->record),
+		.reserved_share = is_asked ? use->reserved_share : 0,
 		.n_late = use->n_late,
 		.refusal = use->refusal,
 		.holder = use->holder,
@@ -607,7 +667,7 @@
 }
 
 /* True if the rank begins or ceases to be short of room. */
-static bool use_advance(struct rank_use *use, uint64_t now_us)
+static bool shortage_advance(struct rank_use *use, uint64_t now_us)
 {
 	bool is_short = use->gate.n_refused > 0 && now_us - use->gate.refused_at_us < SHORT_HOLD_US;
 
@@ -628,7 +688,7 @@
 		for (unsigned int rank = 0; rank < RANK_COUNT; rank++) {
 			struct rank_state state;
 
-			if (!use_advance(&g->uses[rank], now_us))
+			if (!shortage_advance(&g->uses[rank], now_us))
 				continue;
 			state = state_of(g, rank, now_us);
 			changed(&state, arg);
