Refuse lower ranks before a higher one

Cause: after a refusal of a higher rank, its own requests had to be expected within 0.6 of their useful time while lower ranks were admitted up to 0.75 of it, so that the next ones were refused in rows of three. Change: a lower rank is admitted only within a part of the time that then counts for the higher one. The higher rank's time is not shortened while lower ranks have capacity to give up. For requests that need all of their shards 0.8 of it counts.

--- a/src/rank.c
+++ b/src/rank.c
@@ -15,6 +15,8 @@
  * rank is refused.
  */
 #define RESERVED_SHARE_MAX 1.0
+/* Of that, the part for requests that need all of their shards: the slowest answer decides. */
+#define RESERVED_SHARE_ALL_SHARDS 0.8
 #define RESERVED_SHARE_MIN 0.05
 /* Factor after a refused or late request of the rank, at most once in DECREASE_EVERY_US. */
 #define RESERVED_DECREASE 0.75
@@ -307,6 +309,12 @@
 	use->reserved_set_us = now_us;
 }
 
+static double reserved_share_of(const struct rank_use *use, unsigned int n_shards)
+{
+	return (1 - use->min_share) * n_shards < 1 ? use->reserved_share * RESERVED_SHARE_ALL_SHARDS
+						   : use->reserved_share;
+}
+
 static void reserved_shorten(struct rank_use *use, uint64_t now_us)
 {
 	reserved_recover(use, now_us);
@@ -327,12 +335,38 @@
 	return b;
 }
 
+/* True if lower ranks have had a part of the group's capacity lately that they can give up. */
+static bool lower_ranks_hold(const struct rank_group *g, unsigned int rank)
+{
+	double lower = 0;
+	double admitted = 0;
+
+	for (unsigned int i = 0; i < RANK_COUNT; i++) {
+		admitted += g->uses[i].counts.admitted;
+		if (i > rank)
+			lower += g->uses[i].counts.admitted;
+	}
+	return lower > FLOOR_SHARE * admitted;
+}
+
+/*
+ * Time within which a leaf must be expected to answer a request of this rank. It isn't shortened
+ * after a refusal while lower ranks can give way, since they do so at once, and the next requests
+ * would be refused for calls that are about to end.
+ */
+static uint64_t own_useful_us(const struct rank_group *g, unsigned int rank, uint64_t useful_us,
+			      uint64_t now_us)
+{
+	return lower_ranks_hold(g, rank)
+		       ? useful_us
+		       : backlog_useful_us(&g->uses[rank].gate, useful_us, now_us);
+}
+
 /* True if the request is expected in time. Otherwise *shard is the first one that is not. */
 static bool is_in_time(const struct rank_group *g, const struct rank_request *request,
 		       unsigned int *shard, uint64_t now_us)
 {
-	uint64_t useful_us =
-		backlog_useful_us(&g->uses[request->rank].gate, request->useful_us, now_us);
+	uint64_t useful_us = own_useful_us(g, request->rank, request->useful_us, now_us);
 	unsigned int n_in_time = 0;
 
 	for (unsigned int i = 0; i < request->n_shards; i++) {
@@ -376,7 +410,8 @@
 
 	*short_shard = request->n_shards;
 	reserved_recover(use, now_us);
-	within_us = use->reserved_share * (double)use->target_us;
+	within_us = reserved_share_of(use, request->n_shards) *
+		    (double)backlog_useful_us(&use->gate, use->target_us, now_us);
 	for (unsigned int i = 0; i < request->n_shards; i++) {
 		const struct rank_shard *shard = &request->shards[i];
 		struct backlog b = backlog_of(shard, higher);
