Check the lines of heads strictly

Cause: http_parser takes a bare line feed or control bytes in a head, and fields folded in an answer, where other parsers end the line elsewhere. It also takes HTTP/0.9, HTTP/2.0 and doubled blanks in the first line. Change: src/httpwire.c checks each byte of a head against RFC 9112 before the parser gets it, for requests and for answers of leaves. The blank lines that may precede a request are CRLF or LF.

--- a/src/httpmsg.c
+++ b/src/httpmsg.c
@@ -1,5 +1,7 @@
 #include "httpmsg.h"
 
+#include "httpwire.h"
+
 #include <http_parser.h>
 #include <string.h>
 
@@ -22,6 +24,7 @@
 
 struct http_reader {
 	http_parser parser;
+	struct http_wire wire; /* checks the bytes before the parser gets them */
 	enum http_message_type type;
 	struct http_limits limits;
 	GString *text; /* the target, then names and values of the fields, each ended by NUL */
@@ -36,12 +39,8 @@
 	bool has_head; /* the whole head was read */
 	bool has_begun; /* a byte of the message was read */
 	bool has_large_body; /* body's memory is or was of a large one */
-	bool has_text; /* a byte of the first line was read; blank lines may precede it */
 	bool keeps_alive;
 	bool in_value; /* the last field's value was read in part or whole */
-	bool at_line_start; /* the last byte of the head so far was a line feed */
-	bool has_line; /* the first line is complete */
-	bool in_blank_line; /* the last byte was a carriage return right after a line feed */
 };
 
 /* For a callback to return: http_parser stops, and the reader reports this progress. */
@@ -65,9 +64,6 @@
 
 	if (r->has_head)
 		return 0; /* trailers of a chunked body are dropped */
-	/* Parsers differ on whether a blank before the colon belongs to the name. */
-	if (memchr(at, ' ', n) || memchr(at, '\t', n))
-		return stop_with(r, HTTP_MALFORMED);
 	if (r->in_value || r->n_fields == 0) {
 		if (r->n_fields == FIELDS_MAX)
 			return stop_with(r, HTTP_HEAD_TOO_LARGE);
@@ -87,8 +83,6 @@
 
 	if (r->has_head)
 		return 0;
-	if (memchr(at, '\0', n))
-		return stop_with(r, HTTP_MALFORMED);
 	if (!r->in_value) {
 		g_string_append_c(r->text, '\0');
 		r->fields[r->n_fields - 1].value = (uint32_t)r->text->len;
@@ -163,6 +157,7 @@
 		r->n_fields = 0;
 		r->in_value = false;
 		r->has_head = false;
+		http_wire_init(&r->wire, false);
 		return 0;
 	}
 	r->progress = HTTP_COMPLETE;
@@ -206,6 +201,7 @@
 	http_parser_init(&r->parser,
 			 r->type == HTTP_MESSAGE_REQUEST ? HTTP_REQUEST : HTTP_RESPONSE);
 	r->parser.data = r;
+	http_wire_init(&r->wire, r->type == HTTP_MESSAGE_REQUEST);
 	g_string_truncate(r->text, 0);
 	g_byte_array_set_size(r->body, 0);
 	r->n_fields = 0;
@@ -216,12 +212,8 @@
 	r->has_head = false;
 	r->has_begun = false;
 	r->length = 0;
-	r->has_text = false;
 	r->keeps_alive = false;
 	r->in_value = false;
-	r->at_line_start = false;
-	r->has_line = false;
-	r->in_blank_line = false;
 }
 
 void http_reader_body_release(struct http_reader *r)
@@ -239,62 +231,45 @@
 }
 
 /*
- * Counts the bytes of a request's head and refuses folded fields, which parsers unfold in different
- * ways. Returns the number of bytes up to and including the end of the head, at most n.
+ * Checks the next part of the message: its head, or what follows it. Returns how many bytes the
+ * parser may read.
  */
-static size_t head_check(struct http_reader *r, const char *data, size_t n)
-{
-	for (size_t i = 0; i < n; i++) {
-		char c = data[i];
-
-		r->head_bytes++;
-		if (r->at_line_start && r->has_line && (c == ' ' || c == '\t')) {
-			r->progress = HTTP_MALFORMED;
-			return i;
-		}
-		if (c == '\n') {
-			if (r->has_line && (r->at_line_start || r->in_blank_line))
-				return i + 1;
-			r->has_line = r->has_line || r->has_text;
-			r->at_line_start = true;
-			r->in_blank_line = false;
-		} else if (c == '\r') {
-			r->in_blank_line = r->at_line_start;
-			r->at_line_start = false;
-		} else {
-			r->has_text = true;
-			r->at_line_start = false;
-			r->in_blank_line = false;
-		}
+static size_t part_check(struct http_reader *r, const char *data, size_t n)
+{
+	size_t checked = n;
+
+	if (!r->has_head) {
+		checked = http_wire_check(&r->wire, data, n);
+		r->head_bytes += checked;
 	}
-	return n;
+	if (r->wire.state == HTTP_WIRE_MALFORMED)
+		r->progress = HTTP_MALFORMED;
+	else if (r->type == HTTP_MESSAGE_REQUEST && r->head_bytes > r->limits.head_bytes)
+		r->progress = HTTP_HEAD_TOO_LARGE;
+	return r->progress == HTTP_INCOMPLETE ? checked : 0;
 }
 
-enum http_progress http_reader_feed(struct http_reader *r, const char *data, size_t n, size_t *used)
+static void part_parse(struct http_reader *r, const char *data, size_t n, size_t *used)
 {
-	size_t read;
-
-	*used = 0;
-	if (r->progress != HTTP_INCOMPLETE)
-		return r->progress;
-	if (n == 0)
-		return HTTP_INCOMPLETE;
-	if (!r->has_head && r->type == HTTP_MESSAGE_REQUEST) {
-		head_check(r, data, n);
-		if (r->progress == HTTP_INCOMPLETE && r->head_bytes > r->limits.head_bytes)
-			r->progress = HTTP_HEAD_TOO_LARGE;
-		if (r->progress != HTTP_INCOMPLETE)
-			return r->progress;
-	}
-	r->has_begun = true;
-	read = http_parser_execute(&r->parser, &callbacks, data, n);
-	*used = read;
-	if (r->progress == HTTP_COMPLETE)
-		return HTTP_COMPLETE;
+	*used = http_parser_execute(&r->parser, &callbacks, data, n);
 	if (r->progress == HTTP_INCOMPLETE && HTTP_PARSER_ERRNO(&r->parser) != HPE_OK)
 		r->progress = HTTP_PARSER_ERRNO(&r->parser) == HPE_HEADER_OVERFLOW
 				      ? HTTP_HEAD_TOO_LARGE
 				      : HTTP_MALFORMED;
+}
+
+enum http_progress http_reader_feed(struct http_reader *r, const char *data, size_t n, size_t *used)
+{
+	*used = 0;
+	while (r->progress == HTTP_INCOMPLETE && *used < n) {
+		size_t checked = part_check(r, data + *used, n - *used);
+		size_t read = 0;
+
+		r->has_begun = true;
+		if (r->progress == HTTP_INCOMPLETE)
+			part_parse(r, data + *used, checked, &read);
+		*used += read;
+	}
 	return r->progress;
 }
 
--- a/tests/httpmsg_test.cc
+++ b/tests/httpmsg_test.cc
@@ -208,3 +208,102 @@
 		http_reader_destroy(r);
 	}
 }
+
+namespace
+{
+/* The field lines in a message of either type; it has a body of 2 bytes. */
+std::vector<std::pair<enum http_message_type, std::string>> fields_make(const std::string &lines)
+{
+	return {{HTTP_MESSAGE_REQUEST, "POST /a HTTP/1.1\r\nHost: h\r\n" + lines + "\r\nok"},
+		{HTTP_MESSAGE_ANSWER, "HTTP/1.1 200 OK\r\n" + lines + "\r\nok"}};
+}
+
+/* Expects the same result for every place at which the text can be split in two. */
+void result_expect(enum http_message_type type, const std::string &text, enum http_progress wanted)
+{
+	for (size_t split = 0; split < text.size(); split++) {
+		struct http_reader *r = http_reader_create(type, &limits);
+		size_t used;
+		enum http_progress progress = http_reader_feed(r, text.data(), split, &used);
+
+		if (progress == HTTP_INCOMPLETE)
+			progress = http_reader_feed(r, text.data() + split, text.size() - split,
+						    &used);
+		if (progress == HTTP_INCOMPLETE)
+			progress = http_reader_end(r);
+		EXPECT_EQ(progress, wanted) << "split at " << split << " of: " << text;
+		http_reader_destroy(r);
+		if (progress != wanted)
+			return;
+	}
+}
+} // namespace
+
+/* Guards against field lines that two parsers divide differently. */
+TEST(httpmsg, field_lines)
+{
+	for (const char *text :
+	     {"Content-Length: 2\r\n", "Content-Length:2\r\nX-A:\r\nX-B: \xc3\xa4\tb \r\n"})
+		for (const auto &m : fields_make(text))
+			result_expect(m.first, m.second, HTTP_COMPLETE);
+	for (const char *text :
+	     {"Content-Length : 2\r\n", "Content-Length\t: 2\r\n",
+	      "Content-Length: 2\r\n X-A: b\r\n", "Content-Length: 2\r\n\tX-A: b\r\n",
+	      "X-A: b\r\n c\r\nContent-Length: 2\r\n", "Content-Length: 2\nX-A: b\r\n",
+	      "X-A: b\nContent-Length: 2\r\n", "X-A: b\rContent-Length: 2\r\n",
+	      "X-A: b\r\rContent-Length: 2\r\n", "X-A\r\nContent-Length: 2\r\n",
+	      ": b\r\nContent-Length: 2\r\n", "X A: b\r\nContent-Length: 2\r\n",
+	      "X(A: b\r\nContent-Length: 2\r\n", "X\xc3: b\r\nContent-Length: 2\r\n",
+	      "X-A: b\x01\r\nContent-Length: 2\r\n", "X-A: b\x7f\r\nContent-Length: 2\r\n",
+	      "Content-Length: 2\r\n\n"})
+		for (const auto &m : fields_make(text))
+			result_expect(m.first, m.second, HTTP_MALFORMED);
+}
+
+/* Guards against a body whose length two parsers understand differently. */
+TEST(httpmsg, lengths)
+{
+	for (const char *text : {"content-length: 02\r\n"})
+		for (const auto &m : fields_make(text))
+			result_expect(m.first, m.second, HTTP_COMPLETE);
+	for (const char *text :
+	     {"Content-Length: 2\r\nContent-Length: 2\r\n", "Content-Length: 2, 2\r\n",
+	      "Content-Length: +2\r\n", "Content-Length: -2\r\n", "Content-Length: 0x2\r\n",
+	      "Content-Length: 2 2\r\n", "Content-Length: 2;a\r\n", "Content-Length:\r\n",
+	      "Content-Length: \r\nX-A: b\r\n", "Content-Length: 18446744073709551618\r\n",
+	      "Content-Length: 2\r\nTransfer-Encoding: chunked\r\n",
+	      "Transfer-Encoding: chunked\r\nContent-Length: 2\r\n",
+	      "Content-Length: 2\r\nTransfer-Encoding: identity\r\n",
+	      "Content-Length: 2\r\nTransfer-Encoding:\r\n",
+	      "Transfer-Encoding:\r\nContent-Length: 2\r\n"})
+		for (const auto &m : fields_make(text))
+			result_expect(m.first, m.second, HTTP_MALFORMED);
+}
+
+/* Guards against first lines, and hosts, that two parsers divide differently. */
+TEST(httpmsg, first_lines)
+{
+	const std::string end = "Host: h\r\nContent-Length: 0\r\n\r\n";
+
+	for (const char *line : {"GET /a HTTP/1.1\r\n", "GET /a?b=c HTTP/1.0\r\n",
+				 "\r\nGET * HTTP/1.1\r\n", "GET http://h/a HTTP/1.1\r\n"})
+		result_expect(HTTP_MESSAGE_REQUEST, line + end, HTTP_COMPLETE);
+	for (const char *line :
+	     {"GET /a\r\n", "GET /a HTTP/1.1\n", "GET  /a HTTP/1.1\r\n", "GET /a  HTTP/1.1\r\n",
+	      "GET /a HTTP/1.1 \r\n", "GET /a b HTTP/1.1\r\n", "GET\t/a HTTP/1.1\r\n",
+	      "GET /a\tHTTP/1.1\r\n", "GET /a\x01 HTTP/1.1\r\n", "GET /a HTTP/1.1\rX",
+	      "GET /a HTTP/2.0\r\n", "GET /a HTTP/0.9\r\n", "GET /a HTTP/01.1\r\n",
+	      "GET /a HTTP/1.01\r\n", "GET /a http/1.1\r\n", "SOURCE /a ICE/1.1\r\n",
+	      "GET /a\fHTTP/1.1\r\n", " GET /a HTTP/1.1\r\n", "\rGET /a HTTP/1.1\r\n"})
+		result_expect(HTTP_MESSAGE_REQUEST, line + end, HTTP_MALFORMED);
+	for (const char *line : {"HTTP/1.1 200 OK\r\n", "HTTP/1.1 200 \r\n", "HTTP/1.1 200\r\n",
+				 "HTTP/1.0 200 Not \xc3\xa4\r\n"})
+		result_expect(HTTP_MESSAGE_ANSWER, line + end, HTTP_COMPLETE);
+	for (const char *line :
+	     {"HTTP/1.1 200 OK\n", "HTTP/1.1  200 OK\r\n", "HTTP/1.1 20 OK\r\n",
+	      "HTTP/1.1 2000 OK\r\n", "HTTP/1.1 099 OK\r\n", "HTTP/1.1 000 OK\r\n",
+	      "HTTP/1.1 +20 OK\r\n", "HTTP/1.1\r\n", "HTTP/2.0 200 OK\r\n", "HTTP/1.1 200OK\r\n",
+	      "HTTP/1.1 200 OK\rX: y\r\n", "HTTP/1.1 200 O\x01K\r\n", " HTTP/1.1 200 OK\r\n",
+	      "\r\nHTTP/1.1 200 OK\r\n", "HTTP/1.1 200\tOK\r\n"})
+		result_expect(HTTP_MESSAGE_ANSWER, line + end, HTTP_MALFORMED);
+}
