Refuse several hosts, and codings other than chunked

Cause: a request with two Host fields was accepted, and answers of leaves with any list of transfer codings: parsers differ on which one counts. Chunks in HTTP/1.0 were read as chunks, which a parser of HTTP/1.0 does not do. Change: the head of a message may name one host and the single coding "chunked", and the coding only in HTTP/1.1.

--- a/src/httpmsg.c
+++ b/src/httpmsg.c
@@ -105,6 +105,53 @@
 	r->has_large_body = true;
 }
 
+/* True for "chunked" with blanks around it. */
+static bool is_chunked_coding(const char *value)
+{
+	size_t n = strlen("chunked");
+
+	value += strspn(value, " \t");
+	return g_ascii_strncasecmp(value, "chunked", n) == 0 &&
+	       value[n + strspn(value + n, " \t")] == '\0';
+}
+
+/* The number of fields with the name; *value is the last one's. */
+static unsigned int fields_count(const struct http_reader *r, const char *name, const char **value)
+{
+	unsigned int n = 0;
+
+	for (unsigned int i = 0; i < r->n_fields; i++) {
+		struct http_field field = http_reader_field(r, i);
+
+		if (g_ascii_strcasecmp(field.name, name) == 0) {
+			*value = field.value;
+			n++;
+		}
+	}
+	return n;
+}
+
+/*
+ * False if the head names several hosts, or a coding other than "chunked" alone: what it means
+ * depends on which of the names a parser uses. HTTP/1.0 knows no codings.
+ */
+static bool is_unambiguous(const struct http_reader *r)
+{
+	const char *value;
+
+	if (r->type == HTTP_MESSAGE_REQUEST && fields_count(r, "Host", &value) > 1)
+		return false;
+	switch (fields_count(r, "Transfer-Encoding", &value)) {
+	case 0:
+		return true;
+	case 1:
+		return is_chunked_coding(value) && (r->parser.flags & F_CHUNKED) &&
+		       r->parser.http_minor > 0;
+	default:
+		return false;
+	}
+}
+
 static int on_headers_complete(http_parser *p)
 {
 	struct http_reader *r = p->data;
@@ -115,7 +162,7 @@
 	 * CONNECT, Upgrade and 101: the parser takes what follows for another protocol and does not
 	 * read the body, so its bytes would pass for the next message.
 	 */
-	if (p->upgrade)
+	if (p->upgrade || !is_unambiguous(r))
 		return stop_with(r, HTTP_MALFORMED);
 	r->keeps_alive = http_should_keep_alive(p);
 	if ((p->flags & F_CONTENTLENGTH) && !r->is_answer_to_head)
--- a/tests/httpmsg_test.cc
+++ b/tests/httpmsg_test.cc
@@ -280,6 +280,33 @@
 			result_expect(m.first, m.second, HTTP_MALFORMED);
 }
 
+/* Guards against codings that one parser takes for chunks and another one does not. */
+TEST(httpmsg, transfer_codings)
+{
+	for (const char *coding : {"chunked", "CHUNKED", "\tchunked "})
+		for (const auto &m :
+		     fields_make("Transfer-Encoding:" + std::string(coding) + "\r\n\r\n0\r\n"))
+			result_expect(m.first, m.second.substr(0, m.second.size() - 2),
+				      HTTP_COMPLETE);
+	for (const char *lines :
+	     {"identity", "gzip", "gzip, chunked", "chunked, gzip", "chunked, chunked", "xchunked",
+	      "chunked;a=b", "chunked x", "", "\"chunked\"", ", chunked", "chunked,",
+	      "chunked\r\nTransfer-Encoding: chunked", "chunked\r\nTransfer-Encoding: identity",
+	      "identity\r\nTransfer-Encoding: chunked",
+	      "\x0b"
+	      "chunked"})
+		for (const auto &m :
+		     fields_make("Transfer-Encoding: " + std::string(lines) + "\r\n\r\n0\r\n"))
+			result_expect(m.first, m.second.substr(0, m.second.size() - 2),
+				      HTTP_MALFORMED);
+	result_expect(HTTP_MESSAGE_REQUEST,
+		      "POST /a HTTP/1.0\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n",
+		      HTTP_MALFORMED);
+	result_expect(HTTP_MESSAGE_ANSWER,
+		      "HTTP/1.0 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n",
+		      HTTP_MALFORMED);
+}
+
 /* Guards against first lines, and hosts, that two parsers divide differently. */
 TEST(httpmsg, first_lines)
 {
@@ -288,13 +315,26 @@
 	for (const char *line : {"GET /a HTTP/1.1\r\n", "GET /a?b=c HTTP/1.0\r\n",
 				 "\r\nGET * HTTP/1.1\r\n", "GET http://h/a HTTP/1.1\r\n"})
 		result_expect(HTTP_MESSAGE_REQUEST, line + end, HTTP_COMPLETE);
-	for (const char *line :
-	     {"GET /a\r\n", "GET /a HTTP/1.1\n", "GET  /a HTTP/1.1\r\n", "GET /a  HTTP/1.1\r\n",
-	      "GET /a HTTP/1.1 \r\n", "GET /a b HTTP/1.1\r\n", "GET\t/a HTTP/1.1\r\n",
-	      "GET /a\tHTTP/1.1\r\n", "GET /a\x01 HTTP/1.1\r\n", "GET /a HTTP/1.1\rX",
-	      "GET /a HTTP/2.0\r\n", "GET /a HTTP/0.9\r\n", "GET /a HTTP/01.1\r\n",
-	      "GET /a HTTP/1.01\r\n", "GET /a http/1.1\r\n", "SOURCE /a ICE/1.1\r\n",
-	      "GET /a\fHTTP/1.1\r\n", " GET /a HTTP/1.1\r\n", "\rGET /a HTTP/1.1\r\n"})
+	for (const char *line : {"GET /a\r\n",
+				 "GET /a HTTP/1.1\n",
+				 "GET  /a HTTP/1.1\r\n",
+				 "GET /a  HTTP/1.1\r\n",
+				 "GET /a HTTP/1.1 \r\n",
+				 "GET /a b HTTP/1.1\r\n",
+				 "GET\t/a HTTP/1.1\r\n",
+				 "GET /a\tHTTP/1.1\r\n",
+				 "GET /a\x01 HTTP/1.1\r\n",
+				 "GET /a HTTP/1.1\rX",
+				 "GET /a HTTP/2.0\r\n",
+				 "GET /a HTTP/0.9\r\n",
+				 "GET /a HTTP/01.1\r\n",
+				 "GET /a HTTP/1.01\r\n",
+				 "GET /a http/1.1\r\n",
+				 "SOURCE /a ICE/1.1\r\n",
+				 "GET /a\fHTTP/1.1\r\n",
+				 " GET /a HTTP/1.1\r\n",
+				 "\rGET /a HTTP/1.1\r\n",
+				 "GET /a HTTP/1.1\r\nHost: i\r\n"})
 		result_expect(HTTP_MESSAGE_REQUEST, line + end, HTTP_MALFORMED);
 	for (const char *line : {"HTTP/1.1 200 OK\r\n", "HTTP/1.1 200 \r\n", "HTTP/1.1 200\r\n",
 				 "HTTP/1.0 200 Not \xc3\xa4\r\n"})
