Check the framing of chunks strictly

Cause: http_parser is built without its strict checks. It skips two bytes behind a chunk, whatever they are, skips what follows a size up to the carriage return and one byte behind it, and reads any number of zeros in front of a size. Another parser finds a second request in these bytes. Change: src/httpwire.c also checks the chunks: a size of 1 to 16 hexadecimal digits, extensions without control bytes, CRLF behind the size and behind the data, and trailers like fields.

--- a/src/httpmsg.c
+++ b/src/httpmsg.c
@@ -158,6 +158,7 @@
 
 	g_string_append_c(r->text, '\0');
 	r->has_head = true;
+	http_wire_chunks_begin(&r->wire);
 	/*
 	 * CONNECT, Upgrade and 101: the parser takes what follows for another protocol and does not
 	 * read the body, so its bytes would pass for the next message.
@@ -288,8 +289,11 @@
 	if (!r->has_head) {
 		checked = http_wire_check(&r->wire, data, n);
 		r->head_bytes += checked;
+	} else if (r->parser.flags & F_CHUNKED) {
+		checked = http_wire_check(&r->wire, data, n);
 	}
-	if (r->wire.state == HTTP_WIRE_MALFORMED)
+	/* The end was checked, but the parser expects more: the two disagree on the framing. */
+	if (r->wire.state == HTTP_WIRE_MALFORMED || checked == 0)
 		r->progress = HTTP_MALFORMED;
 	else if (r->type == HTTP_MESSAGE_REQUEST && r->head_bytes > r->limits.head_bytes)
 		r->progress = HTTP_HEAD_TOO_LARGE;
--- a/src/httpwire.c
+++ b/src/httpwire.c
@@ -6,6 +6,9 @@
 
 #define STATUS_DIGITS 3
 
+/* A longer size exceeds 64 bits, or has zeros in front that nothing sends. */
+#define CHUNK_DIGITS_MAX 16
+
 void http_wire_init(struct http_wire *w, bool is_request)
 {
 	*w = (struct http_wire){
@@ -14,6 +17,13 @@
 	};
 }
 
+void http_wire_chunks_begin(struct http_wire *w)
+{
+	w->state = HTTP_WIRE_CHUNK_SIZE;
+	w->n = 0;
+	w->chunk_left = 0;
+}
+
 static bool is_token(char c)
 {
 	return g_ascii_isalnum(c) || (c && strchr("!#$%&'*+-.^_`|~", c));
@@ -96,6 +106,48 @@
 	return c == '\n' ? next : HTTP_WIRE_MALFORMED;
 }
 
+static enum http_wire_state chunk_size_check(struct http_wire *w, char c)
+{
+	if (g_ascii_isxdigit(c)) {
+		w->chunk_left = w->chunk_left << 4 | (uint64_t)g_ascii_xdigit_value(c);
+		return w->n++ < CHUNK_DIGITS_MAX ? HTTP_WIRE_CHUNK_SIZE : HTTP_WIRE_MALFORMED;
+	}
+	if (w->n == 0)
+		return HTTP_WIRE_MALFORMED;
+	if (c == '\r')
+		return HTTP_WIRE_CHUNK_LF;
+	if (c == ' ' || c == '\t')
+		return HTTP_WIRE_CHUNK_BLANK;
+	return c == ';' ? HTTP_WIRE_CHUNK_EXTENSION : HTTP_WIRE_MALFORMED;
+}
+
+static enum http_wire_state chunk_blank_check(char c)
+{
+	if (c == ' ' || c == '\t')
+		return HTTP_WIRE_CHUNK_BLANK;
+	return c == ';' ? HTTP_WIRE_CHUNK_EXTENSION : HTTP_WIRE_MALFORMED;
+}
+
+static enum http_wire_state chunk_extension_check(char c)
+{
+	if (c == '\r')
+		return HTTP_WIRE_CHUNK_LF;
+	return is_text(c) ? HTTP_WIRE_CHUNK_EXTENSION : HTTP_WIRE_MALFORMED;
+}
+
+/* The data of a chunk begins, or the trailers behind the last chunk. */
+static enum http_wire_state chunk_line_feed_check(const struct http_wire *w, char c)
+{
+	return line_feed_check(c, w->chunk_left ? HTTP_WIRE_CHUNK_DATA : HTTP_WIRE_FIELD);
+}
+
+static enum http_wire_state chunk_data_end_check(struct http_wire *w, char c)
+{
+	if (c == '\n')
+		http_wire_chunks_begin(w);
+	return line_feed_check(c, HTTP_WIRE_CHUNK_SIZE);
+}
+
 static enum http_wire_state byte_check(struct http_wire *w, char c)
 {
 	switch (w->state) {
@@ -126,6 +178,19 @@
 		return text_check(c, w->state);
 	case HTTP_WIRE_END_LF:
 		return line_feed_check(c, HTTP_WIRE_END);
+	case HTTP_WIRE_CHUNK_SIZE:
+		return chunk_size_check(w, c);
+	case HTTP_WIRE_CHUNK_BLANK:
+		return chunk_blank_check(c);
+	case HTTP_WIRE_CHUNK_EXTENSION:
+		return chunk_extension_check(c);
+	case HTTP_WIRE_CHUNK_LF:
+		return chunk_line_feed_check(w, c);
+	case HTTP_WIRE_CHUNK_DATA_CR:
+		return c == '\r' ? HTTP_WIRE_CHUNK_DATA_LF : HTTP_WIRE_MALFORMED;
+	case HTTP_WIRE_CHUNK_DATA_LF:
+		return chunk_data_end_check(w, c);
+	case HTTP_WIRE_CHUNK_DATA:
 	case HTTP_WIRE_END:
 	case HTTP_WIRE_MALFORMED:
 		break;
@@ -133,11 +198,26 @@
 	return HTTP_WIRE_MALFORMED;
 }
 
+/* Skips the data of a chunk, which may be any bytes. */
+static size_t chunk_data_skip(struct http_wire *w, size_t n)
+{
+	size_t skipped = (size_t)MIN(w->chunk_left, n);
+
+	w->chunk_left -= skipped;
+	if (w->chunk_left == 0)
+		w->state = HTTP_WIRE_CHUNK_DATA_CR;
+	return skipped;
+}
+
 size_t http_wire_check(struct http_wire *w, const char *data, size_t n)
 {
 	size_t i = 0;
 
-	while (i < n && w->state != HTTP_WIRE_END && w->state != HTTP_WIRE_MALFORMED)
-		w->state = byte_check(w, data[i++]);
+	while (i < n && w->state != HTTP_WIRE_END && w->state != HTTP_WIRE_MALFORMED) {
+		if (w->state == HTTP_WIRE_CHUNK_DATA)
+			i += chunk_data_skip(w, n - i);
+		else
+			w->state = byte_check(w, data[i++]);
+	}
 	return i;
 }
--- a/src/httpwire.h
+++ b/src/httpwire.h
@@ -30,22 +30,33 @@
 	HTTP_WIRE_NAME,
 	HTTP_WIRE_VALUE,
 	HTTP_WIRE_END_LF,
-	HTTP_WIRE_END, /* the last byte of the head was checked */
+	HTTP_WIRE_END, /* the last byte of the head, or of the last trailer, was checked */
+	HTTP_WIRE_CHUNK_SIZE,
+	HTTP_WIRE_CHUNK_BLANK, /* behind the size: an extension must follow */
+	HTTP_WIRE_CHUNK_EXTENSION,
+	HTTP_WIRE_CHUNK_LF,
+	HTTP_WIRE_CHUNK_DATA,
+	HTTP_WIRE_CHUNK_DATA_CR,
+	HTTP_WIRE_CHUNK_DATA_LF,
 	HTTP_WIRE_MALFORMED,
 };
 
 struct http_wire {
 	enum http_wire_state state;
 	bool is_request;
-	unsigned int n; /* bytes of the part of the first line that is being checked */
+	unsigned int n; /* bytes of the part of the line that is being checked */
+	uint64_t chunk_left; /* bytes of the chunk's data that were not checked yet */
 };
 
 /* Starts with the head of a request or an answer. */
 void http_wire_init(struct http_wire *w, bool is_request);
 
+/* Goes on with the chunks and trailers that follow a head. */
+void http_wire_chunks_begin(struct http_wire *w);
+
 /*
- * Checks up to n bytes and stops behind the end of the head. Returns how many bytes were checked;
- * the state tells the rest.
+ * Checks up to n bytes and stops behind the end of the head, or of the trailers. Returns how many
+ * bytes were checked; the state tells the rest.
  */
 size_t http_wire_check(struct http_wire *w, const char *data, size_t n);
 
--- a/tests/httpmsg_test.cc
+++ b/tests/httpmsg_test.cc
@@ -211,6 +211,15 @@
 
 namespace
 {
+/* The text as the body of a chunked message of either type. */
+std::vector<std::pair<enum http_message_type, std::string>> chunked_make(const std::string &body)
+{
+	return {{HTTP_MESSAGE_REQUEST,
+		 "POST /a HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n" + body},
+		{HTTP_MESSAGE_ANSWER,
+		 "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n" + body}};
+}
+
 /* The field lines in a message of either type; it has a body of 2 bytes. */
 std::vector<std::pair<enum http_message_type, std::string>> fields_make(const std::string &lines)
 {
@@ -239,6 +248,50 @@
 }
 } // namespace
 
+/* Guards against the bytes behind a chunk that one parser skips and another one reads. */
+TEST(httpmsg, ends_of_chunk_data)
+{
+	for (const char *text : {"2\r\nok\r\n0\r\n\r\n"})
+		for (const auto &m : chunked_make(text))
+			result_expect(m.first, m.second, HTTP_COMPLETE);
+	for (const char *text :
+	     {"2\r\nok\n0\r\n\r\n", "2\r\nokXX0\r\n\r\n", "2\r\nok\rX0\r\n\r\n",
+	      "2\r\nok\r\r\n0\r\n\r\n", "2\r\nok0\r\n\r\n", "2\r\nok\n\n0\r\n\r\n"})
+		for (const auto &m : chunked_make(text))
+			result_expect(m.first, m.second, HTTP_MALFORMED);
+}
+
+/* Guards against a chunk's line that ends at different places for two parsers. */
+TEST(httpmsg, chunk_lines)
+{
+	for (const char *text : {"2;a=b;c=\"d\"\r\nok\r\n0;z\r\n\r\n", "2 ;a\r\nok\r\n0\r\n\r\n"})
+		for (const auto &m : chunked_make(text))
+			result_expect(m.first, m.second, HTTP_COMPLETE);
+	for (const char *text :
+	     {"2;a\nok\r\n0\r\n\r\n", "2\nok\r\n0\r\n\r\n", "2;a\rXok\r\n0\r\n\r\n",
+	      "2\rXok\r\n0\r\n\r\n", "2;a\nb\r\nok\r\n0\r\n\r\n", "2\r\nok\r\n0\n\r\n",
+	      "2;\x01\r\nok\r\n0\r\n\r\n"})
+		for (const auto &m : chunked_make(text))
+			result_expect(m.first, m.second, HTTP_MALFORMED);
+}
+
+/* Guards against a size of a chunk that two parsers read as different numbers. */
+TEST(httpmsg, chunk_sizes)
+{
+	for (const char *text :
+	     {"0002\r\nok\r\n0\r\n\r\n", "0A\r\n0123456789\r\n0a\r\n0123456789\r\n0\r\n\r\n"})
+		for (const auto &m : chunked_make(text))
+			result_expect(m.first, m.second, HTTP_COMPLETE);
+	for (const char *text :
+	     {"+2\r\nok\r\n0\r\n\r\n", "-2\r\nok\r\n0\r\n\r\n", "0x2\r\nok\r\n0\r\n\r\n",
+	      "10000000000000002\r\nok\r\n0\r\n\r\n", "00000000000000002\r\nok\r\n0\r\n\r\n",
+	      "ffffffffffffffffff\r\nok\r\n", " 2\r\nok\r\n0\r\n\r\n", "2 \r\nok\r\n0\r\n\r\n",
+	      "2 2\r\nok\r\n0\r\n\r\n", "\r\nok\r\n0\r\n\r\n", ";a\r\n\r\n",
+	      "2_\r\nok\r\n0\r\n\r\n"})
+		for (const auto &m : chunked_make(text))
+			result_expect(m.first, m.second, HTTP_MALFORMED);
+}
+
 /* Guards against field lines that two parsers divide differently. */
 TEST(httpmsg, field_lines)
 {
