Check trailers like fields, and refuse framing in them

Cause: trailers were read with bare line feeds, blanks before the colon, folded lines and control bytes, and a trailer could name a length, a coding or a host, which parsers that merge trailers into the head take for their own. Change: Content-Length, Transfer-Encoding and Host are refused in trailers. The reader keeps in mind that a body is chunked, since http_parser forgets it at such a trailer.

--- a/src/httpmsg.c
+++ b/src/httpmsg.c
@@ -158,7 +158,8 @@
 
 	g_string_append_c(r->text, '\0');
 	r->has_head = true;
-	http_wire_chunks_begin(&r->wire);
+	if (p->flags & F_CHUNKED)
+		http_wire_chunks_begin(&r->wire);
 	/*
 	 * CONNECT, Upgrade and 101: the parser takes what follows for another protocol and does not
 	 * read the body, so its bytes would pass for the next message.
@@ -289,7 +290,7 @@
 	if (!r->has_head) {
 		checked = http_wire_check(&r->wire, data, n);
 		r->head_bytes += checked;
-	} else if (r->parser.flags & F_CHUNKED) {
+	} else if (r->wire.is_chunked) {
 		checked = http_wire_check(&r->wire, data, n);
 	}
 	/* The end was checked, but the parser expects more: the two disagree on the framing. */
--- a/src/httpwire.c
+++ b/src/httpwire.c
@@ -20,6 +20,7 @@
 void http_wire_chunks_begin(struct http_wire *w)
 {
 	w->state = HTTP_WIRE_CHUNK_SIZE;
+	w->is_chunked = true;
 	w->n = 0;
 	w->chunk_left = 0;
 }
@@ -79,18 +80,40 @@
 	return c == ' ' ? HTTP_WIRE_REASON : HTTP_WIRE_MALFORMED;
 }
 
+static void name_begin(struct http_wire *w)
+{
+	w->n = 0;
+	memset(w->name, 0, sizeof(w->name));
+}
+
+static void name_add(struct http_wire *w, char c)
+{
+	if (w->n < sizeof(w->name) - 1)
+		w->name[w->n++] = g_ascii_tolower(c);
+}
+
+/* A trailer comes too late to tell the framing or the host; parsers that merge it differ there. */
+static bool may_be_trailer(const struct http_wire *w)
+{
+	return strcmp(w->name, "content-length") != 0 &&
+	       strcmp(w->name, "transfer-encoding") != 0 && strcmp(w->name, "host") != 0;
+}
+
 /* A line that begins with a blank continues the one before (obs-fold), which is not accepted. */
-static enum http_wire_state field_check(char c)
+static enum http_wire_state field_check(struct http_wire *w, char c)
 {
 	if (c == '\r')
 		return HTTP_WIRE_END_LF;
+	name_begin(w);
+	name_add(w, c);
 	return is_token(c) ? HTTP_WIRE_NAME : HTTP_WIRE_MALFORMED;
 }
 
-static enum http_wire_state name_check(char c)
+static enum http_wire_state name_check(struct http_wire *w, char c)
 {
 	if (c == ':')
-		return HTTP_WIRE_VALUE;
+		return !w->is_chunked || may_be_trailer(w) ? HTTP_WIRE_VALUE : HTTP_WIRE_MALFORMED;
+	name_add(w, c);
 	return is_token(c) ? HTTP_WIRE_NAME : HTTP_WIRE_MALFORMED;
 }
 
@@ -170,9 +193,9 @@
 	case HTTP_WIRE_LINE_LF:
 		return line_feed_check(c, HTTP_WIRE_FIELD);
 	case HTTP_WIRE_FIELD:
-		return field_check(c);
+		return field_check(w, c);
 	case HTTP_WIRE_NAME:
-		return name_check(c);
+		return name_check(w, c);
 	case HTTP_WIRE_REASON:
 	case HTTP_WIRE_VALUE:
 		return text_check(c, w->state);
--- a/src/httpwire.h
+++ b/src/httpwire.h
@@ -44,7 +44,9 @@
 struct http_wire {
 	enum http_wire_state state;
 	bool is_request;
+	bool is_chunked; /* the head was checked; chunks and trailers follow */
 	unsigned int n; /* bytes of the part of the line that is being checked */
+	char name[19]; /* of a trailer, in lower case, cut off if longer */
 	uint64_t chunk_left; /* bytes of the chunk's data that were not checked yet */
 };
 
--- a/tests/httpmsg_test.cc
+++ b/tests/httpmsg_test.cc
@@ -292,6 +292,22 @@
 			result_expect(m.first, m.second, HTTP_MALFORMED);
 }
 
+/* Guards against trailers that end at different places for two parsers, or that name another
+ * length. */
+TEST(httpmsg, trailers)
+{
+	for (const char *text : {"0\r\nX-A: b\r\n\r\n"})
+		for (const auto &m : chunked_make(text))
+			result_expect(m.first, m.second, HTTP_COMPLETE);
+	for (const char *text :
+	     {"0\r\nX-A: b\n\r\n", "0\r\nX-A: b\r\n\n", "0\r\nX-A : b\r\n\r\n",
+	      "0\r\nX-A: b\r\n c\r\n\r\n", "0\r\n X-A: b\r\n\r\n", "0\r\nX-A\r\n\r\n",
+	      "0\r\nX-A: b\rc\r\n\r\n", "0\r\nContent-Length: 2\r\n\r\n",
+	      "0\r\nTransfer-Encoding: chunked\r\n\r\n", "0\r\nhost: i\r\n\r\n", "0\r\n\rX"})
+		for (const auto &m : chunked_make(text))
+			result_expect(m.first, m.second, HTTP_MALFORMED);
+}
+
 /* Guards against field lines that two parsers divide differently. */
 TEST(httpmsg, field_lines)
 {
