End answers without a body behind their head

Cause: an answer with status 1xx, 204 or 304 whose head names a length or chunks has no body (RFC 9112, 6.3), but http_parser read the bytes behind it as one. The fuzz target found it: an interim answer with a length swallowed the first bytes of the answer.

--- a/src/httpmsg.c
+++ b/src/httpmsg.c
@@ -152,6 +152,19 @@
 	}
 }
 
+static bool is_interim(const struct http_reader *r)
+{
+	return r->type == HTTP_MESSAGE_ANSWER && r->parser.status_code < 200;
+}
+
+/* True for answers that end with their head, whatever length or coding the head names. */
+static bool is_without_body(const struct http_reader *r)
+{
+	unsigned int status = r->parser.status_code;
+
+	return r->is_answer_to_head || is_interim(r) || status == 204 || status == 304;
+}
+
 static int on_headers_complete(http_parser *p)
 {
 	struct http_reader *r = p->data;
@@ -167,11 +180,13 @@
 	if (p->upgrade || !is_unambiguous(r))
 		return stop_with(r, HTTP_MALFORMED);
 	r->keeps_alive = http_should_keep_alive(p);
-	if ((p->flags & F_CONTENTLENGTH) && !r->is_answer_to_head)
+	if (r->type == HTTP_MESSAGE_ANSWER && is_without_body(r))
+		return 1;
+	if (p->flags & F_CONTENTLENGTH)
 		r->length = MIN(p->content_length, r->limits.body_bytes);
 	if (r->type == HTTP_MESSAGE_ANSWER) {
 		body_reserve(r);
-		return r->is_answer_to_head ? 1 : 0;
+		return 0;
 	}
 	if ((p->flags & F_CONTENTLENGTH) && p->content_length > r->limits.body_bytes)
 		return stop_with(r, HTTP_BODY_TOO_LARGE);
@@ -190,11 +205,6 @@
 	return 0;
 }
 
-static bool is_interim(const struct http_reader *r)
-{
-	return r->type == HTTP_MESSAGE_ANSWER && r->parser.status_code < 200;
-}
-
 static int on_complete(http_parser *p)
 {
 	struct http_reader *r = p->data;
--- a/tests/httpmsg_test.cc
+++ b/tests/httpmsg_test.cc
@@ -416,3 +416,28 @@
 	      "\r\nHTTP/1.1 200 OK\r\n", "HTTP/1.1 200\tOK\r\n"})
 		result_expect(HTTP_MESSAGE_ANSWER, line + end, HTTP_MALFORMED);
 }
+
+/*
+ * Guards against taking the bytes behind an answer that has no body for its body, since its head
+ * names a length or chunks: they are no part of it.
+ */
+TEST(httpmsg, answers_without_body)
+{
+	const std::string ok = "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok";
+	size_t used;
+
+	for (const char *fields : {"", "Content-Length: 2\r\n", "Transfer-Encoding: chunked\r\n"}) {
+		for (const char *status : {"204 X\r\n", "304 X\r\n"}) {
+			const std::string head =
+				"HTTP/1.1 " + std::string(status) + fields + "\r\n";
+
+			EXPECT_EQ(message_feed(HTTP_MESSAGE_ANSWER, head + ok, &used),
+				  HTTP_COMPLETE);
+			EXPECT_EQ(used, head.size());
+		}
+		const std::string interim = "HTTP/1.1 103 X\r\n" + std::string(fields) + "\r\n";
+
+		result_expect(HTTP_MESSAGE_ANSWER, interim + ok, HTTP_COMPLETE);
+		result_expect(HTTP_MESSAGE_ANSWER, interim + "2\r\n" + ok, HTTP_MALFORMED);
+	}
+}
