Take the ends of routed requests and calls from one list

Cause: the statuses of the routed path, and whether a leaf may have run the request, were spread over job, jobanswer, jobcall, gateway and httpserver, and no test held them together. No status changes.

--- a/src/gateway.c
+++ b/src/gateway.c
@@ -7,6 +7,7 @@
 #include "log.h"
 #include "message.h"
 #include "retryafter.h"
+#include "routedresult.h"
 #include "warmup.h"
 
 #include <malloc.h>
@@ -35,19 +36,21 @@
 
 /* Refuses a request that no leaf has seen; why is a key and value for the log. */
 static void request_refuse(struct gateway *g, struct http_request *request,
-			   enum retryafter_reason reason, const char *why)
+			   enum routed_result result, enum retryafter_reason reason,
+			   const char *why)
 {
+	unsigned int status = routed_status(result);
 	const struct http_reader *message = http_request_message(request);
 	const char *id = http_reader_field_find(message, g->env.adapter->fields.request_id);
 	const char *wait = http_reader_field_find(message, g->env.adapter->fields.deadline_ms);
 	char fields[64];
 
-	if (!log_request(LOG_LEVEL_WARNING, id, "request_refused", "status=503 %s", why))
-		log_batch_add(LOG_BATCH_BRIEF, "%s:refused:503:0/0", id ? id : "-");
+	if (!log_request(LOG_LEVEL_WARNING, id, "request_refused", "status=%u %s", status, why))
+		log_batch_add(LOG_BATCH_BRIEF, "%s:refused:%u:0/0", id ? id : "-", status);
 	g_snprintf(fields, sizeof(fields), "Retry-After: %.3f\r\n",
 		   retryafter_choose_s(reason, http_milliseconds_parse(wait),
 				       clock_now_ms() - g->started_ms, g->env.rand));
-	http_request_answer(request, 503, fields, "", 0);
+	http_request_answer(request, status, fields, "", 0);
 }
 
 static void stop_announced(struct gateway *g)
@@ -70,14 +73,14 @@
 	struct gateway *g = arg;
 
 	if (g->is_refusing) {
-		request_refuse(g, request, RETRYAFTER_STOPPING, "why=stopping");
+		request_refuse(g, request, ROUTED_STOPPING, RETRYAFTER_STOPPING, "why=stopping");
 	} else if (!g->map) {
 		g->requests_not_ready++;
-		request_refuse(g, request,
+		request_refuse(g, request, ROUTED_NO_CONFIGURATION,
 			       g->others_can_serve ? RETRYAFTER_NO_CONFIG : RETRYAFTER_ALL_STARTING,
 			       "lacks=configuration");
 	} else if (!heldbytes_admits(g->held, clock_now_ms())) {
-		request_refuse(g, request, RETRYAFTER_MEMORY, "why=memory");
+		request_refuse(g, request, ROUTED_NO_MEMORY, RETRYAFTER_MEMORY, "why=memory");
 	} else {
 		job_start(&g->env, g->map, request);
 	}
@@ -89,7 +92,7 @@
 	struct gateway *g = arg;
 
 	heldbytes_admits(g->held, clock_now_ms()); /* counts the refusal */
-	request_refuse(g, request, RETRYAFTER_MEMORY, "why=memory");
+	request_refuse(g, request, ROUTED_NO_MEMORY, RETRYAFTER_MEMORY, "why=memory");
 }
 
 static void server_disconnected(void *arg, struct http_request *request)
--- a/src/httpserver.c
+++ b/src/httpserver.c
@@ -4,6 +4,7 @@
 #include "clock.h"
 #include "list.h"
 #include "result.h"
+#include "routedresult.h"
 #include "stream.h"
 
 #include <errno.h>
@@ -155,11 +156,11 @@
 {
 	switch (progress) {
 	case HTTP_HEAD_TOO_LARGE:
-		return 431;
+		return routed_status(ROUTED_HEAD_TOO_LARGE);
 	case HTTP_BODY_TOO_LARGE:
-		return 413;
+		return routed_status(ROUTED_BODY_TOO_LARGE);
 	default:
-		return 400;
+		return routed_status(ROUTED_MALFORMED);
 	}
 }
 
@@ -355,9 +356,9 @@
 			connection_destroy(r);
 	} else if (!http_reader_has_head(r->reader)) {
 		if (waited_ms > limits->head_ms)
-			request_refuse(r, 408);
+			request_refuse(r, routed_status(ROUTED_SLOW_REQUEST));
 	} else if (waited_ms > limits->head_ms + limits->idle_ms) {
-		request_refuse(r, 408); /* the body takes too long */
+		request_refuse(r, routed_status(ROUTED_SLOW_REQUEST)); /* the body takes too long */
 	}
 }
 
--- a/src/job.c
+++ b/src/job.c
@@ -2,6 +2,7 @@
 
 #include "clock.h"
 #include "log.h"
+#include "routedresult.h"
 
 #include <string.h>
 
@@ -342,9 +343,11 @@
 }
 
 /* Answers a request that lacks a required header field or matches no route. */
-static void request_reject(struct http_request *request, const char *id, unsigned int status,
+static void request_reject(struct http_request *request, const char *id, enum routed_result result,
 			   const char *why)
 {
+	unsigned int status = routed_status(result);
+
 	if (!log_request(LOG_LEVEL_WARNING, id, "request_refused", "status=%u %s", status, why))
 		log_batch_add(LOG_BATCH_BRIEF, "%s:refused:%u:0/0", id ? id : "-", status);
 	http_request_answer(request, status, "", "", 0);
@@ -361,7 +364,7 @@
 
 	log_batch_add(LOG_BATCH_BEGUN, "%s", id ? id : "-");
 	if (!host || !id) {
-		request_reject(request, id, 400, id ? "lacks=host" : "lacks=id");
+		request_reject(request, id, ROUTED_LACKS_FIELD, id ? "lacks=host" : "lacks=id");
 		return;
 	}
 	route = routemap_find(map, host, http_reader_target(message));
@@ -370,7 +373,7 @@
 			g_strdup_printf("host=%.80s path=%.120s version=%" G_GUINT64_FORMAT, host,
 					http_reader_target(message), map->version);
 
-		request_reject(request, id, 404, why);
+		request_reject(request, id, ROUTED_NO_ROUTE, why);
 		return;
 	}
 	j = job_create(env, map, route, request);
--- a/src/jobanswer.c
+++ b/src/jobanswer.c
@@ -2,6 +2,7 @@
 
 #include "clock.h"
 #include "log.h"
+#include "routedresult.h"
 
 #include <string.h>
 
@@ -140,12 +141,12 @@
 	jobanswer_finish(j, outcome, status, JOB_LINGER_US);
 }
 
-static void refuse(struct job *j, double retry_after_s)
+static void refuse(struct job *j, enum routed_result result, double retry_after_s)
 {
 	char fields[64];
 
 	g_snprintf(fields, sizeof(fields), "Retry-After: %.3f\r\n", retry_after_s);
-	answer_send(j, JOB_REFUSED, 503, fields, "", 0);
+	answer_send(j, JOB_REFUSED, routed_status(result), fields, "", 0);
 }
 
 /* How long the caller still waits, at least 1 ms. */
@@ -159,11 +160,14 @@
 void jobanswer_refuse(struct job *j, enum retryafter_reason reason)
 {
 	uint64_t wait_ms = caller_wait_ms(j);
+	enum routed_result result = reason == RETRYAFTER_STOPPING  ? ROUTED_STOPPING
+				    : reason == RETRYAFTER_NO_LEAF ? ROUTED_NO_LEAF
+								   : ROUTED_LEAVES_FULL;
 
 	if (j->env->ranks && reason == RETRYAFTER_LEAVES_FULL)
-		refuse(j, retryafter_choose_rank_s(job_rank(j), wait_ms, j->env->rand));
+		refuse(j, result, retryafter_choose_rank_s(job_rank(j), wait_ms, j->env->rand));
 	else
-		refuse(j, retryafter_choose_s(reason, wait_ms, 0, j->env->rand));
+		refuse(j, result, retryafter_choose_s(reason, wait_ms, 0, j->env->rand));
 }
 
 /*
@@ -187,7 +191,8 @@
 	uint64_t wait_us = limit_wait_us(j, clock_now_us());
 
 	if (wait_us > 0)
-		refuse(j, retryafter_choose_limited_s(wait_us, caller_wait_ms(j), j->env->rand));
+		refuse(j, ROUTED_NO_LEAF,
+		       retryafter_choose_limited_s(wait_us, caller_wait_ms(j), j->env->rand));
 	else
 		jobanswer_refuse(j, RETRYAFTER_NO_LEAF);
 }
@@ -203,8 +208,11 @@
 	g_string_append_printf(fields, "%s: %s\r\n%s: %s\r\n%s: %u\r\n", names->request_id, j->id,
 			       names->part_signatures, j->signatures->str, names->missing_count,
 			       j->n_shards - n_answered);
-	answer_send(j, n_answered == j->n_shards ? JOB_COMPLETE : JOB_PARTIAL, 200, fields->str,
-		    records, n);
+	if (n_answered == j->n_shards)
+		answer_send(j, JOB_COMPLETE, routed_status(ROUTED_COMPLETE), fields->str, records,
+			    n);
+	else
+		answer_send(j, JOB_PARTIAL, routed_status(ROUTED_PARTIAL), fields->str, records, n);
 	g_string_free(fields, TRUE);
 }
 
@@ -229,18 +237,12 @@
 	return status >= 200 && status < 300;
 }
 
-/* True for the statuses by which callers know that a request has not run and never will. */
-static bool status_promises_not_run(unsigned int status)
-{
-	return status == 408 || status == 421 || status == 429 || status == 503;
-}
-
 void jobanswer_failure_keep(struct job *j, const struct http_reader *answer)
 {
 	size_t n;
 	const char *body = http_reader_body(answer, &n);
 
-	if (!j->route->is_idempotent && status_promises_not_run(http_reader_status(answer)))
+	if (!j->route->is_idempotent && routed_status_promises_not_run(http_reader_status(answer)))
 		return;
 	if (j->failure_fields) {
 		g_string_free(j->failure_fields, TRUE);
@@ -306,13 +308,13 @@
 	else if (j->failure_fields && !job_is_sharded(j))
 		failure_send(j);
 	else
-		answer_send(j, JOB_FAILED, 502, "", "", 0);
+		answer_send(j, JOB_FAILED, routed_status(ROUTED_LEAF_FAILED), "", "", 0);
 }
 
 void jobanswer_timeout_send(struct job *j)
 {
 	if (may_have_run(j))
-		answer_send(j, JOB_TIMED_OUT, 504, "", "", 0);
+		answer_send(j, JOB_TIMED_OUT, routed_status(ROUTED_TIMED_OUT), "", "", 0);
 	else
 		jobanswer_refuse(j, RETRYAFTER_LEAVES_FULL);
 }
--- a/src/jobcall.c
+++ b/src/jobcall.c
@@ -2,6 +2,7 @@
 
 #include "clock.h"
 #include "log.h"
+#include "routedresult.h"
 
 #include <string.h>
 
@@ -197,31 +198,59 @@
 			  leaf->service);
 }
 
+static enum routed_call call_result(const struct job *j, const struct http_reader *answer,
+				    bool was_sent)
+{
+	const struct adapter_fields *names = &j->env->adapter->fields;
+	struct routed_call_facts facts = {.was_sent = was_sent};
+
+	if (answer) {
+		facts.status = http_reader_status(answer);
+		facts.not_run = http_reader_field_find(answer, names->not_run);
+		facts.is_signed = http_reader_field_find(answer, names->signature) != NULL;
+		facts.is_encoded = http_reader_field_find(answer, "Content-Encoding") != NULL;
+	}
+	return routed_call_of(&facts);
+}
+
+/* Keeps an answer that reports a failure, if it may be passed on. Returns how the call ended. */
+static enum leaf_end failure_note(struct job *j, const struct http_reader *answer)
+{
+	if (j->request && !jobanswer_is_success(answer) && !job_is_sharded(j) &&
+	    http_reader_field_find(answer, j->env->adapter->fields.signature))
+		jobanswer_failure_keep(j, answer);
+	return LEAF_END_ERRORED;
+}
+
 static enum leaf_end call_done(struct leaf_call *call, enum leaf_end end,
 			       const struct http_reader *answer, bool was_sent)
 {
 	struct job_call *c = job_call_of(call);
 	struct job *j = c->job;
-	const struct adapter_fields *names = &j->env->adapter->fields;
 	struct leaf *leaf = c->leaf;
-	const char *signature;
-
-	if (!answer)
-		return call_lost(c, leaf, end, was_sent);
-	if (http_reader_status(answer) == 421)
-		return call_lost(c, leaf, LEAF_END_WRONG_LEAF, false);
-	signals_note(j, leaf, answer);
-	if (http_reader_field_find(answer, names->not_run))
-		return call_lost(c, leaf, LEAF_END_REFUSED, false);
-	signature = http_reader_field_find(answer, names->signature);
-	if (jobanswer_is_success(answer) && signature &&
-	    !http_reader_field_find(answer, "Content-Encoding")) {
-		call_succeeded(c, answer, signature);
+	enum routed_call result = call_result(j, answer, was_sent);
+
+	if (answer && result != ROUTED_CALL_OTHER_LEAF)
+		signals_note(j, leaf, answer);
+	switch (result) {
+	case ROUTED_CALL_SERVED:
+		call_succeeded(c, answer,
+			       http_reader_field_find(answer, j->env->adapter->fields.signature));
 		return LEAF_END_ANSWERED;
+	case ROUTED_CALL_OTHER_LEAF:
+		end = LEAF_END_WRONG_LEAF;
+		break;
+	case ROUTED_CALL_NOT_EXECUTED:
+		end = LEAF_END_REFUSED;
+		break;
+	case ROUTED_CALL_UNPROVED:
+	case ROUTED_CALL_FAILED:
+		end = failure_note(j, answer);
+		break;
+	default:
+		break;
 	}
-	if (j->request && !jobanswer_is_success(answer) && signature && !job_is_sharded(j))
-		jobanswer_failure_keep(j, answer);
-	return call_lost(c, leaf, LEAF_END_ERRORED, true);
+	return call_lost(c, leaf, end, routed_call_run(result) == ROUTED_RUN_MAY_HAVE_RUN);
 }
 
 static unsigned int call_lacking(const struct leaf_call *call)
