Trust only the value 1 of the promise not to run a request

Cause: X-Not-Executed with any value counted as the promise that the leaf has not run the request. A 503 with "X-Not-Executed: 0" or an empty value was repeated at other leaves, and its caller got a 503 although the request had run. Change: only the value 1 is the promise. A refusal without it is an unknown outcome: a request that must not be repeated goes to no other leaf, and its caller gets 502 without the signature.

--- a/src/routedresult.c
+++ b/src/routedresult.c
@@ -1,5 +1,7 @@
 #include "routedresult.h"
 
+#include <string.h>
+
 static const struct {
 	unsigned int status;
 	enum routed_run run;
@@ -42,13 +44,25 @@
 	}
 }
 
+/* Any other value promises nothing: "0" denies it, and an empty one is a fault of the leaf. */
+static bool is_promise(const char *value)
+{
+	size_t n;
+
+	if (!value)
+		return false;
+	value += strspn(value, " \t");
+	n = strcspn(value, " \t");
+	return n == 1 && value[0] == '1' && value[n + strspn(value + n, " \t")] == '\0';
+}
+
 enum routed_call routed_call_of(const struct routed_call_facts *facts)
 {
 	if (!facts->status)
 		return facts->was_sent ? ROUTED_CALL_UNANSWERED : ROUTED_CALL_UNSENT;
 	if (facts->status == 421)
 		return ROUTED_CALL_OTHER_LEAF;
-	if (facts->not_run)
+	if (is_promise(facts->not_run))
 		return ROUTED_CALL_NOT_EXECUTED;
 	if (routed_status_promises_not_run(facts->status))
 		return ROUTED_CALL_UNPROVED;
--- a/src/routedresult.h
+++ b/src/routedresult.h
@@ -68,13 +68,13 @@
  * X(symbol, run, name, text): every end of a call to a leaf. A call that may have run is repeated
  * only for a request that may be repeated.
  */
-#define ROUTED_CALL_LIST(X)                                                             \
-	X(UNSENT, NOT_RUN, "unsent", "no connection, or given up before it was sent")   \
-	X(OTHER_LEAF, NOT_RUN, "other_leaf", "421: another leaf has this address")      \
-	X(NOT_EXECUTED, NOT_RUN, "not_executed", "any status with the promise")         \
-	X(SERVED, MAY_HAVE_RUN, "served", "2xx with the leaf's signature, not encoded") \
-	X(UNPROVED, MAY_HAVE_RUN, "unproved", "408, 429 or 503 without the promise")    \
-	X(FAILED, MAY_HAVE_RUN, "failed", "any other answer")                           \
+#define ROUTED_CALL_LIST(X)                                                               \
+	X(UNSENT, NOT_RUN, "unsent", "no connection, or given up before it was sent")     \
+	X(OTHER_LEAF, NOT_RUN, "other_leaf", "421: another leaf has this address")        \
+	X(NOT_EXECUTED, NOT_RUN, "not_executed", "any status with the promise (value 1)") \
+	X(SERVED, MAY_HAVE_RUN, "served", "2xx with the leaf's signature, not encoded")   \
+	X(UNPROVED, MAY_HAVE_RUN, "unproved", "408, 429 or 503 without the promise")      \
+	X(FAILED, MAY_HAVE_RUN, "failed", "any other answer")                             \
 	X(UNANSWERED, MAY_HAVE_RUN, "unanswered", "connection closed, malformed answer, silence")
 
 enum routed_call {
