--- a/fakes/routed_site.py
+++ b/fakes/routed_site.py
@@ -269,6 +269,9 @@
     it; "unnamed": the same without the request's id; "halves": the first half at once, the second half
     before the next response.
 
+    raw is a response without its first line that is sent instead, with %s for the usual fields; after_raw
+    counts requests that arrive on a connection behind such a response.
+
     cut is (framing, number of bytes, whether the connection is reset then) of a response that breaks off;
     framing is one of framed_response().
 
@@ -296,6 +299,7 @@
         self.endless = 0  # responses without end that are being sent
         self.copies, self.cut, self.slots = None, None, None
         self.warmup_ms = 0  # remaining warm-up, as the entry says
+        self.raw, self.after_raw = None, 0
         self.payload = None  # body of each response; None: as Site.make_payload draws it
 
     def entry(self):
@@ -348,11 +352,12 @@
 
     async def serve(self, reader, writer):
         self.readers.add(reader)
-        copy = b""
+        copy, was_raw = b"", False
         while True:
             message = await read_message(reader)
             if message is None:
                 return
+            self.after_raw += was_raw
             writer.write(copy)
             copy = b""
             line, fields, body = message
@@ -388,7 +393,11 @@
             if self.cut:
                 await self._send_cut(writer, payload, headers)
                 return
-            if self.has_fault("error"):
+            if self.raw:
+                was_raw = True
+                lines = "".join(f"{name}: {value}\r\n" for name, value in headers.items())
+                writer.write(("HTTP/1.1 200 X\r\n" + self.raw % lines).encode())
+            elif self.has_fault("error"):
                 writer.write(response_bytes(500, b"no", headers))
             elif self.has_fault("deny"):
                 writer.write(response_bytes(random.choice([408, 429, 503]), b"no", headers))
