List all errors of a refused configuration by path

Cause: the check showed only the first error of a file that daemons refuse, and no place for it. Change: routemap_publish and the adapter report errors through mapnotes_refuse. The check listens and gets all of them with their route; daemons have no listener and stop at the first one. The expected output of tests names the place instead of "configuration" and further errors of the same route; the test of agreement compares the first error with the one that a daemon logs.

--- a/src/adapter.h
+++ b/src/adapter.h
@@ -76,6 +76,12 @@
 	/* NULL with an error when the text is not a valid configuration. */
 	struct routemap *(*routes_parse)(const struct adapter *adapter, const char *text, size_t n,
 					 GError **error);
+	/*
+	 * Like routes_parse, and reports to notes all errors and whatever the reader leaves out or
+	 * reads as something else.
+	 */
+	struct routemap *(*routes_check)(const struct adapter *adapter, const char *text, size_t n,
+					 struct mapnotes *notes, GError **error);
 	/*
 	 * False with an error, out unchanged, when the text does not describe a leaf that can be
 	 * used. leaf_report_clear frees out's strings.
--- a/src/mapcheck.c
+++ b/src/mapcheck.c
@@ -30,6 +30,7 @@
 };
 
 struct mapcheck {
+	struct mapnotes notes; /* of the daemon's reader */
 	char *name;
 	GPtrArray *findings; /* struct finding */
 	GPtrArray *differences; /* struct mapdiff_line; NULL: not compared */
@@ -72,6 +73,31 @@
 	g_ptr_array_add(c->findings, f);
 }
 
+/* The path of a place; the caller frees it. */
+static char *place_path(const struct mapnote_place *place)
+{
+	g_autofree char *name = NULL;
+
+	if (place->index < 0)
+		return g_strdup(place->list);
+	name = mapdiff_text_show(place->name ? place->name : "?", MAPDIFF_NAME_MAX);
+	return g_strdup_printf("%s[%d] %s", place->list, place->index, name);
+}
+
+/* The code and the message are those that a daemon logs. */
+static void refusal_add(struct mapcheck *c, char *path, int code, const char *message)
+{
+	g_autofree char *why = mapdiff_text_show(message, MESSAGE_MAX);
+
+	finding_add(c, MAPCHECK_REJECTED, path, "%d %s: %s", code, result_name(code), why);
+}
+
+static void note_add(struct mapnotes *notes, enum mapnote_kind kind,
+		     const struct mapnote_place *place, const char *text)
+{
+	refusal_add((struct mapcheck *)notes, place_path(place), RESULT_BAD_MANIFEST, text);
+}
+
 /* A host with a port and a prefix with a query are looked up, but never found. */
 static void match_check(struct mapcheck *c, guint i)
 {
@@ -293,9 +319,11 @@
  * Reads the file as a routing configuration if the daemon's reader accepts it, or else as a
  * manifest if it has groups, which no routing configuration has. False with an error when it is
  * neither. If daemons refuse it, document has neither map nor manifest and *refusal is the reason.
+ * notes, which may be NULL, hears of a routing configuration; of other files too, with no meaning.
  */
 static bool document_read(const struct adapter *adapter, const struct mapcheck_file *file,
-			  struct document *document, GError **refusal, GError **error)
+			  struct mapnotes *notes, struct document *document, GError **refusal,
+			  GError **error)
 {
 	json_t *json;
 
@@ -304,7 +332,7 @@
 
 		return unreadable_set(error, file, why);
 	}
-	document->map = adapter->ops->routes_parse(adapter, file->text, file->n, refusal);
+	document->map = adapter->ops->routes_check(adapter, file->text, file->n, notes, refusal);
 	if (document->map)
 		return true;
 	json = object_parse(file, error);
@@ -350,7 +378,7 @@
 	GError *refusal = NULL;
 	bool is_done = false;
 
-	if (!document_read(adapter, current, &before, &refusal, error))
+	if (!document_read(adapter, current, NULL, &before, &refusal, error))
 		return false;
 	if (refusal) {
 		unreadable_set(error, current, refusal->message);
@@ -388,17 +416,17 @@
 
 	c->name = g_strdup(file->name);
 	c->findings = g_ptr_array_new_with_free_func(finding_free);
-	if (!document_read(adapter, file, &c->document, &refusal, error)) {
+	c->notes.add = note_add;
+	if (!document_read(adapter, file, &c->notes, &c->document, &refusal, error)) {
 		mapcheck_destroy(c);
 		return NULL;
 	}
-	if (refusal) {
-		g_autofree char *why = mapdiff_text_show(refusal->message, MESSAGE_MAX);
-
-		finding_add(c, MAPCHECK_REJECTED, g_strdup("configuration"), "%d %s: %s",
-			    refusal->code, result_name(refusal->code), why);
-		g_clear_error(&refusal);
+	if (c->document.is_manifest) {
+		g_ptr_array_set_size(c->findings, 0);
+		if (refusal)
+			refusal_add(c, g_strdup("configuration"), refusal->code, refusal->message);
 	}
+	g_clear_error(&refusal);
 	if (!c->document.is_manifest)
 		repeated_check(c, file);
 	if (c->document.map)
--- a/src/mapcheck.h
+++ b/src/mapcheck.h
@@ -26,8 +26,9 @@
  * table and a test compares them. Each example is the output of a case of tests/mapcheck.test.
  */
 #define MAPCHECK_LIST(X)                                                                           \
-	X(REJECTED, "rejected", ERROR, "daemons refuse the file and keep the version in force",    \
-	  "error rejected configuration: 501 bad_manifest: route a names no service")              \
+	X(REJECTED, "rejected", ERROR,                                                             \
+	  "daemons refuse the file for this error and keep the version in force",                  \
+	  "error rejected routes[0] a: 501 bad_manifest: route a names no service")                \
 	X(MEMBER_REPEATED, "member_repeated", WARNING,                                             \
 	  "an object has a member twice and daemons use the last one; only the first such member " \
 	  "is named",                                                                              \
--- a/src/routemap.c
+++ b/src/routemap.c
@@ -1,7 +1,5 @@
 #include "routemap.h"
 
-#include "result.h"
-
 #include <string.h>
 
 #define HOST_BYTES_MAX 256
@@ -110,24 +108,66 @@
 	return s;
 }
 
-/* Returns what is wrong with the route, to follow its name in a message, or NULL. */
-static const char *route_problem(const struct route *r)
+/* The most that can be wrong with one route. */
+#define PROBLEMS_MAX 6
+
+static double weight_sum(const struct route *r)
+{
+	double sum = 0;
+
+	for (guint i = 0; i < r->targets->len; i++)
+		sum += ((struct route_target *)g_ptr_array_index(r->targets, i))->weight;
+	return sum;
+}
+
+/* Fills problems with what is wrong with the route, each to follow its name in a message. */
+static guint route_problems(const struct route *r, const char *problems[PROBLEMS_MAX])
 {
-	double weight_sum = 0;
+	guint n = 0;
 
 	if (!r->host || !*r->host)
-		return "has no host";
+		problems[n++] = "has no host";
 	if (!r->prefix || r->prefix[0] != '/' || !g_str_has_suffix(r->prefix, "/"))
-		return "has no prefix that begins and ends with a slash";
+		problems[n++] = "has no prefix that begins and ends with a slash";
 	if (r->timeout_ms == 0)
-		return "has no time limit";
+		problems[n++] = "has no time limit";
 	if (r->shards && r->targets->len > 0)
-		return "has both shards and target services";
-	if (r->shards)
-		return r->is_idempotent ? NULL : "goes to shards but is not idempotent";
-	for (guint i = 0; i < r->targets->len; i++)
-		weight_sum += ((struct route_target *)g_ptr_array_index(r->targets, i))->weight;
-	return weight_sum > 0 ? NULL : "names no service";
+		problems[n++] = "has both shards and target services";
+	if (r->shards && !r->is_idempotent)
+		problems[n++] = "goes to shards but is not idempotent";
+	if (!r->shards && !(weight_sum(r) > 0))
+		problems[n++] = "names no service";
+	return n;
+}
+
+/* True when nothing is wrong with the route at this index. *goes_on: further errors are wanted. */
+static bool route_is_valid(const struct routemap *m, guint i, bool *goes_on, GError **error)
+{
+	const struct route *r = g_ptr_array_index(m->routes, i);
+	struct mapnote_place place = {"routes", (int)i, r->name};
+	const char *problems[PROBLEMS_MAX];
+	guint n = route_problems(r, problems);
+
+	*goes_on = true;
+	for (guint k = 0; k < n && *goes_on; k++)
+		*goes_on = mapnotes_refuse(m->notes, &place, error, "route %s %s",
+					   r->name ? r->name : "?", problems[k]);
+	return n == 0;
+}
+
+static void route_index(struct routemap *m, struct route *r)
+{
+	char *lower = g_ascii_strdown(r->host, -1);
+	GPtrArray *host_routes;
+
+	g_free(r->host);
+	r->host = lower;
+	host_routes = g_hash_table_lookup(m->hosts, r->host);
+	if (!host_routes) {
+		host_routes = g_ptr_array_new();
+		g_hash_table_insert(m->hosts, r->host, host_routes);
+	}
+	g_ptr_array_add(host_routes, r);
 }
 
 /* Orders routes by the length of their prefixes, the longest first. */
@@ -145,28 +185,18 @@
 {
 	GHashTableIter iter;
 	gpointer value;
-
-	for (guint i = 0; i < m->routes->len; i++) {
-		struct route *r = g_ptr_array_index(m->routes, i);
-		const char *problem = route_problem(r);
-		GPtrArray *host_routes;
-		char *lower;
-
-		if (problem) {
-			g_set_error(error, RESULT_ERROR, RESULT_BAD_MANIFEST, "route %s %s",
-				    r->name ? r->name : "?", problem);
-			return false;
-		}
-		lower = g_ascii_strdown(r->host, -1);
-		g_free(r->host);
-		r->host = lower;
-		host_routes = g_hash_table_lookup(m->hosts, r->host);
-		if (!host_routes) {
-			host_routes = g_ptr_array_new();
-			g_hash_table_insert(m->hosts, r->host, host_routes);
-		}
-		g_ptr_array_add(host_routes, r);
+	bool is_valid = true;
+	bool goes_on = true;
+
+	for (guint i = 0; i < m->routes->len && goes_on; i++) {
+		if (route_is_valid(m, i, &goes_on, error))
+			route_index(m, g_ptr_array_index(m->routes, i));
+		else
+			is_valid = false;
 	}
+	m->notes = NULL;
+	if (!is_valid)
+		return false;
 	g_hash_table_iter_init(&iter, m->hosts);
 	while (g_hash_table_iter_next(&iter, NULL, &value))
 		g_ptr_array_sort(value, prefix_compare);
--- a/src/routemap.h
+++ b/src/routemap.h
@@ -7,6 +7,8 @@
 #ifndef APRICOT_ROUTEMAP_H
 #define APRICOT_ROUTEMAP_H
 
+#include "mapnote.h"
+
 #include <glib.h>
 #include <stdbool.h>
 #include <stdint.h>
@@ -58,6 +60,7 @@
 	GHashTable *hosts; /* host -> GPtrArray of struct route, longest prefix first */
 	GHashTable *services; /* name -> struct routemap_service */
 	struct caller_limits limits;
+	struct mapnotes *notes; /* hears of errors until routemap_publish returns; NULL: nobody */
 };
 
 struct routemap *routemap_create(uint64_t version);
@@ -74,7 +77,8 @@
 
 /*
  * Validates the routes and indexes them by host. Returns false with RESULT_BAD_MANIFEST and a
- * message that names the route when one is incomplete or contradictory.
+ * message that names the first route that is incomplete or contradictory. Reports all errors of all
+ * routes to m->notes; without notes it stops at the first.
  */
 bool routemap_publish(struct routemap *m, GError **error);
 
--- a/tests/fuzz/mapcheck.c
+++ b/tests/fuzz/mapcheck.c
@@ -30,6 +30,15 @@
 	g_free(text);
 }
 
+static bool is_error_listed(const struct mapcheck *c)
+{
+	char *text = mapcheck_render_text(c);
+	bool is_listed = g_str_has_prefix(text, "error ");
+
+	g_free(text);
+	return is_listed;
+}
+
 int LLVMFuzzerTestOneInput(const uint8_t *data, size_t size)
 {
 	const struct adapter *adapter = adapter_platform();
@@ -44,6 +53,7 @@
 
 	FUZZ_CHECK(!c == !!error);
 	FUZZ_CHECK(!map || (c && !mapcheck_has_error(c)));
+	FUZZ_CHECK(!c || mapcheck_has_error(c) == is_error_listed(c));
 	if (c)
 		output_check(c);
 	mapcheck_destroy(c);
--- a/tests/mapcheck_test.cc
+++ b/tests/mapcheck_test.cc
@@ -1,5 +1,6 @@
 #include "adapter_platform.h"
 #include "mapcheck.h"
+#include "mapdiff.h"
 #include "process.h"
 #include "script.h"
 
@@ -221,11 +222,32 @@
 	}
 	return text;
 }
+
+/* The text of the first error that the check shows. */
+std::string first_error(const struct mapcheck *c)
+{
+	g_autofree char *text = mapcheck_render_json(c);
+	json_t *json = json_loads(text, 0, nullptr);
+	const char *first = json_string_value(
+		json_object_get(json_array_get(json_object_get(json, "errors"), 0), "text"));
+	std::string out = first ? first : "";
+
+	json_decref(json);
+	return out;
+}
+
+std::string printable(const char *message)
+{
+	g_autofree char *shown = mapdiff_text_show(message, 300);
+
+	return shown;
+}
 } // namespace
 
 /*
- * Guards against a check that passes what daemons refuse, or names errors in what they accept. The
- * check calls the daemon's reader, so this covers what it decides before and after that.
+ * Guards against a check that passes what daemons refuse, names errors in what they accept, or
+ * lists another error first than the one that they log. The check calls the daemon's reader, so
+ * this covers what it decides before and after that.
  */
 TEST(mapcheck_agreement, check_and_daemon_agree_on_mutations)
 {
@@ -236,12 +258,20 @@
 	for (int i = 0; i < 500; i++) {
 		std::string text = mutate(rand);
 		struct mapcheck_file file = {"new", text.data(), text.size()};
+		GError *error = nullptr;
 		struct routemap *map =
-			adapter->ops->routes_parse(adapter, text.data(), text.size(), nullptr);
+			adapter->ops->routes_parse(adapter, text.data(), text.size(), &error);
 		struct mapcheck *c = mapcheck_create(adapter, &file, nullptr, nullptr);
 
 		EXPECT_EQ(map != nullptr, c && !mapcheck_has_error(c)) << text;
+		EXPECT_EQ(map == nullptr, error != nullptr) << text;
+		if (c && error) {
+			EXPECT_EQ(first_error(c),
+				  std::string("501 bad_manifest: ") + printable(error->message))
+				<< text;
+		}
 		n_accepted += map != nullptr;
+		g_clear_error(&error);
 		mapcheck_destroy(c);
 		routemap_put(map);
 	}
@@ -323,7 +353,7 @@
 		std::string line;
 	} const cases[] = {
 		{{good}, 0, good + ": 0 routes, 0 services: ok"},
-		{{odd}, 1, "error rejected configuration: 501 bad_manifest: route a has no host"},
+		{{odd}, 1, "error rejected routes[0] a: 501 bad_manifest: route a has no host"},
 		{{good, "--json"},
 		 0,
 		 R"({"kind":"routing","errors":[],"warnings":[],"differences":[]})"},
