Report what the reader of a configuration skips or replaces

Cause: an entry that is no name, a field of another type, a negative number, a misspelt member or a service described twice was left out or replaced without a word by daemons and by the check. Change: the adapter reads routes, parts, services and limits through functions that report it to the listener of the check: entry_skipped, value_replaced, member_unknown (routes only, since services have members that are for others) and service_repeated. What daemons read is unchanged.

--- a/src/mapcheck.c
+++ b/src/mapcheck.c
@@ -95,7 +95,21 @@
 static void note_add(struct mapnotes *notes, enum mapnote_kind kind,
 		     const struct mapnote_place *place, const char *text)
 {
-	refusal_add((struct mapcheck *)notes, place_path(place), RESULT_BAD_MANIFEST, text);
+	static const enum mapcheck_finding kinds_of[] = {
+		[MAPNOTE_ENTRY_SKIPPED] = MAPCHECK_ENTRY_SKIPPED,
+		[MAPNOTE_VALUE_REPLACED] = MAPCHECK_VALUE_REPLACED,
+		[MAPNOTE_MEMBER_UNKNOWN] = MAPCHECK_MEMBER_UNKNOWN,
+		[MAPNOTE_SERVICE_REPEATED] = MAPCHECK_SERVICE_REPEATED,
+	};
+	struct mapcheck *c = (struct mapcheck *)notes;
+	g_autofree char *shown = NULL;
+
+	if (kind == MAPNOTE_REFUSED) {
+		refusal_add(c, place_path(place), RESULT_BAD_MANIFEST, text);
+		return;
+	}
+	shown = mapdiff_text_show(text, MESSAGE_MAX);
+	finding_add(c, kinds_of[kind], place_path(place), "%s", shown);
 }
 
 /* A host with a port and a prefix with a query are looked up, but never found. */
--- a/src/mapcheck.h
+++ b/src/mapcheck.h
@@ -33,6 +33,18 @@
 	  "an object has a member twice and daemons use the last one; only the first such member " \
 	  "is named",                                                                              \
 	  "warning member_repeated line 3: duplicate object key near '\"version\"'")               \
+	X(ENTRY_SKIPPED, "entry_skipped", WARNING,                                                 \
+	  "an entry of a list has no name, and daemons leave it out",                              \
+	  "warning entry_skipped routes[0] a: gather[1] is 7 and is left out")                     \
+	X(VALUE_REPLACED, "value_replaced", WARNING,                                               \
+	  "a field has another type or is out of range, and daemons leave it out or read another " \
+	  "value",                                                                                 \
+	  "warning value_replaced routes[0] a: priority is -1 and is read as 0")                   \
+	X(MEMBER_UNKNOWN, "member_unknown", WARNING, "daemons do not read this member of a route", \
+	  "warning member_unknown routes[0] a: timeoutMS is not read")                             \
+	X(SERVICE_REPEATED, "service_repeated", WARNING,                                           \
+	  "a service is described again, and daemons use the last description",                    \
+	  "warning service_repeated services[2] x: described before")                              \
 	X(ROUTE_HIDDEN, "route_hidden", WARNING,                                                   \
 	  "another route of the same host and prefix comes first and gets all requests",           \
 	  "warning route_hidden routes[1] b: routes[0] a has the same host and prefix")            \
@@ -86,8 +98,9 @@
 struct mapcheck;
 
 /*
- * Checks the file and, if current is not NULL, compares it with the current one. NULL with an error
- * when one of them cannot be read or they are of different kinds. The caller owns the result.
+ * Checks the file and, if current is not NULL, compares it with the current one. NULL
+ * with an error when one of them cannot be read or they are of different kinds. The
+ * caller owns the result.
  */
 struct mapcheck *mapcheck_create(const struct adapter *adapter, const struct mapcheck_file *file,
 				 const struct mapcheck_file *current, GError **error);
