Check a configuration against the leaves and the settings

Cause: a routing configuration names no leaves and no settings, so that attempts above the number of leaves and time limits above the longest planned stop were not found. Without the options neither is checked. mapcheck_create takes what is known beside the file as one struct.

--- a/src/ctl.c
+++ b/src/ctl.c
@@ -5,6 +5,7 @@
 #include "manifest.h"
 #include "mapcheck.h"
 #include "result.h"
+#include "settings.h"
 
 #include <errno.h>
 #include <event2/event.h>
@@ -21,6 +22,8 @@
 static char *opt_caller;
 static char *opt_id;
 static char *opt_against;
+static char *opt_leaves;
+static char *opt_settings;
 static gboolean opt_json;
 static gint opt_deadline_ms;
 static gint opt_timeout_ms = 65000;
@@ -37,6 +40,10 @@
 	 "how long to wait for an answer, ms", "N"},
 	{"against", 0, 0, G_OPTION_ARG_FILENAME, &opt_against,
 	 "compare the checked configuration with this file", "CURRENT"},
+	{"leaves", 0, 0, G_OPTION_ARG_FILENAME, &opt_leaves,
+	 "compare the checked configuration with this listing of the store's leaves", "FILE"},
+	{"settings", 0, 0, G_OPTION_ARG_FILENAME, &opt_settings,
+	 "compare the checked configuration with these settings of the daemons", "FILE"},
 	{"json", 0, 0, G_OPTION_ARG_NONE, &opt_json, "print the result of a check as JSON", NULL},
 	G_OPTION_ENTRY_NULL,
 };
@@ -277,10 +284,10 @@
 	return is_read;
 }
 
-static int files_check(const struct mapcheck_file *file, const struct mapcheck_file *current)
+static int files_check(const struct mapcheck_file *file, const struct mapcheck_context *context)
 {
 	GError *error = NULL;
-	struct mapcheck *c = mapcheck_create(adapter_platform(), file, current, &error);
+	struct mapcheck *c = mapcheck_create(adapter_platform(), file, context, &error);
 	char *out;
 	int code;
 
@@ -297,15 +304,42 @@
 	return code;
 }
 
+/* False with a message on standard error when a file cannot be read. */
+static bool context_read(struct mapcheck_file *current, struct mapcheck_file *leaves,
+			 struct mapcheck_context *context)
+{
+	GError *error = NULL;
+
+	if (opt_against) {
+		if (!file_read(opt_against, current))
+			return false;
+		context->current = current;
+	}
+	if (opt_leaves) {
+		if (!file_read(opt_leaves, leaves))
+			return false;
+		context->leaves = leaves;
+	}
+	if (opt_settings && !settings_file_stop_ms(opt_settings, &context->stop_ms, &error)) {
+		fprintf(stderr, "apricotctl: %s\n", error->message);
+		g_error_free(error);
+		return false;
+	}
+	return true;
+}
+
 static int config_check(int argc, char **argv)
 {
 	struct mapcheck_file file = {0};
 	struct mapcheck_file current = {0};
+	struct mapcheck_file leaves = {0};
+	struct mapcheck_context context = {0};
 	int code = MAPCHECK_EXIT_UNREADABLE;
 
 	if (argc != 3) {
 		fprintf(stderr,
-			"usage: apricotctl check-config NEW [--against CURRENT] [--json]\n");
+			"usage: apricotctl check-config NEW [--against CURRENT] [--leaves FILE] "
+			"[--settings FILE] [--json]\n");
 		return code;
 	}
 	if (opt_against && manifest_address_is_valid(opt_against)) {
@@ -315,10 +349,11 @@
 			opt_against);
 		return code;
 	}
-	if (file_read(argv[2], &file) && (!opt_against || file_read(opt_against, &current)))
-		code = files_check(&file, opt_against ? &current : NULL);
+	if (file_read(argv[2], &file) && context_read(&current, &leaves, &context))
+		code = files_check(&file, &context);
 	g_free((char *)file.text);
 	g_free((char *)current.text);
+	g_free((char *)leaves.text);
 	return code;
 }
 
--- a/src/mapcheck.c
+++ b/src/mapcheck.c
@@ -276,6 +276,133 @@
 				    values[i].name);
 }
 
+static bool unreadable_set(GError **error, const struct mapcheck_file *file, const char *why)
+{
+	g_autofree char *shown = mapdiff_text_show(why, MESSAGE_MAX);
+
+	g_set_error(error, RESULT_ERROR, RESULT_BAD_MANIFEST, "%s: %s", file->name, shown);
+	return false;
+}
+
+/*
+ * The number of leaves of each service. Entries that daemons would not use do not count, leaves
+ * that are draining do. NULL with an error when the file is no whole listing.
+ */
+static GHashTable *leaves_count(const struct adapter *adapter, const struct mapcheck_file *file,
+				GError **error)
+{
+	GHashTable *counts = NULL;
+	struct store_answer answer = {0};
+	GError *reason = NULL;
+
+	if (!adapter->ops->answer_parse(adapter, file->text, file->n, &answer, &reason)) {
+		unreadable_set(error, file, reason->message);
+		g_error_free(reason);
+		return NULL;
+	}
+	if (answer.has_more)
+		unreadable_set(error, file, "the listing has more pages");
+	else
+		counts = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
+	for (guint i = 0; counts && i < answer.items->len; i++) {
+		const struct store_item *item = g_ptr_array_index(answer.items, i);
+		struct leaf_report report = {0};
+		guint n;
+
+		if (!item->value || !g_str_has_prefix(item->key, adapter->leaf_prefix) ||
+		    !adapter->ops->leaf_parse(adapter, item->value, item->n_value, &report, NULL))
+			continue;
+		n = GPOINTER_TO_UINT(g_hash_table_lookup(counts, report.service));
+		g_hash_table_replace(counts, g_strdup(report.service), GUINT_TO_POINTER(n + 1));
+		leaf_report_clear(&report);
+	}
+	store_answer_clear(&answer);
+	return counts;
+}
+
+/* The services to which the route sends requests, repeated as in the route. */
+static GPtrArray *route_services(const struct route *r)
+{
+	GPtrArray *services = g_ptr_array_new();
+
+	for (guint i = 0; r->shards && i < r->shards->len; i++)
+		g_ptr_array_add(services, g_ptr_array_index(r->shards, i));
+	for (guint i = 0; i < r->targets->len; i++) {
+		const struct route_target *t = g_ptr_array_index(r->targets, i);
+
+		if (t->weight > 0)
+			g_ptr_array_add(services, t->service);
+	}
+	return services;
+}
+
+/* One finding for a route, since it can have 135 shards. */
+static void attempts_check(struct mapcheck *c, guint i, GHashTable *leaves)
+{
+	const struct route *r = g_ptr_array_index(c->document.map->routes, i);
+	g_autoptr(GPtrArray) services = route_services(r);
+	g_autofree char *first = NULL;
+	guint n_first = 0;
+	guint n_short = 0;
+
+	for (guint k = 0; k < services->len; k++) {
+		const char *service = g_ptr_array_index(services, k);
+		guint n = GPOINTER_TO_UINT(g_hash_table_lookup(leaves, service));
+
+		if (n >= r->max_attempts)
+			continue;
+		if (n_short++ == 0) {
+			first = mapdiff_text_show(service, MAPDIFF_NAME_MAX);
+			n_first = n;
+		}
+	}
+	if (n_short == 1)
+		finding_add(c, MAPCHECK_ATTEMPTS_ABOVE_LEAVES,
+			    mapdiff_route_path(c->document.map, i),
+			    "max_attempts %u is above the %u leaves of service %s", r->max_attempts,
+			    n_first, first);
+	else if (n_short > 1)
+		finding_add(c, MAPCHECK_ATTEMPTS_ABOVE_LEAVES,
+			    mapdiff_route_path(c->document.map, i),
+			    "max_attempts %u is above the %u leaves of service %s, and above those "
+			    "of %u more",
+			    r->max_attempts, n_first, first, n_short - 1);
+}
+
+static void stop_check(struct mapcheck *c, uint64_t stop_ms)
+{
+	const struct routemap *m = c->document.map;
+
+	for (guint i = 0; i < m->routes->len; i++) {
+		const struct route *r = g_ptr_array_index(m->routes, i);
+
+		if (r->timeout_ms > stop_ms)
+			finding_add(c, MAPCHECK_STOP_BELOW_TIMEOUT, mapdiff_route_path(m, i),
+				    "timeout_ms %u is above the stop time of %" G_GUINT64_FORMAT
+				    " ms",
+				    r->timeout_ms, stop_ms);
+	}
+}
+
+/* False with an error when the listing of the leaves cannot be read. */
+static bool context_check(struct mapcheck *c, const struct adapter *adapter,
+			  const struct mapcheck_context *context, GError **error)
+{
+	GHashTable *leaves = NULL;
+
+	if (context->leaves) {
+		leaves = leaves_count(adapter, context->leaves, error);
+		if (!leaves)
+			return false;
+		for (guint i = 0; c->document.map && i < c->document.map->routes->len; i++)
+			attempts_check(c, i, leaves);
+		g_hash_table_destroy(leaves);
+	}
+	if (c->document.map && context->stop_ms > 0)
+		stop_check(c, context->stop_ms);
+	return true;
+}
+
 static void routemap_check(struct mapcheck *c)
 {
 	const struct routemap *m = c->document.map;
@@ -287,14 +414,6 @@
 	limits_check(c);
 }
 
-static bool unreadable_set(GError **error, const struct mapcheck_file *file, const char *why)
-{
-	g_autofree char *shown = mapdiff_text_show(why, MESSAGE_MAX);
-
-	g_set_error(error, RESULT_ERROR, RESULT_BAD_MANIFEST, "%s: %s", file->name, shown);
-	return false;
-}
-
 /* Parses the text; NULL with an error when it is no JSON object. */
 static json_t *object_parse(const struct mapcheck_file *file, GError **error)
 {
@@ -423,8 +542,9 @@
 }
 
 struct mapcheck *mapcheck_create(const struct adapter *adapter, const struct mapcheck_file *file,
-				 const struct mapcheck_file *current, GError **error)
+				 const struct mapcheck_context *context, GError **error)
 {
+	static const struct mapcheck_context nothing;
 	struct mapcheck *c = g_new0(struct mapcheck, 1);
 	GError *refusal = NULL;
 
@@ -445,11 +565,14 @@
 		repeated_check(c, file);
 	if (c->document.map)
 		routemap_check(c);
-	g_ptr_array_sort(c->findings, severity_compare);
-	if (current && !current_compare(c, adapter, current, error)) {
+	if (!context)
+		context = &nothing;
+	if (!context_check(c, adapter, context, error) ||
+	    (context->current && !current_compare(c, adapter, context->current, error))) {
 		mapcheck_destroy(c);
 		return NULL;
 	}
+	g_ptr_array_sort(c->findings, severity_compare);
 	return c;
 }
 
--- a/src/mapcheck.h
+++ b/src/mapcheck.h
@@ -13,6 +13,7 @@
 #include <glib.h>
 #include <stdbool.h>
 #include <stddef.h>
+#include <stdint.h>
 
 G_BEGIN_DECLS
 
@@ -65,6 +66,14 @@
 	X(TIMEOUT_BELOW_GOAL, "timeout_below_goal", WARNING,                                       \
 	  "the time limit of a route is below its latency target",                                 \
 	  "warning timeout_below_goal routes[0] a: timeout_ms 100 is below goal_ms 250")           \
+	X(ATTEMPTS_ABOVE_LEAVES, "attempts_above_leaves", WARNING,                                 \
+	  "a request may be sent to more leaves than a service has (with --leaves)",               \
+	  "warning attempts_above_leaves routes[0] a: max_attempts 3 is above the 2 leaves of "    \
+	  "service x")                                                                             \
+	X(STOP_BELOW_TIMEOUT, "stop_below_timeout", WARNING,                                       \
+	  "a planned stop ends before the time limit of a request (with --settings)",              \
+	  "warning stop_below_timeout routes[0] a: timeout_ms 9000 is above the stop time of "     \
+	  "6000 ms")                                                                               \
 	X(MIN_SHARE_RANGE, "min_share_range", WARNING,                                             \
 	  "the least part of the shards is not from 0 to 1",                                       \
 	  "warning min_share_range routes[0] a: min_share 1.5 is not from 0 to 1")                 \
@@ -94,16 +103,25 @@
 	size_t n;
 };
 
+/* What is known beside the file. Members that are NULL or 0 are unknown, and not checked against.
+ */
+struct mapcheck_context {
+	const struct mapcheck_file *current; /* the configuration in force */
+	const struct mapcheck_file *leaves; /* the store's answer to a listing of the leaves */
+	uint64_t stop_ms; /* longest duration of a planned stop */
+};
+
 /* What was found in a file; opaque. */
 struct mapcheck;
 
 /*
- * Checks the file and, if current is not NULL, compares it with the current one. NULL
- * with an error when one of them cannot be read or they are of different kinds. The
- * caller owns the result.
+ * Checks the file and compares it with the current one. The leaves and the time of a stop are
+ * compared with a routing configuration only. NULL with an error when a file cannot be read, the
+ * listing is incomplete, or the file and the current one are of different kinds. context may be
+ * NULL. The caller owns the result.
  */
 struct mapcheck *mapcheck_create(const struct adapter *adapter, const struct mapcheck_file *file,
-				 const struct mapcheck_file *current, GError **error);
+				 const struct mapcheck_context *context, GError **error);
 void mapcheck_destroy(struct mapcheck *c); /* accepts NULL */
 
 /* True when daemons refuse the file. */
--- a/src/settings.c
+++ b/src/settings.c
@@ -237,6 +237,32 @@
 	return TRUE;
 }
 
+bool settings_file_stop_ms(const char *path, uint64_t *stop_ms, GError **error)
+{
+	struct settings *s = g_new0(struct settings, 1);
+	bool ok = true;
+
+#define X(field, flag, env, required, help) g_unsetenv(env);
+	SETTINGS_TEXT_LIST(X)
+#undef X
+#define X(field, flag, env, fallback, min, max, help) g_unsetenv(env);
+	SETTINGS_NUMBER_LIST(X)
+#undef X
+	ok = settings_file_load(path, error);
+#define X(field, flag, env, required, help) \
+	ok = ok && text_check(flag, env, false, &s->field, error);
+	SETTINGS_TEXT_LIST(X)
+#undef X
+#define X(field, flag, env, fallback, min, max, help) \
+	ok = ok && number_check(flag, env, NULL, fallback, min, max, &s->field, error);
+	SETTINGS_NUMBER_LIST(X)
+#undef X
+	ok = ok && decimals_check(s, error);
+	*stop_ms = s->stop_ms;
+	settings_destroy(s);
+	return ok;
+}
+
 struct settings *settings_create(int argc, char **argv, GError **error)
 {
 	struct settings *s = g_new0(struct settings, 1);
--- a/src/settings.h
+++ b/src/settings.h
@@ -97,6 +97,12 @@
  * taken effect by then.
  */
 gboolean settings_file_load(const char *path, GError **error);
+/*
+ * Sets *stop_ms to the longest duration of a planned stop with this settings file alone, and the
+ * environment as settings_file_load does. Returns false with RESULT_BAD_SETTING when the file
+ * cannot be read, or a number in it is malformed or out of range.
+ */
+bool settings_file_stop_ms(const char *path, uint64_t *stop_ms, GError **error);
 void settings_destroy(struct settings *s);
 
 /* Processor share of this VM in thousandths of a core; 1000 without the setting. */
--- a/tests/fuzz/mapcheck.c
+++ b/tests/fuzz/mapcheck.c
@@ -47,6 +47,8 @@
 	size_t n = zero ? (size_t)(zero - text) : size;
 	struct mapcheck_file file = {"new", text, n};
 	struct mapcheck_file current = {"current", zero ? zero + 1 : NULL, zero ? size - n - 1 : 0};
+	struct mapcheck_context with_current = {.current = &current};
+	struct mapcheck_context with_leaves = {.leaves = &current, .stop_ms = 500};
 	struct routemap *map = adapter->ops->routes_parse(adapter, text, n, NULL);
 	GError *error = NULL;
 	struct mapcheck *c = mapcheck_create(adapter, &file, NULL, &error);
@@ -58,7 +60,13 @@
 		output_check(c);
 	mapcheck_destroy(c);
 	g_clear_error(&error);
-	c = zero ? mapcheck_create(adapter, &file, &current, &error) : NULL;
+	c = zero ? mapcheck_create(adapter, &file, &with_current, &error) : NULL;
+	FUZZ_CHECK(!zero || !c == !!error);
+	if (c)
+		output_check(c);
+	mapcheck_destroy(c);
+	g_clear_error(&error);
+	c = zero ? mapcheck_create(adapter, &file, &with_leaves, &error) : NULL;
 	FUZZ_CHECK(!zero || !c == !!error);
 	if (c)
 		output_check(c);
--- a/tests/mapcheck_test.cc
+++ b/tests/mapcheck_test.cc
@@ -18,6 +18,8 @@
 	json_t *config = json_pack("{s:i, s:[], s:[]}", "version", 7, "routes", "services");
 	std::string raw; /* the file, instead of config */
 	std::string current;
+	std::string leaves; /* the store's answer to a listing */
+	uint64_t stop_ms = 0;
 
 	~mapcheck_script() override
 	{
@@ -73,14 +75,34 @@
 		return out;
 	}
 
+	/* An answer of the store with one leaf for each service that is named after the verb. */
+	static std::string listing(const std::vector<std::string> &w)
+	{
+		std::string items;
+
+		for (size_t i = 1; i < w.size(); i++) {
+			std::string value =
+				R"({"state":"ready","capacity":2,"zone":"a","address":"127.0.0.1:9","service":")" +
+				w[i] + "\"}";
+			g_autofree char *encoded =
+				g_base64_encode((const guchar *)value.data(), value.size());
+
+			items += (i > 1 ? "," : "") + (R"({"key":"servers/l)" + std::to_string(i)) +
+				 R"(","revision":4,"value":")" + encoded + "\"}";
+		}
+		return w.size() > 1 ? R"({"storeRevision":9,"items":[)" + items + "]}" : "";
+	}
+
 	std::string check(bool as_json)
 	{
 		std::string file_text = text();
 		struct mapcheck_file file = {"new", file_text.data(), file_text.size()};
 		struct mapcheck_file before = {"current", current.data(), current.size()};
+		struct mapcheck_file listing = {"leaves", leaves.data(), leaves.size()};
+		struct mapcheck_context context = {current.empty() ? nullptr : &before,
+						   leaves.empty() ? nullptr : &listing, stop_ms};
 		GError *error = nullptr;
-		struct mapcheck *c = mapcheck_create(adapter_platform(), &file,
-						     current.empty() ? nullptr : &before, &error);
+		struct mapcheck *c = mapcheck_create(adapter_platform(), &file, &context, &error);
 		std::string out;
 
 		if (!c) {
@@ -139,6 +161,13 @@
 		} else if (w[0] == "current") { /* the file as it is now */
 			current = text();
 			raw.clear();
+		} else if (w[0] ==
+			   "leaves") { /* leaves SERVICE...: one leaf each; none is unknown */
+			leaves = listing(w);
+		} else if (w[0] == "listing") { /* listing TEXT */
+			leaves = w[1];
+		} else if (w[0] == "stop") { /* stop MS */
+			stop_ms = std::stoull(w[1]);
 		} else { /* check, json */
 			return check(w[0] == "json");
 		}
@@ -326,8 +355,8 @@
 	struct mapcheck_file file = {"new", text.data(), text.size()};
 	for (bool with_current : {false, true}) {
 		clock_t start = clock();
-		struct mapcheck *c = mapcheck_create(adapter_platform(), &file,
-						     with_current ? &file : nullptr, nullptr);
+		struct mapcheck_context context = {with_current ? &file : nullptr, nullptr, 0};
+		struct mapcheck *c = mapcheck_create(adapter_platform(), &file, &context, nullptr);
 
 		ASSERT_NE(c, nullptr);
 		EXPECT_FALSE(mapcheck_has_error(c));
@@ -347,6 +376,9 @@
 	g_autofree char *directory = g_dir_make_tmp(nullptr, nullptr);
 	std::string good = std::string(directory) + "/good";
 	std::string odd = std::string(directory) + "/odd";
+	std::string slow = std::string(directory) + "/slow";
+	std::string leaves = std::string(directory) + "/leaves";
+	std::string settings = std::string(directory) + "/settings";
 	struct {
 		std::vector<std::string> args;
 		int status;
@@ -363,6 +395,15 @@
 		{{good, "--against", odd}, 2, ""},
 		{{good, "--against", "127.0.0.1:9"}, 2, ""},
 		{{good, "--against", directory}, 2, ""},
+		{{slow, "--leaves", leaves, "--settings", settings, "--json"},
+		 1,
+		 R"({"kind":"routing","errors":[],"warnings":[{"finding":"attempts_above_leaves",)"
+		 R"("path":"routes[0] a","text":"max_attempts 1 is above the 0 leaves of service s"},)"
+		 R"({"finding":"stop_below_timeout","path":"routes[0] a",)"
+		 R"("text":"timeout_ms 9000 is above the stop time of 6000 ms"}],"differences":[]})"},
+		{{good, "--leaves", good}, 2, ""},
+		{{good, "--settings", good}, 2, ""},
+		{{good, "--settings", good + "x"}, 2, ""},
 		{{good + "x"}, 2, ""},
 		{{"/dev/zero"}, 2, ""},
 		{{}, 2, ""},
@@ -371,6 +412,15 @@
 	ASSERT_TRUE(g_file_set_contents(good.c_str(), R"({"version":7,"routes":[]})", -1, nullptr));
 	ASSERT_TRUE(g_file_set_contents(odd.c_str(), R"({"version":7,"routes":[{"name":"a"}]})", -1,
 					nullptr));
+	ASSERT_TRUE(g_file_set_contents(
+		slow.c_str(),
+		R"({"version":7,"routes":[{"name":"a","hostname":"h","prefix":"/","timeoutMs":9000,)"
+		R"("service":"s"}],"services":[{"name":"s"}]})",
+		-1, nullptr));
+	ASSERT_TRUE(g_file_set_contents(leaves.c_str(), R"({"storeRevision":9,"items":[]})", -1,
+					nullptr));
+	ASSERT_TRUE(
+		g_file_set_contents(settings.c_str(), "# bounds\nAPRICOT_STOP_S=6\n", -1, nullptr));
 	for (const auto &test : cases) {
 		std::vector<std::string> args = {"apricotctl", "check-config"};
 
@@ -380,6 +430,7 @@
 		EXPECT_EQ(p.exit_wait(), test.status) << test.line;
 	}
 	unlink(good.c_str());
-	unlink(odd.c_str());
+	for (const std::string &name : {odd, slow, leaves, settings})
+		unlink(name.c_str());
 	rmdir(directory);
 }
