Test bad input of the check and bound its findings

Change: a test gives the command 23 files and compares status, lines and the daemon's reader. Of errors and of warnings the first 50,000 each are shown, and the number of the others.

--- a/src/mapcheck.c
+++ b/src/mapcheck.c
@@ -6,6 +6,11 @@
 #include <jansson.h>
 #include <string.h>
 
+/*
+ * Findings of each severity that are shown. A file of the greatest size can have 5,000,000, which
+ * took 20 s and more; 2,500 routes with six errors each have 15,000.
+ */
+#define FINDINGS_MAX 50000
 /* Characters of a message of a reader that are shown. */
 #define MESSAGE_MAX 300
 
@@ -33,6 +38,7 @@
 	struct mapnotes notes; /* of the daemon's reader */
 	char *name;
 	GPtrArray *findings; /* struct finding */
+	unsigned int n_found[2]; /* by severity, those that are not shown included */
 	GPtrArray *differences; /* struct mapdiff_line; NULL: not compared */
 	struct document document;
 };
@@ -62,9 +68,14 @@
 static void finding_add(struct mapcheck *c, enum mapcheck_finding kind, char *path,
 			const char *format, ...)
 {
-	struct finding *f = g_new0(struct finding, 1);
+	struct finding *f;
 	va_list args;
 
+	if (c->n_found[kinds[kind].severity]++ >= FINDINGS_MAX) {
+		g_free(path);
+		return;
+	}
+	f = g_new0(struct finding, 1);
 	f->kind = kind;
 	f->path = path;
 	va_start(args, format);
@@ -557,6 +568,7 @@
 	}
 	if (c->document.is_manifest) {
 		g_ptr_array_set_size(c->findings, 0);
+		memset(c->n_found, 0, sizeof(c->n_found));
 		if (refusal)
 			refusal_add(c, g_strdup("configuration"), refusal->code, refusal->message);
 	}
@@ -598,6 +610,12 @@
 	return c->findings->len > 0 ? MAPCHECK_EXIT_FINDINGS : MAPCHECK_EXIT_CLEAN;
 }
 
+/* The findings that are not shown. */
+static unsigned int omitted_count(const struct mapcheck *c)
+{
+	return c->n_found[MAPCHECK_ERROR] + c->n_found[MAPCHECK_WARNING] - c->findings->len;
+}
+
 static char *summary_render(const struct mapcheck *c)
 {
 	const struct document *d = &c->document;
@@ -625,6 +643,8 @@
 
 		g_string_append_printf(out, "difference %s: %s\n", line->path, line->text);
 	}
+	if (omitted_count(c) > 0)
+		g_string_append_printf(out, "%u more findings are not shown\n", omitted_count(c));
 	if (c->findings->len == 0) {
 		g_autofree char *summary = summary_render(c);
 
@@ -665,6 +685,8 @@
 			 c->document.is_manifest ? "manifest" : "routing", "errors",
 			 findings_pack(c, MAPCHECK_ERROR), "warnings",
 			 findings_pack(c, MAPCHECK_WARNING), "differences", differences);
+	if (omitted_count(c) > 0)
+		json_object_set_new(json, "not_shown", json_integer(omitted_count(c)));
 	text = json_dumps(json, JSON_COMPACT | JSON_PRESERVE_ORDER);
 	out = g_strconcat(text, "\n", NULL);
 	free(text);
--- a/src/mapcheck.h
+++ b/src/mapcheck.h
@@ -17,7 +17,10 @@
 
 G_BEGIN_DECLS
 
-/* The longest file that is read, 4 MiB: a configuration of 2,500 routes has less than 1 MB. */
+/*
+ * The longest file that is read, 4 MiB: a configuration of 2,500 routes has less than 1 MB. Daemons
+ * read no longer answer of the store, in which a configuration takes four thirds of its size.
+ */
 #define MAPCHECK_BYTES_MAX (4 << 20)
 /* Ranks are 0 to this one. */
 #define MAPCHECK_PRIORITY_MAX 9
@@ -128,7 +131,10 @@
 bool mapcheck_has_error(const struct mapcheck *c);
 enum mapcheck_exit mapcheck_exit_code(const struct mapcheck *c);
 
-/* One line for each finding and difference, or that there is none. */
+/*
+ * One line for each finding and difference, or that there is none. Of the errors and of the
+ * warnings the first 50,000 are shown, and the number of the others.
+ */
 char *mapcheck_render_text(const struct mapcheck *c);
 /* One object with the lists errors, warnings and differences, on one line. */
 char *mapcheck_render_json(const struct mapcheck *c);
--- a/tests/mapcheck_test.cc
+++ b/tests/mapcheck_test.cc
@@ -9,6 +9,7 @@
 #include <gtest/gtest.h>
 #include <jansson.h>
 #include <sstream>
+#include <sys/wait.h>
 #include <unistd.h>
 
 namespace
@@ -370,6 +371,110 @@
 	}
 }
 
+/*
+ * Guards against a file that crashes the check, that is passed over without a line, or that daemons
+ * accept and the check calls unreadable.
+ */
+TEST(mapcheck_command, bad_input)
+{
+	const std::string head = R"({"version":7,"routes":[{"name":")";
+	const std::string rest =
+		R"(","hostname":"h","prefix":"/","timeoutMs":9,"service":"x"}],"services":[{"name":"x")";
+	auto nested = [&](size_t n) {
+		return head + "a" + rest + ",\"u\":" + std::string(n, '[') + std::string(n, ']') +
+		       "}]}";
+	};
+	const std::string good = head + "a" + rest + "}]}";
+	struct {
+		std::string text;
+		int status;
+	} const cases[] = {
+		{good, 0},
+		{"", 2},
+		{good.substr(0, good.size() - 1), 2},
+		{good + "x", 2},
+		{"\xef\xbb\xbf" + good, 2},
+		{head + std::string(1, '\0') + rest + "}]}", 2},
+		/* Depths up to 2,048 can be parsed, also where nothing reads the member. */
+		{nested(1000), 0},
+		{nested(2000), 0},
+		{nested(5000), 2},
+		{nested(1000000), 2},
+		/* Overlong, half of a surrogate pair, Latin-1; then what is valid though unusual.
+		 */
+		{head + "\xc0\xaf" + rest + "}]}", 2},
+		{head + "\xed\xa0\x80" + rest + "}]}", 2},
+		{head + "\\ud800" + rest + "}]}", 2},
+		{head + "\xe4" + rest + "}]}", 2},
+		{head + "\\ud83d\\ude00" + rest + "}]}", 0},
+		{head + "\xe2\x80\xae\xc2\x85\xf4\x8f\xbf\xbf" + rest + "}]}", 0},
+		{head + "a\",\"name\":\"b" + rest + "}]}", 1},
+		{head + "a" + rest + ",\"u\":18446744073709551616}]}", 2},
+		{head + "a" + rest + ",\"u\":1e400}]}", 2},
+		{head + "a" + rest + ",\"u\":" + std::string(100000, '9') + "}]}", 2},
+		{head + std::string(3000000, 'a') + rest + "}]}", 0},
+		{good + std::string(8000000, ' '), 2},
+		{head + std::string(8000000, 'a') + rest + "}]}", 2},
+	};
+	g_autofree char *directory = g_dir_make_tmp(nullptr, nullptr);
+	std::string name = std::string(directory) + "/file";
+
+	for (const auto &test : cases) {
+		ASSERT_TRUE(g_file_set_contents(name.c_str(), test.text.data(),
+						(gssize)test.text.size(), nullptr));
+		std::string shown = test.text.substr(0, 200);
+		const char *args[] = {BUILD_DIR "/apricotctl", "check-config", name.c_str(),
+				      nullptr};
+		g_autofree char *out = nullptr;
+		g_autofree char *err = nullptr;
+		int status = 0;
+
+		ASSERT_TRUE(g_spawn_sync(nullptr, (char **)args, nullptr, G_SPAWN_DEFAULT, nullptr,
+					 nullptr, &out, &err, &status, nullptr));
+		EXPECT_TRUE(WIFEXITED(status)) << shown;
+		EXPECT_EQ(WEXITSTATUS(status), test.status) << shown;
+		/* One line: on standard error for a file that cannot be read. */
+		std::string lines = test.status == 2 ? err : out;
+		EXPECT_EQ(lines.find('\n'), lines.size() - 1) << lines;
+		EXPECT_STREQ(test.status == 2 ? out : err, "") << shown;
+		struct routemap *map = adapter_platform()->ops->routes_parse(
+			adapter_platform(), test.text.data(), test.text.size(), nullptr);
+
+		EXPECT_EQ(map != nullptr && test.text.size() <= MAPCHECK_BYTES_MAX,
+			  test.status != 2)
+			<< shown;
+		routemap_put(map);
+	}
+	unlink(name.c_str());
+	rmdir(directory);
+}
+
+/* Guards against findings without end, and against errors that warnings crowd out. */
+TEST(mapcheck_size, findings_are_bounded)
+{
+	std::string members;
+	std::string routes;
+
+	for (int i = 0; i < 60000; i++)
+		members += "\"u" + std::to_string(i) + "\":1,";
+	for (int i = 0; i < 20000; i++)
+		routes += ",{}";
+
+	std::string text =
+		R"({"version":1,"routes":[{)" + members + "\"name\":\"a\"}" + routes + "]}";
+	struct mapcheck_file file = {"new", text.data(), text.size()};
+	struct mapcheck *c = mapcheck_create(adapter_platform(), &file, nullptr, nullptr);
+
+	ASSERT_NE(c, nullptr);
+	EXPECT_TRUE(mapcheck_has_error(c));
+	EXPECT_EQ(first_error(c), "501 bad_manifest: route a has no host");
+	g_autofree char *shown = mapcheck_render_text(c);
+	/* 60,000 warnings and four errors of each of 20,001 routes, of which 50,000 each are shown.
+	 */
+	EXPECT_TRUE(g_str_has_suffix(shown, "\n40004 more findings are not shown\n"));
+	mapcheck_destroy(c);
+}
+
 /* Guards against the command's wiring: options that are not passed on, or another exit status. */
 TEST(mapcheck_command, options_and_exit_status)
 {
