--- a/src/ctl.c
+++ b/src/ctl.c
@@ -39,7 +39,8 @@
 	{"timeout-ms", 't', 0, G_OPTION_ARG_INT, &opt_timeout_ms,
 	 "how long to wait for an answer, ms", "N"},
 	{"against", 0, 0, G_OPTION_ARG_FILENAME, &opt_against,
-	 "compare the checked configuration with this file", "CURRENT"},
+	 "compare the checked configuration with this file, or with that of the VM at IP:PORT",
+	 "CURRENT"},
 	{"leaves", 0, 0, G_OPTION_ARG_FILENAME, &opt_leaves,
 	 "compare the checked configuration with this listing of the store's leaves", "FILE"},
 	{"settings", 0, 0, G_OPTION_ARG_FILENAME, &opt_settings,
@@ -304,6 +305,27 @@
 	return code;
 }
 
+/*
+ * Fetches the routing configuration in force at an entry VM. False with a message on standard error
+ * without one.
+ */
+static bool current_fetch(const char *address, struct mapcheck_file *current)
+{
+	int status;
+	char *body = exchange_run(address, "/configuration", NULL, &status);
+
+	if (!body)
+		return false;
+	if (status != 200) {
+		fprintf(stderr, "apricotctl: %s: no routing configuration (HTTP status %d)\n",
+			address, status);
+		g_free(body);
+		return false;
+	}
+	*current = (struct mapcheck_file){address, body, strlen(body)};
+	return true;
+}
+
 /* False with a message on standard error when a file cannot be read. */
 static bool context_read(struct mapcheck_file *current, struct mapcheck_file *leaves,
 			 struct mapcheck_context *context)
@@ -311,7 +333,8 @@
 	GError *error = NULL;
 
 	if (opt_against) {
-		if (!file_read(opt_against, current))
+		if (manifest_address_is_valid(opt_against) ? !current_fetch(opt_against, current)
+							   : !file_read(opt_against, current))
 			return false;
 		context->current = current;
 	}
@@ -337,16 +360,8 @@
 	int code = MAPCHECK_EXIT_UNREADABLE;
 
 	if (argc != 3) {
-		fprintf(stderr,
-			"usage: apricotctl check-config NEW [--against CURRENT] [--leaves FILE] "
-			"[--settings FILE] [--json]\n");
-		return code;
-	}
-	if (opt_against && manifest_address_is_valid(opt_against)) {
-		fprintf(stderr,
-			"apricotctl: --against %s: a file is required, daemons do not return the "
-			"configuration\n",
-			opt_against);
+		fprintf(stderr, "usage: apricotctl check-config NEW [--against CURRENT|IP:PORT] "
+				"[--leaves FILE] [--settings FILE] [--json]\n");
 		return code;
 	}
 	if (file_read(argv[2], &file) && context_read(&current, &leaves, &context))
--- a/src/feed.c
+++ b/src/feed.c
@@ -149,6 +149,7 @@
 		g_error_free(error);
 		return;
 	}
+	routemap_text_set(map, item->value, item->n_value);
 	for (size_t i = 0; i < G_N_ELEMENTS(services); i++)
 		kernel_message_send(k, kernel_service_find(k, services[i]),
 				    &routes_read_create(map)->message);
--- a/src/front.c
+++ b/src/front.c
@@ -24,7 +24,13 @@
 	bool refuses_new_requests; /* a planned stop is near its time limit */
 };
 
-enum pending_kind { PENDING_REQUEST, PENDING_STATUS, PENDING_ENTRIES, PENDING_METRICS };
+enum pending_kind {
+	PENDING_REQUEST,
+	PENDING_STATUS,
+	PENDING_ENTRIES,
+	PENDING_METRICS,
+	PENDING_CONFIGURATION
+};
 
 /* An HTTP request of a caller or operator that waits for replies of other services. */
 struct pending {
@@ -147,6 +153,8 @@
 		return "entries";
 	case PENDING_METRICS:
 		return "metrics";
+	case PENDING_CONFIGURATION:
+		return "configuration";
 	default:
 		return "status";
 	}
@@ -226,6 +234,32 @@
 		metrics_send(f, req, NULL);
 }
 
+static void configuration_ask(struct front *f, struct evhttp_request *req)
+{
+	static const char *const services[] = {"gateway"};
+
+	if (kernel_service_find(f->service.kernel, services[0]))
+		status_ask(f, req, PENDING_CONFIGURATION, services, G_N_ELEMENTS(services));
+	else
+		error_send(f, req, RESULT_NOT_FOUND, "this VM has no gateway routes");
+}
+
+/* Sends the text of the routing configuration as the store has it. */
+static void configuration_send(struct front *f, struct evhttp_request *req, const json_t *body)
+{
+	const json_t *text = json_object_get(body, "configuration");
+
+	if (!text) {
+		error_send(f, req, RESULT_NOT_READY, "this VM has no configuration yet");
+		return;
+	}
+	evhttp_add_header(evhttp_request_get_output_headers(req), "Content-Type",
+			  "application/json");
+	evbuffer_add(evhttp_request_get_output_buffer(req), json_string_value(text),
+		     json_string_length(text));
+	evhttp_send_reply(req, 200, NULL, NULL);
+}
+
 static void http_handle(struct evhttp_request *req, void *arg)
 {
 	static const char *const status_services[] = {"configurer", "membership", "holder",
@@ -247,6 +281,8 @@
 		status_ask(f, req, PENDING_STATUS, status_services, G_N_ELEMENTS(status_services));
 	else if (g_strcmp0(path, "/metrics") == 0 && !is_post)
 		metrics_ask(f, req);
+	else if (g_strcmp0(path, "/configuration") == 0 && !is_post)
+		configuration_ask(f, req);
 	else
 		error_send(f, req, RESULT_NOT_FOUND, "no such path or method");
 }
@@ -289,6 +325,8 @@
 		return;
 	if (p->kind == PENDING_METRICS)
 		metrics_send(f, p->req, p->body);
+	else if (p->kind == PENDING_CONFIGURATION)
+		configuration_send(f, p->req, p->body);
 	else
 		json_send(p->req, 200, p->body);
 	g_hash_table_remove(f->pending, (gpointer)(guintptr)reply->tag);
--- a/src/gateway.c
+++ b/src/gateway.c
@@ -424,6 +424,8 @@
 	case MESSAGE_STATUS_REQUEST:
 		if (strcmp(((struct status_request *)m)->topic, "metrics") == 0)
 			gateway_metrics_answer(g, (struct status_request *)m);
+		else if (strcmp(((struct status_request *)m)->topic, "configuration") == 0)
+			gateway_configuration_answer(g, (struct status_request *)m);
 		else
 			gateway_status_answer(g, (struct status_request *)m);
 		break;
--- a/src/gatewaymetrics.c
+++ b/src/gatewaymetrics.c
@@ -238,6 +238,15 @@
 	kernel_message_send(g->service.kernel, request->reply_to, &reply->message);
 }
 
+void gateway_configuration_answer(struct gateway *g, const struct status_request *request)
+{
+	const char *text = g->map ? g->map->text : NULL;
+	struct status_reply *reply =
+		status_reply_create(request->tag, json_pack("{s:s*}", "configuration", text));
+
+	kernel_message_send(g->service.kernel, request->reply_to, &reply->message);
+}
+
 void gateway_status_answer(struct gateway *g, const struct status_request *request)
 {
 	json_t *routes = json_object();
--- a/src/gatewaystate.h
+++ b/src/gatewaystate.h
@@ -32,5 +32,7 @@
 /* gatewaymetrics.c: answer a request for the metrics as text, or for the status as JSON. */
 void gateway_metrics_answer(struct gateway *g, const struct status_request *request);
 void gateway_status_answer(struct gateway *g, const struct status_request *request);
+/* gatewaymetrics.c: answers with the text of the configuration in force, without one if none is. */
+void gateway_configuration_answer(struct gateway *g, const struct status_request *request);
 
 #endif
--- a/src/routemap.c
+++ b/src/routemap.c
@@ -67,9 +67,16 @@
 	g_hash_table_destroy(m->hosts);
 	g_hash_table_destroy(m->services);
 	g_ptr_array_free(m->routes, TRUE);
+	g_free(m->text);
 	g_free(m);
 }
 
+void routemap_text_set(struct routemap *m, const char *text, size_t n)
+{
+	g_free(m->text);
+	m->text = g_strndup(text, n);
+}
+
 struct route *routemap_route_add(struct routemap *m)
 {
 	struct route *r = g_new0(struct route, 1);
--- a/src/routemap.h
+++ b/src/routemap.h
@@ -11,6 +11,7 @@
 
 #include <glib.h>
 #include <stdbool.h>
+#include <stddef.h>
 #include <stdint.h>
 
 G_BEGIN_DECLS
@@ -60,6 +61,7 @@
 	GHashTable *hosts; /* host -> GPtrArray of struct route, longest prefix first */
 	GHashTable *services; /* name -> struct routemap_service */
 	struct caller_limits limits;
+	char *text; /* as read from the store, ends with a zero byte; NULL: unknown */
 	struct mapnotes *notes; /* hears of errors until routemap_publish returns; NULL: nobody */
 };
 
@@ -75,6 +77,8 @@
 struct routemap_service *routemap_service_add(struct routemap *m, const char *name,
 					      const char *check_path, unsigned int max_connections);
 
+/* Keeps a copy of the n bytes from which the map was read. */
+void routemap_text_set(struct routemap *m, const char *text, size_t n);
 /*
  * Validates the routes and indexes them by host. Returns false with RESULT_BAD_MANIFEST and a
  * message that names the first route that is incomplete or contradictory. Reports all errors of all
