--- a/tests/mapcheck_test.cc
+++ b/tests/mapcheck_test.cc
@@ -354,9 +354,16 @@
 
 	std::string text = "{\"version\":1,\"routes\":[" + routes + "]}";
 	struct mapcheck_file file = {"new", text.data(), text.size()};
+	std::vector<std::string> leaves = {"leaves"};
+
+	for (int i = 0; i < 270; i++)
+		leaves.push_back("s" + std::to_string(i % 90));
+	std::string listing = mapcheck_script::listing(leaves);
+	struct mapcheck_file listing_file = {"leaves", listing.data(), listing.size()};
 	for (bool with_current : {false, true}) {
 		clock_t start = clock();
-		struct mapcheck_context context = {with_current ? &file : nullptr, nullptr, 0};
+		struct mapcheck_context context = {with_current ? &file : nullptr, &listing_file,
+						   6000};
 		struct mapcheck *c = mapcheck_create(adapter_platform(), &file, &context, nullptr);
 
 		ASSERT_NE(c, nullptr);
