Test the stop time of a settings file on its own

Cause: a stop time in the operator's environment could be taken for that of the daemons. Change: the test of the command sets one, and passes a settings file without it.

--- a/tests/mapcheck_test.cc
+++ b/tests/mapcheck_test.cc
@@ -491,6 +491,7 @@
 	std::string slow = std::string(directory) + "/slow";
 	std::string leaves = std::string(directory) + "/leaves";
 	std::string settings = std::string(directory) + "/settings";
+	std::string bare = std::string(directory) + "/bare";
 	struct {
 		std::vector<std::string> args;
 		int status;
@@ -513,6 +514,8 @@
 		 R"("path":"routes[0] a","text":"max_attempts 1 is above the 0 leaves of service s"},)"
 		 R"({"finding":"stop_below_timeout","path":"routes[0] a",)"
 		 R"("text":"timeout_ms 9000 is above the stop time of 6000 ms"}],"differences":[]})"},
+		/* The stop time of the operator's own environment is not that of the daemons. */
+		{{slow, "--settings", bare}, 0, slow + ": 1 routes, 1 services: ok"},
 		{{good, "--leaves", good}, 2, ""},
 		{{good, "--settings", good}, 2, ""},
 		{{good, "--settings", good + "x"}, 2, ""},
@@ -533,6 +536,8 @@
 					nullptr));
 	ASSERT_TRUE(
 		g_file_set_contents(settings.c_str(), "# bounds\nAPRICOT_STOP_S=6\n", -1, nullptr));
+	ASSERT_TRUE(g_file_set_contents(bare.c_str(), "\n", -1, nullptr));
+	g_setenv("APRICOT_STOP_S", "1", TRUE);
 	for (const auto &test : cases) {
 		std::vector<std::string> args = {"apricotctl", "check-config"};
 
@@ -541,8 +546,9 @@
 		EXPECT_EQ(p.line_read(), test.line);
 		EXPECT_EQ(p.exit_wait(), test.status) << test.line;
 	}
+	g_unsetenv("APRICOT_STOP_S");
 	unlink(good.c_str());
-	for (const std::string &name : {odd, slow, leaves, settings})
+	for (const std::string &name : {odd, slow, leaves, settings, bare})
 		unlink(name.c_str());
 	rmdir(directory);
 }
