Read a listing of the leaves in several pages

Cause: the store answers a listing in pages, so that a saved answer held only a part of the leaves and was refused. A key that is listed twice counts once.

--- a/src/mapcheck.c
+++ b/src/mapcheck.c
@@ -295,40 +295,70 @@
 	return false;
 }
 
-/*
- * The number of leaves of each service. Entries that daemons would not use do not count, leaves
- * that are draining do. NULL with an error when the file is no whole listing.
- */
-static GHashTable *leaves_count(const struct adapter *adapter, const struct mapcheck_file *file,
-				GError **error)
+/* Length of the first of the answers that follow each other in the text. */
+static size_t answer_length(const char *text, size_t n)
 {
-	GHashTable *counts = NULL;
-	struct store_answer answer = {0};
-	GError *reason = NULL;
+	json_error_t end;
+	json_t *json = json_loadb(text, n, JSON_ALLOW_NUL | JSON_DISABLE_EOF_CHECK, &end);
+	size_t length = json ? (size_t)end.position : n;
 
-	if (!adapter->ops->answer_parse(adapter, file->text, file->n, &answer, &reason)) {
-		unreadable_set(error, file, reason->message);
-		g_error_free(reason);
-		return NULL;
-	}
-	if (answer.has_more)
-		unreadable_set(error, file, "the listing has more pages");
-	else
-		counts = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
-	for (guint i = 0; counts && i < answer.items->len; i++) {
-		const struct store_item *item = g_ptr_array_index(answer.items, i);
+	json_decref(json);
+	return length;
+}
+
+/* Adds the leaves of the answer; a key that is listed twice counts once. */
+static void leaves_add(const struct adapter *adapter, const struct store_answer *answer,
+		       GHashTable *keys, GHashTable *counts)
+{
+	for (guint i = 0; i < answer->items->len; i++) {
+		const struct store_item *item = g_ptr_array_index(answer->items, i);
 		struct leaf_report report = {0};
 		guint n;
 
 		if (!item->value || !g_str_has_prefix(item->key, adapter->leaf_prefix) ||
+		    !g_hash_table_add(keys, g_strdup(item->key)) ||
 		    !adapter->ops->leaf_parse(adapter, item->value, item->n_value, &report, NULL))
 			continue;
 		n = GPOINTER_TO_UINT(g_hash_table_lookup(counts, report.service));
 		g_hash_table_replace(counts, g_strdup(report.service), GUINT_TO_POINTER(n + 1));
 		leaf_report_clear(&report);
 	}
-	store_answer_clear(&answer);
-	return counts;
+}
+
+/*
+ * The number of leaves of each service, from the pages of a listing one after the other. Entries
+ * that daemons would not use do not count, leaves that are draining do. NULL with an error when the
+ * file is no whole listing.
+ */
+static GHashTable *leaves_count(const struct adapter *adapter, const struct mapcheck_file *file,
+				GError **error)
+{
+	GHashTable *counts = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
+	g_autoptr(GHashTable) keys = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
+	bool has_more = true;
+	size_t at = 0;
+
+	while (at < file->n) {
+		size_t n = answer_length(file->text + at, file->n - at);
+		struct store_answer answer = {0};
+		g_autoptr(GError) reason = NULL;
+
+		if (!adapter->ops->answer_parse(adapter, file->text + at, n, &answer, &reason)) {
+			unreadable_set(error, file, reason->message);
+			g_hash_table_destroy(counts);
+			return NULL;
+		}
+		leaves_add(adapter, &answer, keys, counts);
+		has_more = answer.has_more;
+		store_answer_clear(&answer);
+		for (at += n; at < file->n && g_ascii_isspace(file->text[at]);)
+			at++;
+	}
+	if (!has_more)
+		return counts;
+	unreadable_set(error, file, "the listing lacks its last page");
+	g_hash_table_destroy(counts);
+	return NULL;
 }
 
 /* The services to which the route sends requests, repeated as in the route. */
--- a/src/mapcheck.h
+++ b/src/mapcheck.h
@@ -110,7 +110,8 @@
  */
 struct mapcheck_context {
 	const struct mapcheck_file *current; /* the configuration in force */
-	const struct mapcheck_file *leaves; /* the store's answer to a listing of the leaves */
+	const struct mapcheck_file
+		*leaves; /* the pages of a listing of the leaves, as the store answers them */
 	uint64_t stop_ms; /* longest duration of a planned stop */
 };
 
