--- a/src/mapcheck.c
+++ b/src/mapcheck.c
@@ -6,6 +6,11 @@
 #include <jansson.h>
 #include <string.h>
 
+/*
+ * Findings of each severity that are shown. A file of the greatest size can have 5,000,000, which
+ * took 20 s and more; 2,500 routes with six errors each have 15,000.
+ */
+#define FINDINGS_MAX 50000
 /* Characters of a message of a reader that are shown. */
 #define MESSAGE_MAX 300
 
@@ -30,8 +35,10 @@
 };
 
 struct mapcheck {
+	struct mapnotes notes; /* of the daemon's reader */
 	char *name;
 	GPtrArray *findings; /* struct finding */
+	unsigned int n_found[2]; /* by severity, those that are not shown included */
 	GPtrArray *differences; /* struct mapdiff_line; NULL: not compared */
 	struct document document;
 };
@@ -61,9 +68,14 @@
 static void finding_add(struct mapcheck *c, enum mapcheck_finding kind, char *path,
 			const char *format, ...)
 {
-	struct finding *f = g_new0(struct finding, 1);
+	struct finding *f;
 	va_list args;
 
+	if (c->n_found[kinds[kind].severity]++ >= FINDINGS_MAX) {
+		g_free(path);
+		return;
+	}
+	f = g_new0(struct finding, 1);
 	f->kind = kind;
 	f->path = path;
 	va_start(args, format);
@@ -72,6 +84,45 @@
 	g_ptr_array_add(c->findings, f);
 }
 
+/* The path of a place; the caller frees it. */
+static char *place_path(const struct mapnote_place *place)
+{
+	g_autofree char *name = NULL;
+
+	if (place->index < 0)
+		return g_strdup(place->list);
+	name = mapdiff_text_show(place->name ? place->name : "?", MAPDIFF_NAME_MAX);
+	return g_strdup_printf("%s[%d] %s", place->list, place->index, name);
+}
+
+/* The code and the message are those that a daemon logs. */
+static void refusal_add(struct mapcheck *c, char *path, int code, const char *message)
+{
+	g_autofree char *why = mapdiff_text_show(message, MESSAGE_MAX);
+
+	finding_add(c, MAPCHECK_REJECTED, path, "%d %s: %s", code, result_name(code), why);
+}
+
+static void note_add(struct mapnotes *notes, enum mapnote_kind kind,
+		     const struct mapnote_place *place, const char *text)
+{
+	static const enum mapcheck_finding kinds_of[] = {
+		[MAPNOTE_ENTRY_SKIPPED] = MAPCHECK_ENTRY_SKIPPED,
+		[MAPNOTE_VALUE_REPLACED] = MAPCHECK_VALUE_REPLACED,
+		[MAPNOTE_MEMBER_UNKNOWN] = MAPCHECK_MEMBER_UNKNOWN,
+		[MAPNOTE_SERVICE_REPEATED] = MAPCHECK_SERVICE_REPEATED,
+	};
+	struct mapcheck *c = (struct mapcheck *)notes;
+	g_autofree char *shown = NULL;
+
+	if (kind == MAPNOTE_REFUSED) {
+		refusal_add(c, place_path(place), RESULT_BAD_MANIFEST, text);
+		return;
+	}
+	shown = mapdiff_text_show(text, MESSAGE_MAX);
+	finding_add(c, kinds_of[kind], place_path(place), "%s", shown);
+}
+
 /* A host with a port and a prefix with a query are looked up, but never found. */
 static void match_check(struct mapcheck *c, guint i)
 {
@@ -236,6 +287,163 @@
 				    values[i].name);
 }
 
+static bool unreadable_set(GError **error, const struct mapcheck_file *file, const char *why)
+{
+	g_autofree char *shown = mapdiff_text_show(why, MESSAGE_MAX);
+
+	g_set_error(error, RESULT_ERROR, RESULT_BAD_MANIFEST, "%s: %s", file->name, shown);
+	return false;
+}
+
+/* Length of the first of the answers that follow each other in the text. */
+static size_t answer_length(const char *text, size_t n)
+{
+	json_error_t end;
+	json_t *json = json_loadb(text, n, JSON_ALLOW_NUL | JSON_DISABLE_EOF_CHECK, &end);
+	size_t length = json ? (size_t)end.position : n;
+
+	json_decref(json);
+	return length;
+}
+
+/* Adds the leaves of the answer; a key that is listed twice counts once. */
+static void leaves_add(const struct adapter *adapter, const struct store_answer *answer,
+		       GHashTable *keys, GHashTable *counts)
+{
+	for (guint i = 0; i < answer->items->len; i++) {
+		const struct store_item *item = g_ptr_array_index(answer->items, i);
+		struct leaf_report report = {0};
+		guint n;
+
+		if (!item->value || !g_str_has_prefix(item->key, adapter->leaf_prefix) ||
+		    !g_hash_table_add(keys, g_strdup(item->key)) ||
+		    !adapter->ops->leaf_parse(adapter, item->value, item->n_value, &report, NULL))
+			continue;
+		n = GPOINTER_TO_UINT(g_hash_table_lookup(counts, report.service));
+		g_hash_table_replace(counts, g_strdup(report.service), GUINT_TO_POINTER(n + 1));
+		leaf_report_clear(&report);
+	}
+}
+
+/*
+ * The number of leaves of each service, from the pages of a listing one after the other. Entries
+ * that daemons would not use do not count, leaves that are draining do. NULL with an error when the
+ * file is no whole listing.
+ */
+static GHashTable *leaves_count(const struct adapter *adapter, const struct mapcheck_file *file,
+				GError **error)
+{
+	GHashTable *counts = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
+	g_autoptr(GHashTable) keys = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
+	bool has_more = true;
+	size_t at = 0;
+
+	while (at < file->n) {
+		size_t n = answer_length(file->text + at, file->n - at);
+		struct store_answer answer = {0};
+		g_autoptr(GError) reason = NULL;
+
+		if (!adapter->ops->answer_parse(adapter, file->text + at, n, &answer, &reason)) {
+			unreadable_set(error, file, reason->message);
+			g_hash_table_destroy(counts);
+			return NULL;
+		}
+		leaves_add(adapter, &answer, keys, counts);
+		has_more = answer.has_more;
+		store_answer_clear(&answer);
+		for (at += n; at < file->n && g_ascii_isspace(file->text[at]);)
+			at++;
+	}
+	if (!has_more)
+		return counts;
+	unreadable_set(error, file, "the listing lacks its last page");
+	g_hash_table_destroy(counts);
+	return NULL;
+}
+
+/* The services to which the route sends requests, repeated as in the route. */
+static GPtrArray *route_services(const struct route *r)
+{
+	GPtrArray *services = g_ptr_array_new();
+
+	for (guint i = 0; r->shards && i < r->shards->len; i++)
+		g_ptr_array_add(services, g_ptr_array_index(r->shards, i));
+	for (guint i = 0; i < r->targets->len; i++) {
+		const struct route_target *t = g_ptr_array_index(r->targets, i);
+
+		if (t->weight > 0)
+			g_ptr_array_add(services, t->service);
+	}
+	return services;
+}
+
+/* One finding for a route, since it can have 135 shards. */
+static void attempts_check(struct mapcheck *c, guint i, GHashTable *leaves)
+{
+	const struct route *r = g_ptr_array_index(c->document.map->routes, i);
+	g_autoptr(GPtrArray) services = route_services(r);
+	g_autofree char *first = NULL;
+	guint n_first = 0;
+	guint n_short = 0;
+
+	for (guint k = 0; k < services->len; k++) {
+		const char *service = g_ptr_array_index(services, k);
+		guint n = GPOINTER_TO_UINT(g_hash_table_lookup(leaves, service));
+
+		if (n >= r->max_attempts)
+			continue;
+		if (n_short++ == 0) {
+			first = mapdiff_text_show(service, MAPDIFF_NAME_MAX);
+			n_first = n;
+		}
+	}
+	if (n_short == 1)
+		finding_add(c, MAPCHECK_ATTEMPTS_ABOVE_LEAVES,
+			    mapdiff_route_path(c->document.map, i),
+			    "max_attempts %u is above the %u leaves of service %s", r->max_attempts,
+			    n_first, first);
+	else if (n_short > 1)
+		finding_add(c, MAPCHECK_ATTEMPTS_ABOVE_LEAVES,
+			    mapdiff_route_path(c->document.map, i),
+			    "max_attempts %u is above the %u leaves of service %s, and above those "
+			    "of %u more",
+			    r->max_attempts, n_first, first, n_short - 1);
+}
+
+static void stop_check(struct mapcheck *c, uint64_t stop_ms)
+{
+	const struct routemap *m = c->document.map;
+
+	for (guint i = 0; i < m->routes->len; i++) {
+		const struct route *r = g_ptr_array_index(m->routes, i);
+
+		if (r->timeout_ms > stop_ms)
+			finding_add(c, MAPCHECK_STOP_BELOW_TIMEOUT, mapdiff_route_path(m, i),
+				    "timeout_ms %u is above the stop time of %" G_GUINT64_FORMAT
+				    " ms",
+				    r->timeout_ms, stop_ms);
+	}
+}
+
+/* False with an error when the listing of the leaves cannot be read. */
+static bool context_check(struct mapcheck *c, const struct adapter *adapter,
+			  const struct mapcheck_context *context, GError **error)
+{
+	GHashTable *leaves = NULL;
+
+	if (context->leaves) {
+		leaves = leaves_count(adapter, context->leaves, error);
+		if (!leaves)
+			return false;
+		for (guint i = 0; c->document.map && i < c->document.map->routes->len; i++)
+			attempts_check(c, i, leaves);
+		g_hash_table_destroy(leaves);
+	}
+	if (c->document.map && context->stop_ms > 0)
+		stop_check(c, context->stop_ms);
+	return true;
+}
+
 static void routemap_check(struct mapcheck *c)
 {
 	const struct routemap *m = c->document.map;
@@ -247,14 +455,6 @@
 	limits_check(c);
 }
 
-static bool unreadable_set(GError **error, const struct mapcheck_file *file, const char *why)
-{
-	g_autofree char *shown = mapdiff_text_show(why, MESSAGE_MAX);
-
-	g_set_error(error, RESULT_ERROR, RESULT_BAD_MANIFEST, "%s: %s", file->name, shown);
-	return false;
-}
-
 /* Parses the text; NULL with an error when it is no JSON object. */
 static json_t *object_parse(const struct mapcheck_file *file, GError **error)
 {
@@ -293,9 +493,11 @@
  * Reads the file as a routing configuration if the daemon's reader accepts it, or else as a
  * manifest if it has groups, which no routing configuration has. False with an error when it is
  * neither. If daemons refuse it, document has neither map nor manifest and *refusal is the reason.
+ * notes, which may be NULL, hears of a routing configuration; of other files too, with no meaning.
  */
 static bool document_read(const struct adapter *adapter, const struct mapcheck_file *file,
-			  struct document *document, GError **refusal, GError **error)
+			  struct mapnotes *notes, struct document *document, GError **refusal,
+			  GError **error)
 {
 	json_t *json;
 
@@ -304,7 +506,7 @@
 
 		return unreadable_set(error, file, why);
 	}
-	document->map = adapter->ops->routes_parse(adapter, file->text, file->n, refusal);
+	document->map = adapter->ops->routes_check(adapter, file->text, file->n, notes, refusal);
 	if (document->map)
 		return true;
 	json = object_parse(file, error);
@@ -350,7 +552,7 @@
 	GError *refusal = NULL;
 	bool is_done = false;
 
-	if (!document_read(adapter, current, &before, &refusal, error))
+	if (!document_read(adapter, current, NULL, &before, &refusal, error))
 		return false;
 	if (refusal) {
 		unreadable_set(error, current, refusal->message);
@@ -381,33 +583,38 @@
 }
 
 struct mapcheck *mapcheck_create(const struct adapter *adapter, const struct mapcheck_file *file,
-				 const struct mapcheck_file *current, GError **error)
+				 const struct mapcheck_context *context, GError **error)
 {
+	static const struct mapcheck_context nothing;
 	struct mapcheck *c = g_new0(struct mapcheck, 1);
 	GError *refusal = NULL;
 
 	c->name = g_strdup(file->name);
 	c->findings = g_ptr_array_new_with_free_func(finding_free);
-	if (!document_read(adapter, file, &c->document, &refusal, error)) {
+	c->notes.add = note_add;
+	if (!document_read(adapter, file, &c->notes, &c->document, &refusal, error)) {
 		mapcheck_destroy(c);
 		return NULL;
 	}
-	if (refusal) {
-		g_autofree char *why = mapdiff_text_show(refusal->message, MESSAGE_MAX);
-
-		finding_add(c, MAPCHECK_REJECTED, g_strdup("configuration"), "%d %s: %s",
-			    refusal->code, result_name(refusal->code), why);
-		g_clear_error(&refusal);
+	if (c->document.is_manifest) {
+		g_ptr_array_set_size(c->findings, 0);
+		memset(c->n_found, 0, sizeof(c->n_found));
+		if (refusal)
+			refusal_add(c, g_strdup("configuration"), refusal->code, refusal->message);
 	}
+	g_clear_error(&refusal);
 	if (!c->document.is_manifest)
 		repeated_check(c, file);
 	if (c->document.map)
 		routemap_check(c);
-	g_ptr_array_sort(c->findings, severity_compare);
-	if (current && !current_compare(c, adapter, current, error)) {
+	if (!context)
+		context = &nothing;
+	if (!context_check(c, adapter, context, error) ||
+	    (context->current && !current_compare(c, adapter, context->current, error))) {
 		mapcheck_destroy(c);
 		return NULL;
 	}
+	g_ptr_array_sort(c->findings, severity_compare);
 	return c;
 }
 
@@ -433,6 +640,12 @@
 	return c->findings->len > 0 ? MAPCHECK_EXIT_FINDINGS : MAPCHECK_EXIT_CLEAN;
 }
 
+/* The findings that are not shown. */
+static unsigned int omitted_count(const struct mapcheck *c)
+{
+	return c->n_found[MAPCHECK_ERROR] + c->n_found[MAPCHECK_WARNING] - c->findings->len;
+}
+
 static char *summary_render(const struct mapcheck *c)
 {
 	const struct document *d = &c->document;
@@ -460,6 +673,8 @@
 
 		g_string_append_printf(out, "difference %s: %s\n", line->path, line->text);
 	}
+	if (omitted_count(c) > 0)
+		g_string_append_printf(out, "%u more findings are not shown\n", omitted_count(c));
 	if (c->findings->len == 0) {
 		g_autofree char *summary = summary_render(c);
 
@@ -500,6 +715,8 @@
 			 c->document.is_manifest ? "manifest" : "routing", "errors",
 			 findings_pack(c, MAPCHECK_ERROR), "warnings",
 			 findings_pack(c, MAPCHECK_WARNING), "differences", differences);
+	if (omitted_count(c) > 0)
+		json_object_set_new(json, "not_shown", json_integer(omitted_count(c)));
 	text = json_dumps(json, JSON_COMPACT | JSON_PRESERVE_ORDER);
 	out = g_strconcat(text, "\n", NULL);
 	free(text);
--- a/tests/fuzz/mapcheck.c
+++ b/tests/fuzz/mapcheck.c
@@ -30,6 +30,15 @@
 	g_free(text);
 }
 
+static bool is_error_listed(const struct mapcheck *c)
+{
+	char *text = mapcheck_render_text(c);
+	bool is_listed = g_str_has_prefix(text, "error ");
+
+	g_free(text);
+	return is_listed;
+}
+
 int LLVMFuzzerTestOneInput(const uint8_t *data, size_t size)
 {
 	const struct adapter *adapter = adapter_platform();
@@ -38,17 +47,26 @@
 	size_t n = zero ? (size_t)(zero - text) : size;
 	struct mapcheck_file file = {"new", text, n};
 	struct mapcheck_file current = {"current", zero ? zero + 1 : NULL, zero ? size - n - 1 : 0};
+	struct mapcheck_context with_current = {.current = &current};
+	struct mapcheck_context with_leaves = {.leaves = &current, .stop_ms = 500};
 	struct routemap *map = adapter->ops->routes_parse(adapter, text, n, NULL);
 	GError *error = NULL;
 	struct mapcheck *c = mapcheck_create(adapter, &file, NULL, &error);
 
 	FUZZ_CHECK(!c == !!error);
 	FUZZ_CHECK(!map || (c && !mapcheck_has_error(c)));
+	FUZZ_CHECK(!c || mapcheck_has_error(c) == is_error_listed(c));
+	if (c)
+		output_check(c);
+	mapcheck_destroy(c);
+	g_clear_error(&error);
+	c = zero ? mapcheck_create(adapter, &file, &with_current, &error) : NULL;
+	FUZZ_CHECK(!zero || !c == !!error);
 	if (c)
 		output_check(c);
 	mapcheck_destroy(c);
 	g_clear_error(&error);
-	c = zero ? mapcheck_create(adapter, &file, &current, &error) : NULL;
+	c = zero ? mapcheck_create(adapter, &file, &with_leaves, &error) : NULL;
 	FUZZ_CHECK(!zero || !c == !!error);
 	if (c)
 		output_check(c);
--- a/tests/mapcheck_test.cc
+++ b/tests/mapcheck_test.cc
@@ -1,5 +1,6 @@
 #include "adapter_platform.h"
 #include "mapcheck.h"
+#include "mapdiff.h"
 #include "process.h"
 #include "script.h"
 
@@ -8,6 +9,7 @@
 #include <gtest/gtest.h>
 #include <jansson.h>
 #include <sstream>
+#include <sys/wait.h>
 #include <unistd.h>
 
 namespace
@@ -17,6 +19,8 @@
 	json_t *config = json_pack("{s:i, s:[], s:[]}", "version", 7, "routes", "services");
 	std::string raw; /* the file, instead of config */
 	std::string current;
+	std::string leaves; /* the store's answer to a listing */
+	uint64_t stop_ms = 0;
 
 	~mapcheck_script() override
 	{
@@ -72,14 +76,34 @@
 		return out;
 	}
 
+	/* An answer of the store with one leaf for each service that is named after the verb. */
+	static std::string listing(const std::vector<std::string> &w)
+	{
+		std::string items;
+
+		for (size_t i = 1; i < w.size(); i++) {
+			std::string value =
+				R"({"state":"ready","capacity":2,"zone":"a","address":"127.0.0.1:9","service":")" +
+				w[i] + "\"}";
+			g_autofree char *encoded =
+				g_base64_encode((const guchar *)value.data(), value.size());
+
+			items += (i > 1 ? "," : "") + (R"({"key":"servers/l)" + std::to_string(i)) +
+				 R"(","revision":4,"value":")" + encoded + "\"}";
+		}
+		return w.size() > 1 ? R"({"storeRevision":9,"items":[)" + items + "]}" : "";
+	}
+
 	std::string check(bool as_json)
 	{
 		std::string file_text = text();
 		struct mapcheck_file file = {"new", file_text.data(), file_text.size()};
 		struct mapcheck_file before = {"current", current.data(), current.size()};
+		struct mapcheck_file listing = {"leaves", leaves.data(), leaves.size()};
+		struct mapcheck_context context = {current.empty() ? nullptr : &before,
+						   leaves.empty() ? nullptr : &listing, stop_ms};
 		GError *error = nullptr;
-		struct mapcheck *c = mapcheck_create(adapter_platform(), &file,
-						     current.empty() ? nullptr : &before, &error);
+		struct mapcheck *c = mapcheck_create(adapter_platform(), &file, &context, &error);
 		std::string out;
 
 		if (!c) {
@@ -138,6 +162,13 @@
 		} else if (w[0] == "current") { /* the file as it is now */
 			current = text();
 			raw.clear();
+		} else if (w[0] ==
+			   "leaves") { /* leaves SERVICE...: one leaf each; none is unknown */
+			leaves = listing(w);
+		} else if (w[0] == "listing") { /* listing TEXT */
+			leaves = w[1];
+		} else if (w[0] == "stop") { /* stop MS */
+			stop_ms = std::stoull(w[1]);
 		} else { /* check, json */
 			return check(w[0] == "json");
 		}
@@ -221,11 +252,32 @@
 	}
 	return text;
 }
+
+/* The text of the first error that the check shows. */
+std::string first_error(const struct mapcheck *c)
+{
+	g_autofree char *text = mapcheck_render_json(c);
+	json_t *json = json_loads(text, 0, nullptr);
+	const char *first = json_string_value(
+		json_object_get(json_array_get(json_object_get(json, "errors"), 0), "text"));
+	std::string out = first ? first : "";
+
+	json_decref(json);
+	return out;
+}
+
+std::string printable(const char *message)
+{
+	g_autofree char *shown = mapdiff_text_show(message, 300);
+
+	return shown;
+}
 } // namespace
 
 /*
- * Guards against a check that passes what daemons refuse, or names errors in what they accept. The
- * check calls the daemon's reader, so this covers what it decides before and after that.
+ * Guards against a check that passes what daemons refuse, names errors in what they accept, or
+ * lists another error first than the one that they log. The check calls the daemon's reader, so
+ * this covers what it decides before and after that.
  */
 TEST(mapcheck_agreement, check_and_daemon_agree_on_mutations)
 {
@@ -236,12 +288,20 @@
 	for (int i = 0; i < 500; i++) {
 		std::string text = mutate(rand);
 		struct mapcheck_file file = {"new", text.data(), text.size()};
+		GError *error = nullptr;
 		struct routemap *map =
-			adapter->ops->routes_parse(adapter, text.data(), text.size(), nullptr);
+			adapter->ops->routes_parse(adapter, text.data(), text.size(), &error);
 		struct mapcheck *c = mapcheck_create(adapter, &file, nullptr, nullptr);
 
 		EXPECT_EQ(map != nullptr, c && !mapcheck_has_error(c)) << text;
+		EXPECT_EQ(map == nullptr, error != nullptr) << text;
+		if (c && error) {
+			EXPECT_EQ(first_error(c),
+				  std::string("501 bad_manifest: ") + printable(error->message))
+				<< text;
+		}
 		n_accepted += map != nullptr;
+		g_clear_error(&error);
 		mapcheck_destroy(c);
 		routemap_put(map);
 	}
@@ -294,10 +354,17 @@
 
 	std::string text = "{\"version\":1,\"routes\":[" + routes + "]}";
 	struct mapcheck_file file = {"new", text.data(), text.size()};
+	std::vector<std::string> leaves = {"leaves"};
+
+	for (int i = 0; i < 270; i++)
+		leaves.push_back("s" + std::to_string(i % 90));
+	std::string listing = mapcheck_script::listing(leaves);
+	struct mapcheck_file listing_file = {"leaves", listing.data(), listing.size()};
 	for (bool with_current : {false, true}) {
 		clock_t start = clock();
-		struct mapcheck *c = mapcheck_create(adapter_platform(), &file,
-						     with_current ? &file : nullptr, nullptr);
+		struct mapcheck_context context = {with_current ? &file : nullptr, &listing_file,
+						   6000};
+		struct mapcheck *c = mapcheck_create(adapter_platform(), &file, &context, nullptr);
 
 		ASSERT_NE(c, nullptr);
 		EXPECT_FALSE(mapcheck_has_error(c));
@@ -311,19 +378,127 @@
 	}
 }
 
+/*
+ * Guards against a file that crashes the check, that is passed over without a line, or that daemons
+ * accept and the check calls unreadable.
+ */
+TEST(mapcheck_command, bad_input)
+{
+	const std::string head = R"({"version":7,"routes":[{"name":")";
+	const std::string rest =
+		R"(","hostname":"h","prefix":"/","timeoutMs":9,"service":"x"}],"services":[{"name":"x")";
+	auto nested = [&](size_t n) {
+		return head + "a" + rest + ",\"u\":" + std::string(n, '[') + std::string(n, ']') +
+		       "}]}";
+	};
+	const std::string good = head + "a" + rest + "}]}";
+	struct {
+		std::string text;
+		int status;
+	} const cases[] = {
+		{good, 0},
+		{"", 2},
+		{good.substr(0, good.size() - 1), 2},
+		{good + "x", 2},
+		{"\xef\xbb\xbf" + good, 2},
+		{head + std::string(1, '\0') + rest + "}]}", 2},
+		/* Depths up to 2,048 can be parsed, also where nothing reads the member. */
+		{nested(1000), 0},
+		{nested(2000), 0},
+		{nested(5000), 2},
+		{nested(1000000), 2},
+		/* Overlong, half of a surrogate pair, Latin-1; then what is valid though unusual.
+		 */
+		{head + "\xc0\xaf" + rest + "}]}", 2},
+		{head + "\xed\xa0\x80" + rest + "}]}", 2},
+		{head + "\\ud800" + rest + "}]}", 2},
+		{head + "\xe4" + rest + "}]}", 2},
+		{head + "\\ud83d\\ude00" + rest + "}]}", 0},
+		{head + "\xe2\x80\xae\xc2\x85\xf4\x8f\xbf\xbf" + rest + "}]}", 0},
+		{head + "a\",\"name\":\"b" + rest + "}]}", 1},
+		{head + "a" + rest + ",\"u\":18446744073709551616}]}", 2},
+		{head + "a" + rest + ",\"u\":1e400}]}", 2},
+		{head + "a" + rest + ",\"u\":" + std::string(100000, '9') + "}]}", 2},
+		{head + std::string(3000000, 'a') + rest + "}]}", 0},
+		{good + std::string(8000000, ' '), 2},
+		{head + std::string(8000000, 'a') + rest + "}]}", 2},
+	};
+	g_autofree char *directory = g_dir_make_tmp(nullptr, nullptr);
+	std::string name = std::string(directory) + "/file";
+
+	for (const auto &test : cases) {
+		ASSERT_TRUE(g_file_set_contents(name.c_str(), test.text.data(),
+						(gssize)test.text.size(), nullptr));
+		std::string shown = test.text.substr(0, 200);
+		const char *args[] = {BUILD_DIR "/apricotctl", "check-config", name.c_str(),
+				      nullptr};
+		g_autofree char *out = nullptr;
+		g_autofree char *err = nullptr;
+		int status = 0;
+
+		ASSERT_TRUE(g_spawn_sync(nullptr, (char **)args, nullptr, G_SPAWN_DEFAULT, nullptr,
+					 nullptr, &out, &err, &status, nullptr));
+		EXPECT_TRUE(WIFEXITED(status)) << shown;
+		EXPECT_EQ(WEXITSTATUS(status), test.status) << shown;
+		/* One line: on standard error for a file that cannot be read. */
+		std::string lines = test.status == 2 ? err : out;
+		EXPECT_EQ(lines.find('\n'), lines.size() - 1) << lines;
+		EXPECT_STREQ(test.status == 2 ? out : err, "") << shown;
+		struct routemap *map = adapter_platform()->ops->routes_parse(
+			adapter_platform(), test.text.data(), test.text.size(), nullptr);
+
+		EXPECT_EQ(map != nullptr && test.text.size() <= MAPCHECK_BYTES_MAX,
+			  test.status != 2)
+			<< shown;
+		routemap_put(map);
+	}
+	unlink(name.c_str());
+	rmdir(directory);
+}
+
+/* Guards against findings without end, and against errors that warnings crowd out. */
+TEST(mapcheck_size, findings_are_bounded)
+{
+	std::string members;
+	std::string routes;
+
+	for (int i = 0; i < 60000; i++)
+		members += "\"u" + std::to_string(i) + "\":1,";
+	for (int i = 0; i < 20000; i++)
+		routes += ",{}";
+
+	std::string text =
+		R"({"version":1,"routes":[{)" + members + "\"name\":\"a\"}" + routes + "]}";
+	struct mapcheck_file file = {"new", text.data(), text.size()};
+	struct mapcheck *c = mapcheck_create(adapter_platform(), &file, nullptr, nullptr);
+
+	ASSERT_NE(c, nullptr);
+	EXPECT_TRUE(mapcheck_has_error(c));
+	EXPECT_EQ(first_error(c), "501 bad_manifest: route a has no host");
+	g_autofree char *shown = mapcheck_render_text(c);
+	/* 60,000 warnings and four errors of each of 20,001 routes, of which 50,000 each are shown.
+	 */
+	EXPECT_TRUE(g_str_has_suffix(shown, "\n40004 more findings are not shown\n"));
+	mapcheck_destroy(c);
+}
+
 /* Guards against the command's wiring: options that are not passed on, or another exit status. */
 TEST(mapcheck_command, options_and_exit_status)
 {
 	g_autofree char *directory = g_dir_make_tmp(nullptr, nullptr);
 	std::string good = std::string(directory) + "/good";
 	std::string odd = std::string(directory) + "/odd";
+	std::string slow = std::string(directory) + "/slow";
+	std::string leaves = std::string(directory) + "/leaves";
+	std::string settings = std::string(directory) + "/settings";
+	std::string bare = std::string(directory) + "/bare";
 	struct {
 		std::vector<std::string> args;
 		int status;
 		std::string line;
 	} const cases[] = {
 		{{good}, 0, good + ": 0 routes, 0 services: ok"},
-		{{odd}, 1, "error rejected configuration: 501 bad_manifest: route a has no host"},
+		{{odd}, 1, "error rejected routes[0] a: 501 bad_manifest: route a has no host"},
 		{{good, "--json"},
 		 0,
 		 R"({"kind":"routing","errors":[],"warnings":[],"differences":[]})"},
@@ -333,6 +508,17 @@
 		{{good, "--against", odd}, 2, ""},
 		{{good, "--against", "127.0.0.1:9"}, 2, ""},
 		{{good, "--against", directory}, 2, ""},
+		{{slow, "--leaves", leaves, "--settings", settings, "--json"},
+		 1,
+		 R"({"kind":"routing","errors":[],"warnings":[{"finding":"attempts_above_leaves",)"
+		 R"("path":"routes[0] a","text":"max_attempts 1 is above the 0 leaves of service s"},)"
+		 R"({"finding":"stop_below_timeout","path":"routes[0] a",)"
+		 R"("text":"timeout_ms 9000 is above the stop time of 6000 ms"}],"differences":[]})"},
+		/* The stop time of the operator's own environment is not that of the daemons. */
+		{{slow, "--settings", bare}, 0, slow + ": 1 routes, 1 services: ok"},
+		{{good, "--leaves", good}, 2, ""},
+		{{good, "--settings", good}, 2, ""},
+		{{good, "--settings", good + "x"}, 2, ""},
 		{{good + "x"}, 2, ""},
 		{{"/dev/zero"}, 2, ""},
 		{{}, 2, ""},
@@ -341,6 +527,17 @@
 	ASSERT_TRUE(g_file_set_contents(good.c_str(), R"({"version":7,"routes":[]})", -1, nullptr));
 	ASSERT_TRUE(g_file_set_contents(odd.c_str(), R"({"version":7,"routes":[{"name":"a"}]})", -1,
 					nullptr));
+	ASSERT_TRUE(g_file_set_contents(
+		slow.c_str(),
+		R"({"version":7,"routes":[{"name":"a","hostname":"h","prefix":"/","timeoutMs":9000,)"
+		R"("service":"s"}],"services":[{"name":"s"}]})",
+		-1, nullptr));
+	ASSERT_TRUE(g_file_set_contents(leaves.c_str(), R"({"storeRevision":9,"items":[]})", -1,
+					nullptr));
+	ASSERT_TRUE(
+		g_file_set_contents(settings.c_str(), "# bounds\nAPRICOT_STOP_S=6\n", -1, nullptr));
+	ASSERT_TRUE(g_file_set_contents(bare.c_str(), "\n", -1, nullptr));
+	g_setenv("APRICOT_STOP_S", "1", TRUE);
 	for (const auto &test : cases) {
 		std::vector<std::string> args = {"apricotctl", "check-config"};
 
@@ -349,7 +546,9 @@
 		EXPECT_EQ(p.line_read(), test.line);
 		EXPECT_EQ(p.exit_wait(), test.status) << test.line;
 	}
+	g_unsetenv("APRICOT_STOP_S");
 	unlink(good.c_str());
-	unlink(odd.c_str());
+	for (const std::string &name : {odd, slow, leaves, settings, bare})
+		unlink(name.c_str());
 	rmdir(directory);
 }
