Read the regions of routes and of data centres

Cause: some routes may be served only in certain regions, and neither the configuration nor the settings could say so. Change: a route has regions (allowedRegions); whatever the field holds, it never lifts a restriction. The comparison of configurations shows changed regions.

--- a/src/adapter.h
+++ b/src/adapter.h
@@ -103,6 +103,8 @@
 	const char *evacuation_prefix;
 	const char *entries_path; /* on which callers ask for the addresses of entry VMs */
 	const char *entries_dc_parameter; /* its query parameter with the caller's data centre */
+	const char *entries_host_parameter; /* that with the host of the requests to come */
+	const char *entries_region_parameter; /* that with the caller's region */
 	const char *ready_path; /* of status checks */
 };
 
--- a/src/mapdiff.c
+++ b/src/mapdiff.c
@@ -233,6 +233,37 @@
 	}
 }
 
+/* True if both routes are served in the same regions, named in the same order. */
+static bool has_same_regions(const struct route *a, const struct route *b)
+{
+	if (!a->regions || !b->regions)
+		return a->regions == b->regions;
+	if (a->regions->len != b->regions->len)
+		return false;
+	for (guint i = 0; i < a->regions->len; i++)
+		if (strcmp(g_ptr_array_index(a->regions, i), g_ptr_array_index(b->regions, i)) != 0)
+			return false;
+	return true;
+}
+
+/* The regions of a route as shown; the result is to be freed. */
+static char *regions_show(const struct route *r)
+{
+	if (!r->regions)
+		return g_strdup("all regions");
+	return r->regions->len > 0 ? names_join(r->regions) : g_strdup("no region");
+}
+
+static void regions_diff(GPtrArray *lines, const char *path, const struct route *from,
+			 const struct route *to)
+{
+	g_autofree char *old = regions_show(from);
+	g_autofree char *new = regions_show(to);
+
+	if (!has_same_regions(from, to))
+		line_add(lines, g_strdup(path), "may be served in %s instead of %s", new, old);
+}
+
 static void route_diff(GPtrArray *lines, const char *path, const struct route *from,
 		       const struct route *to)
 {
@@ -252,6 +283,7 @@
 	number_diff(lines, path, "max_attempts", from->max_attempts, to->max_attempts);
 	number_diff(lines, path, "top_k", from->top_k, to->top_k);
 	number_diff(lines, path, "min_share", from->min_share, to->min_share);
+	regions_diff(lines, path, from, to);
 }
 
 /* Host and prefix -> the first route with them, which is the one that gets the requests. */
--- a/src/message.c
+++ b/src/message.c
@@ -315,6 +315,7 @@
 static void settings_read_destroy(struct message *m)
 {
 	g_free(((struct settings_read *)m)->peers);
+	g_free(((struct settings_read *)m)->dc_regions);
 	g_free(m);
 }
 
@@ -329,6 +330,7 @@
 	r->repeat_slack = (double)settings->repeat_slack;
 	r->repeat_window_ms = settings->repeat_window_ms;
 	r->entry_ttl_ms = settings->entry_ttl_ms;
+	r->dc_regions = g_strdup(settings->dc_regions);
 	return r;
 }
 
--- a/src/message.h
+++ b/src/message.h
@@ -210,6 +210,7 @@
 	double repeat_slack; /* repeats allowed beyond that, all VMs together */
 	uint64_t repeat_window_ms;
 	uint64_t entry_ttl_ms;
+	char *dc_regions; /* regions of the data centres, see region.h; or NULL */
 };
 
 struct caller_request *caller_request_create(void);
--- a/src/routemap.c
+++ b/src/routemap.c
@@ -29,6 +29,8 @@
 	g_ptr_array_free(r->targets, TRUE);
 	if (r->shards)
 		g_ptr_array_free(r->shards, TRUE);
+	if (r->regions)
+		g_ptr_array_free(r->regions, TRUE);
 	g_free(r);
 }
 
@@ -98,6 +100,18 @@
 	g_ptr_array_add(r->shards, g_strdup(service));
 }
 
+void route_regions_restrict(struct route *r)
+{
+	if (!r->regions)
+		r->regions = g_ptr_array_new_with_free_func(g_free);
+}
+
+void route_region_add(struct route *r, const char *region)
+{
+	route_regions_restrict(r);
+	g_ptr_array_add(r->regions, g_strdup(region));
+}
+
 struct routemap_service *routemap_service_add(struct routemap *m, const char *name,
 					      const char *check_path, unsigned int max_connections)
 {
@@ -166,6 +180,7 @@
 			g_hash_table_insert(m->hosts, r->host, host_routes);
 		}
 		g_ptr_array_add(host_routes, r);
+		m->has_regions = m->has_regions || r->regions;
 	}
 	g_hash_table_iter_init(&iter, m->hosts);
 	while (g_hash_table_iter_next(&iter, NULL, &value))
@@ -173,19 +188,24 @@
 	return true;
 }
 
-const struct route *routemap_find(const struct routemap *m, const char *host, const char *path)
+const GPtrArray *routemap_host_find(const struct routemap *m, const char *host)
 {
 	char name[HOST_BYTES_MAX];
 	size_t n = strcspn(host, ":");
-	size_t n_path = strcspn(path, "?");
-	const GPtrArray *routes;
 
 	if (n >= sizeof(name))
 		return NULL;
 	for (size_t i = 0; i < n; i++)
 		name[i] = g_ascii_tolower(host[i]);
 	name[n] = '\0';
-	routes = g_hash_table_lookup(m->hosts, name);
+	return g_hash_table_lookup(m->hosts, name);
+}
+
+const struct route *routemap_find(const struct routemap *m, const char *host, const char *path)
+{
+	const GPtrArray *routes = routemap_host_find(m, host);
+	size_t n_path = strcspn(path, "?");
+
 	for (guint i = 0; routes && i < routes->len; i++) {
 		const struct route *r = g_ptr_array_index(routes, i);
 		size_t n_prefix = strlen(r->prefix);
--- a/src/routemap.h
+++ b/src/routemap.h
@@ -32,6 +32,7 @@
 	GPtrArray *shards; /* service names; NULL unless a request goes to all of them */
 	unsigned int top_k; /* highest number of records in an answer merged from the shards */
 	double min_share; /* least part of the shards that an answer must cover, 0 to 1 */
+	GPtrArray *regions; /* names of those in which its requests may run; NULL: everywhere */
 };
 
 struct routemap_service {
@@ -58,6 +59,7 @@
 	GHashTable *hosts; /* host -> GPtrArray of struct route, longest prefix first */
 	GHashTable *services; /* name -> struct routemap_service */
 	struct caller_limits limits;
+	bool has_regions; /* a route has region restrictions */
 };
 
 struct routemap *routemap_create(uint64_t version);
@@ -68,6 +70,9 @@
 struct route *routemap_route_add(struct routemap *m);
 void route_target_add(struct route *r, const char *service, double weight);
 void route_shard_add(struct route *r, const char *service);
+/* Restricts the route to no region, so that no leaf may be called, until some are added. */
+void route_regions_restrict(struct route *r);
+void route_region_add(struct route *r, const char *region);
 /* The result is borrowed; its fields may be set until routemap_publish. */
 struct routemap_service *routemap_service_add(struct routemap *m, const char *name,
 					      const char *check_path, unsigned int max_connections);
@@ -83,6 +88,11 @@
  * query in path are ignored. The map owns the result.
  */
 const struct route *routemap_find(const struct routemap *m, const char *host, const char *path);
+/*
+ * The routes of the host (struct route), longest prefix first, or NULL. A port in host is ignored.
+ * The map owns the result.
+ */
+const GPtrArray *routemap_host_find(const struct routemap *m, const char *host);
 const struct routemap_service *routemap_service_find(const struct routemap *m, const char *name);
 
 G_END_DECLS
--- a/src/settings.c
+++ b/src/settings.c
@@ -2,6 +2,7 @@
 
 #include "log.h"
 #include "manifest.h"
+#include "region.h"
 #include "result.h"
 
 #include <string.h>
@@ -171,6 +172,14 @@
 	       decimal_check("repeat-ratio", s->repeat_ratio, 100, 0, 100, &s->repeat_pct, error);
 }
 
+static bool regions_check(const char *text, GError **error)
+{
+	struct region_table *table = region_table_parse(text, error);
+
+	region_table_destroy(table);
+	return table != NULL;
+}
+
 static bool settings_check(struct settings *s, GError **error)
 {
 	enum log_level level;
@@ -186,7 +195,7 @@
 		return false;
 	if (s->peers && !addresses_check("peers", s->peers, error))
 		return false;
-	if (!decimals_check(s, error))
+	if (!decimals_check(s, error) || !regions_check(s->dc_regions, error))
 		return false;
 	if (s->spread && strcmp(s->spread, "auto") != 0 && strcmp(s->spread, "off") != 0) {
 		g_set_error(error, RESULT_ERROR, RESULT_BAD_SETTING,
--- a/src/settings.h
+++ b/src/settings.h
@@ -31,6 +31,8 @@
 	  "what the deployment asks for, as terms of the platform, comma-separated")           \
 	X(spread, "spread", "APRICOT_SPREAD", 0,                                               \
 	  "spread calls over unevenly loaded leaves: auto or off (default auto)")              \
+	X(dc_regions, "dc-regions", "APRICOT_DC_REGIONS", 0,                                   \
+	  "regions of the data centres, DC=REGION,DC=REGION (default: none is known)")         \
 	X(stop_s, "stop-s", "APRICOT_STOP_S", 0,                                               \
 	  "longest duration of a planned stop in seconds, also a fraction; goes before "       \
 	  "stop-ms")                                                                           \
--- a/tests/adapter_test.cc
+++ b/tests/adapter_test.cc
@@ -221,6 +221,47 @@
 	routemap_put(m);
 }
 
+/* Guards against a restriction of regions that a field or a member of another type lifts. */
+TEST(adapter, regions_restrict_a_route)
+{
+	const struct adapter *adapter = adapter_platform();
+	const std::pair<std::string, std::string> cases[] = {
+		{"", "everywhere"},
+		{R"(,"allowedRegions":[])", "everywhere"},
+		{R"(,"allowedRegions":["north"])", "north"},
+		{R"(,"allowedRegions":[1,"north",null,["south"],"west"])", "north west"},
+		{R"(,"allowedRegions":[1,{}])", "nowhere"},
+		{R"(,"allowedRegions":"north")", "nowhere"},
+		{R"(,"allowedRegions":{})", "nowhere"},
+		{R"(,"allowedRegions":null)", "nowhere"},
+		{R"(,"allowedRegions":0)", "nowhere"},
+	};
+
+	for (const auto &[field, expected] : cases) {
+		const std::string text =
+			R"({"version":1,"routes":[{"hostname":"h","prefix":"/","service":"s",)"
+			R"("timeoutMs":1)" +
+			field + "}]}";
+		struct routemap *m =
+			adapter->ops->routes_parse(adapter, text.data(), text.size(), nullptr);
+		std::string regions;
+
+		ASSERT_NE(m, nullptr) << field;
+		const struct route *r = routemap_find(m, "h", "/");
+
+		for (guint i = 0; r->regions && i < r->regions->len; i++)
+			regions += std::string(i ? " " : "") +
+				   static_cast<const char *>(g_ptr_array_index(r->regions, i));
+		if (!r->regions)
+			regions = "everywhere";
+		else if (r->regions->len == 0)
+			regions = "nowhere";
+		EXPECT_EQ(regions, expected) << field;
+		EXPECT_EQ(m->has_regions, expected != "everywhere") << field;
+		routemap_put(m);
+	}
+}
+
 /* Guards against ranks on a deployment that does not ask for them. */
 TEST(adapter, features_are_asked_for)
 {
--- a/tests/settings_test.cc
+++ b/tests/settings_test.cc
@@ -79,6 +79,17 @@
 		EXPECT_FALSE(create({flag})) << flag;
 }
 
+/* Guards against a VM that starts with a part of the regions, or not at all where there are none.
+ */
+TEST(settings, malformed_regions_are_refused)
+{
+	EXPECT_TRUE(create({}));
+	EXPECT_TRUE(create({"--dc-regions="}));
+	EXPECT_TRUE(create({"--dc-regions=a=north,b=south"}));
+	for (const char *flag : {"--dc-regions=a", "--dc-regions=a=north,", "--dc-regions=a=n,a=s"})
+		EXPECT_FALSE(create({flag})) << flag;
+}
+
 /* Guards against limits that are taken as something else than what was written. */
 TEST(settings, malformed_limits_are_refused)
 {
