Keep the calls of a route in its regions

Cause: a request of a restricted route must not reach a leaf in another region, whatever fails. Change: the choices of leafset take the regions of the route and leave out leaves elsewhere: first calls, spread calls, hedges, retries and moves of waiting calls. A leaf gets the region of its data centre from the settings; a leaf whose entry names another data centre is a new one. When the settings change a region, the calls that wait there are chosen anew. Refusals because of regions are counted (apricot_region_refused_total), and the trace and apricotctl explain name a barred leaf. regions_unknown is logged once while no region is known.

--- a/bench/common/spreadmodel.c
+++ b/bench/common/spreadmodel.c
@@ -171,7 +171,7 @@
 
 	if (rule_is_models(m->s->rule))
 		return leaf_choose(m, vm, now_us);
-	leaf = leafset_choose(v->leaves, SERVICE, NULL, 0, now_us);
+	leaf = leafset_choose(v->leaves, SERVICE, NULL, NULL, 0, now_us);
 	while (v->leaf[l] != leaf)
 		l++;
 	return l;
--- a/src/directory.h
+++ b/src/directory.h
@@ -15,6 +15,7 @@
 	const char *ready_address; /* IP:PORT for status checks; NULL: not served */
 	const char *dc; /* data centre of this VM; copied */
 	unsigned int ttl_ms; /* how long callers may keep an answer */
+	const char *dc_regions; /* regions of the data centres, see region.h; or NULL */
 };
 
 /* NULL with an error if listening on an address fails. adapter is borrowed. */
--- a/src/explain.c
+++ b/src/explain.c
@@ -218,6 +218,25 @@
 	}
 }
 
+/* Appends for how many shards all usable leaves are outside the regions of the route. */
+static void barred_append(GString *out, const char *trace)
+{
+	const char *barred = strstr(trace, " barred ");
+	/* SERVICE LEAF "region" REGION "," N "of the shards" */
+	g_auto(GStrv) words = barred ? g_strsplit(barred + strlen(" barred "), " ", 4) : NULL;
+	const char *comma;
+
+	if (!words || g_strv_length(words) < 4)
+		return;
+	comma = strstr(words[3], ", ");
+	if (!comma)
+		return;
+	g_string_append_printf(out,
+			       "; the route may not be served in the regions of the usable leaves "
+			       "of %d shards (leaf %s, region %.*s)",
+			       atoi(comma + 2), words[1], (int)(comma - words[3]), words[3]);
+}
+
 static void missing_append(GString *out, const char *trace)
 {
 	unsigned int no_leaf = words_count(trace, " no leaf;");
@@ -235,6 +254,7 @@
 		g_string_append_printf(out, "; calls to %u leaves were lost", lost);
 	if (strstr(trace, " backlog;"))
 		g_string_append(out, "; the leaves had too many calls to answer in time");
+	barred_append(out, trace);
 	ranks_append(out, trace);
 	if (strstr(trace, " denied "))
 		g_string_append(out, "; the budget for repeated calls denied some");
--- a/src/gateway.c
+++ b/src/gateway.c
@@ -223,6 +223,52 @@
 	g_ptr_array_free(leaves, TRUE);
 }
 
+static unsigned int restricted_routes_count(const struct routemap *m)
+{
+	unsigned int n = 0;
+
+	for (guint i = 0; i < m->routes->len; i++)
+		n += ((struct route *)g_ptr_array_index(m->routes, i))->regions != NULL;
+	return n;
+}
+
+/* Logs when routes are restricted and no region is known, so that they are refused, and its end. */
+static void regions_check(struct gateway *g)
+{
+	bool lacks_regions = g->map && g->map->has_regions && region_table_is_empty(g->regions);
+
+	if (lacks_regions == g->lacks_regions)
+		return;
+	g->lacks_regions = lacks_regions;
+	if (lacks_regions)
+		log_event(LOG_LEVEL_WARNING, "regions_unknown",
+			  "routes=%u version=%" G_GUINT64_FORMAT, restricted_routes_count(g->map),
+			  g->map->version);
+	else
+		log_event(LOG_LEVEL_INFO, "regions_known", "version=%" G_GUINT64_FORMAT,
+			  g->map ? g->map->version : 0);
+}
+
+/* The list must be valid. NULL: no region is known. */
+static void regions_set(struct gateway *g, const char *list)
+{
+	struct region_table *table = region_table_parse(list, NULL);
+	GPtrArray *changed;
+
+	if (!table)
+		return;
+	changed = leafset_regions_set(g->env.leaves, table);
+	region_table_destroy(g->regions);
+	g->regions = table;
+	if (changed->len > 0)
+		log_event(LOG_LEVEL_INFO, "regions_changed", "leaves=%u", changed->len);
+	/* Calls that were not sent yet are chosen anew: their routes may bar the leaf now. */
+	for (guint i = 0; i < changed->len; i++)
+		upstream_leaf_retire(g->env.upstream, g_ptr_array_index(changed, i));
+	g_ptr_array_free(changed, TRUE);
+	regions_check(g);
+}
+
 static void map_apply(struct gateway *g, struct routemap *map)
 {
 	struct http_server_limits limits = server_limits(&map->limits);
@@ -238,6 +284,7 @@
 	g->map->applied_ms = clock_now_ms();
 	http_server_limits_set(g->server, &limits);
 	leaves_warmup_apply(g, clock_now_us());
+	regions_check(g);
 }
 
 static void leaf_apply(struct gateway *g, const struct leaf_updates_item *item, uint64_t now_us)
@@ -387,6 +434,7 @@
 					settings->repeat_window_ms * CLOCK_US_PER_MS};
 
 	repeats_limits_set(g->env.repeats, &limits);
+	regions_set(g, settings->dc_regions);
 }
 
 static void gateway_receive(struct service *s, struct message *m)
@@ -447,6 +495,7 @@
 		event_free(g->warmup_tick);
 	warmups_destroy(g->env.warmups);
 	leafset_destroy(g->env.leaves);
+	region_table_destroy(g->regions);
 	evacuations_destroy(g->evacuations);
 	repeats_destroy(g->env.repeats);
 	ranks_destroy(g->env.ranks);
@@ -496,6 +545,7 @@
 	g->env.splits = splits_create();
 	g->env.stats = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, route_stats_free);
 	list_init(&g->env.jobs);
+	regions_set(g, settings->dc_regions);
 	g->server = http_server_create(kernel_base(k), settings->address, &server_ops, g, &limits,
 				       error);
 	if (!g->server) {
--- a/src/gateway.h
+++ b/src/gateway.h
@@ -17,6 +17,7 @@
 	struct repeats_limits repeats;
 	uint64_t held_bound_bytes; /* held for callers and leaves at most; 0: not bounded */
 	unsigned int features; /* enum feature values combined */
+	const char *dc_regions; /* regions of the data centres, see region.h; or NULL */
 	bool has_spread; /* services that are unevenly loaded are spread */
 	uint64_t stop_limit_ms; /* from the announcement of a planned stop until the process ends */
 };
--- a/src/gatewaymetrics.c
+++ b/src/gatewaymetrics.c
@@ -170,6 +170,22 @@
 			       stats->refused, http_server_held_back(g->server));
 }
 
+static void region_unknown_count(const struct leaf *leaf, void *arg)
+{
+	*(unsigned int *)arg += leaf->region == NULL;
+}
+
+static void region_metrics_append(const struct gateway *g, GString *out)
+{
+	unsigned int n_unknown = 0;
+
+	leafset_each(g->env.leaves, region_unknown_count, &n_unknown);
+	g_string_append_printf(out,
+			       "apricot_leaves_region_unknown %u\n"
+			       "apricot_region_refused_total %" G_GUINT64_FORMAT "\n",
+			       n_unknown, g->env.n_region_refused);
+}
+
 static json_t *evacuations_status(const struct gateway *g)
 {
 	json_t *list = json_array();
@@ -203,6 +219,7 @@
 		route_metrics_append(out, key, stats);
 	leafset_each(g->env.leaves, leaf_limit_append, out);
 	evacuation_metrics_append(g, out);
+	region_metrics_append(g, out);
 	leafset_spread_each(g->env.leaves, spread_append, out);
 	load_metrics_append(g, out);
 	held_metrics_append(g, out);
--- a/src/gatewaystate.h
+++ b/src/gatewaystate.h
@@ -10,6 +10,7 @@
 #include "heldbytes.h"
 #include "job.h"
 #include "message.h"
+#include "region.h"
 
 struct gateway {
 	struct service service;
@@ -17,6 +18,8 @@
 	struct http_server *server;
 	struct routemap *map; /* NULL before the first configuration */
 	struct evacuations *evacuations;
+	struct region_table *regions;
+	bool lacks_regions; /* a route is restricted, but no region is known */
 	struct event *warmup_tick;
 	struct heldbytes *held;
 	struct event *held_tick; /* pending while bytes are short */
--- a/src/job.h
+++ b/src/job.h
@@ -71,6 +71,7 @@
 	uint64_t n_loads_malformed; /* of these, loads that could not be used */
 	struct ranks *ranks; /* NULL: the deployment does not ask for ranks */
 	struct backlog_gate gate; /* refusals because of the leaves' backlog */
+	uint64_t n_region_refused; /* refusals because all usable leaves are in other regions */
 	uint64_t answer_by_us; /* a planned stop ends then; 0: none */
 };
 
--- a/src/jobanswer.c
+++ b/src/jobanswer.c
@@ -49,6 +49,47 @@
 	}
 }
 
+/* True if the shard can be called only at leaves outside the regions of its route; sets *leaf. */
+static bool shard_is_barred(const struct job *j, unsigned int shard, uint64_t now_us,
+			    struct leaf **leaf)
+{
+	const struct leafset *leaves = j->env->leaves;
+	const GPtrArray *regions = j->route->regions;
+	const char *service = j->shards[shard].service;
+
+	if (!service || scatter_is_answered(j->scatter, shard) ||
+	    leafset_choose_healthy(leaves, service, regions, NULL, 0, now_us))
+		return false;
+	*leaf = leafset_barred_find(leaves, service, regions, now_us);
+	return *leaf != NULL;
+}
+
+/*
+ * Adds to the trace how many shards are missing because of region restrictions, with a leaf of the
+ * first one. Returns true if there are any.
+ */
+static bool trace_barred_add(struct job *j, uint64_t now_us)
+{
+	const struct leaf *first = NULL;
+	unsigned int n = 0;
+	g_autofree char *why = NULL;
+
+	for (unsigned int i = 0; j->route->regions && i < j->n_shards; i++) {
+		struct leaf *leaf;
+
+		if (!shard_is_barred(j, i, now_us, &leaf))
+			continue;
+		first = first ? first : leaf;
+		n++;
+	}
+	if (!first)
+		return false;
+	why = g_strdup_printf("region %s, %u of the shards", first->region ? first->region : "?",
+			      n);
+	jobanswer_trace_add(j, "barred", first->service, first, why, now_us);
+	return true;
+}
+
 /*
  * Logs the end of the request. When the rate limit drops the line, the request is added to the next
  * line that lists requests (LOG_BATCH_BRIEF).
@@ -115,8 +156,11 @@
 	j->stats->outcomes[outcome]++;
 	hist_add(j->stats->answer_us, took_us);
 	rank_end(j, outcome, took_us, now_us);
-	if (outcome != JOB_COMPLETE && outcome != JOB_PASSED && !j->is_unsent)
+	if (outcome != JOB_COMPLETE && outcome != JOB_PASSED && !j->is_unsent) {
+		if (trace_barred_add(j, now_us) && outcome == JOB_REFUSED)
+			j->env->n_region_refused++;
 		trace_missing_add(j, now_us);
+	}
 	end_log(j, outcome, status, took_us);
 	jobcall_unsent_cancel(j, now_us);
 	if (list_is_empty(&j->calls))
@@ -176,7 +220,8 @@
 	uint64_t wait_us;
 
 	for (unsigned int i = 0; i < j->n_shards; i++)
-		if (leafset_wait_us(j->env->leaves, j->shards[i].service, now_us, &wait_us))
+		if (leafset_wait_us(j->env->leaves, j->shards[i].service, j->route->regions, now_us,
+				    &wait_us))
 			longest_us = MAX(longest_us, wait_us);
 	return longest_us;
 }
--- a/src/jobcall.c
+++ b/src/jobcall.c
@@ -283,18 +283,21 @@
 				      bool is_hedge, uint64_t now_us)
 {
 	const struct leafset *leaves = j->env->leaves;
+	const GPtrArray *regions = j->route->regions;
 	bool is_last_resort = sh->n_tried == 0 || (!is_hedge && !job_is_sharded(j));
 	struct leaf *leaf;
 
 	if (is_last_resort)
-		leaf = leafset_choose(leaves, sh->service, sh->tried, sh->n_tried, now_us);
+		leaf = leafset_choose(leaves, sh->service, regions, sh->tried, sh->n_tried, now_us);
 	else
-		leaf = leafset_choose_healthy(leaves, sh->service, sh->tried, sh->n_tried, now_us);
+		leaf = leafset_choose_healthy(leaves, sh->service, regions, sh->tried, sh->n_tried,
+					      now_us);
 	if (leaf || is_hedge || sh->n_tried == 0)
 		return leaf;
 	/* A retry may go to a leaf that was tried before. */
-	return is_last_resort ? leafset_choose(leaves, sh->service, NULL, 0, now_us)
-			      : leafset_choose_healthy(leaves, sh->service, NULL, 0, now_us);
+	return is_last_resort
+		       ? leafset_choose(leaves, sh->service, regions, NULL, 0, now_us)
+		       : leafset_choose_healthy(leaves, sh->service, regions, NULL, 0, now_us);
 }
 
 /* How long a call of the job may wait for a leaf's limit and still be answered in time. */
@@ -381,8 +384,8 @@
 {
 	unsigned int shard = waiting->shard;
 	struct job_shard *sh = &j->shards[shard];
-	struct leaf *leaf =
-		leafset_choose_healthy(j->env->leaves, sh->service, sh->tried, sh->n_tried, now_us);
+	struct leaf *leaf = leafset_choose_healthy(j->env->leaves, sh->service, j->route->regions,
+						   sh->tried, sh->n_tried, now_us);
 
 	if (!leaf || sh->n_tried == JOB_TRIED_MAX ||
 	    !leafset_is_faster(j->env->leaves, leaf, waiting->leaf, now_us)) {
--- a/src/leafset.c
+++ b/src/leafset.c
@@ -48,6 +48,7 @@
 
 struct leafset {
 	char *own_dc;
+	const struct region_table *regions; /* NULL: none is known */
 	GHashTable *ids; /* id -> struct leaf */
 	GHashTable *services; /* name -> struct leaf_service */
 	const struct leafset_spread_ops *spread_ops; /* NULL: no spreading */
@@ -174,7 +175,7 @@
 static bool is_same_process(const struct leaf *l, const struct leaf_report *report)
 {
 	return strcmp(l->service, report->service) == 0 &&
-	       strcmp(l->address, report->address) == 0 &&
+	       strcmp(l->address, report->address) == 0 && strcmp(l->dc, report->dc) == 0 &&
 	       l->process_start_ms == report->process_start_ms;
 }
 
@@ -195,6 +196,7 @@
 	}
 	if (!l) {
 		l = leaf_create(id, report);
+		l->region = s->regions ? region_table_find(s->regions, l->dc) : NULL;
 		leaf_attach(s, l);
 	}
 	leaf_update(l, report, now_us);
@@ -250,6 +252,25 @@
 	return leaves;
 }
 
+GPtrArray *leafset_regions_set(struct leafset *s, const struct region_table *t)
+{
+	GPtrArray *changed = g_ptr_array_new();
+	GHashTableIter iter;
+	gpointer value;
+
+	s->regions = t;
+	g_hash_table_iter_init(&iter, s->ids);
+	while (g_hash_table_iter_next(&iter, NULL, &value)) {
+		struct leaf *l = value;
+		const char *region = region_table_find(t, l->dc);
+
+		if (g_strcmp0(region, l->region) != 0)
+			g_ptr_array_add(changed, l);
+		l->region = region;
+	}
+	return changed;
+}
+
 static gint name_compare(gconstpointer a, gconstpointer b)
 {
 	return strcmp(*(const char *const *)a, *(const char *const *)b);
@@ -378,8 +399,8 @@
 	return leaf_is_in_service(l) && now_us >= l->paused_until_us;
 }
 
-bool leafset_wait_us(const struct leafset *s, const char *service, uint64_t now_us,
-		     uint64_t *wait_us)
+bool leafset_wait_us(const struct leafset *s, const char *service, const GPtrArray *regions,
+		     uint64_t now_us, uint64_t *wait_us)
 {
 	const GPtrArray *list = leaves_of(s, service);
 	bool is_found = false;
@@ -388,7 +409,7 @@
 		const struct leaf *l = g_ptr_array_index(list, i);
 		uint64_t leaf_us = leaf_wait_us(l, now_us);
 
-		if (!leaf_is_in_service(l))
+		if (!leaf_is_in_service(l) || !region_allows(regions, l->region))
 			continue;
 		*wait_us = is_found ? MIN(*wait_us, leaf_us) : leaf_us;
 		is_found = true;
@@ -440,7 +461,7 @@
  * quarantined, cold, limited or paused takes no call from one that is not.
  */
 static struct leaf *spread_leaf_choose(const struct leafset *s, const GPtrArray *list,
-				       uint64_t now_us)
+				       const GPtrArray *regions, uint64_t now_us)
 {
 	g_ptr_array_set_size(s->found, 0);
 	g_array_set_size(s->candidates, 0);
@@ -450,7 +471,8 @@
 		double usual_us;
 
 		if (!leaf_is_usable(l, now_us) || leaf_is_quarantined(l, now_us) ||
-		    now_us < l->warmup_until_us || leaf_wait_us(l, now_us) > 0)
+		    now_us < l->warmup_until_us || leaf_wait_us(l, now_us) > 0 ||
+		    !region_allows(regions, l->region))
 			continue;
 		usual_us = usual_latency_us(l, l->steady_us, now_us);
 		candidate.cost_us = cost_at_us(l, s->own_dc, usual_us, now_us);
@@ -466,8 +488,8 @@
 }
 
 static struct leaf *fastest_leaf_choose(const struct leafset *s, const char *service,
-					struct leaf *const *tried, unsigned int n_tried,
-					uint64_t now_us)
+					const GPtrArray *regions, struct leaf *const *tried,
+					unsigned int n_tried, uint64_t now_us)
 {
 	const GPtrArray *list = leaves_of(s, service);
 	struct leaf *best = NULL;
@@ -479,7 +501,8 @@
 		bool is_quarantined = leaf_is_quarantined(l, now_us);
 		double cost_us;
 
-		if (!leaf_is_usable(l, now_us) || is_tried(l, tried, n_tried))
+		if (!leaf_is_usable(l, now_us) || is_tried(l, tried, n_tried) ||
+		    !region_allows(regions, l->region))
 			continue;
 		cost_us = leaf_cost_us(l, s->own_dc, now_us);
 		if (best && (is_quarantined > best_is_quarantined ||
@@ -492,15 +515,15 @@
 	return best;
 }
 
-struct leaf *leafset_choose(const struct leafset *s, const char *service, struct leaf *const *tried,
-			    unsigned int n_tried, uint64_t now_us)
+struct leaf *leafset_choose(const struct leafset *s, const char *service, const GPtrArray *regions,
+			    struct leaf *const *tried, unsigned int n_tried, uint64_t now_us)
 {
 	const struct leaf_service *found = g_hash_table_lookup(s->services, service);
 	struct leaf *leaf = NULL;
 
 	if (n_tried == 0 && found && found->spread.is_in_force)
-		leaf = spread_leaf_choose(s, found->leaves, now_us);
-	return leaf ? leaf : fastest_leaf_choose(s, service, tried, n_tried, now_us);
+		leaf = spread_leaf_choose(s, found->leaves, regions, now_us);
+	return leaf ? leaf : fastest_leaf_choose(s, service, regions, tried, n_tried, now_us);
 }
 
 void leafset_spread_enable(struct leafset *s, GRand *rand, const struct leafset_spread_ops *ops,
@@ -566,14 +589,29 @@
 }
 
 struct leaf *leafset_choose_healthy(const struct leafset *s, const char *service,
-				    struct leaf *const *tried, unsigned int n_tried,
-				    uint64_t now_us)
+				    const GPtrArray *regions, struct leaf *const *tried,
+				    unsigned int n_tried, uint64_t now_us)
 {
-	struct leaf *leaf = fastest_leaf_choose(s, service, tried, n_tried, now_us);
+	struct leaf *leaf = fastest_leaf_choose(s, service, regions, tried, n_tried, now_us);
 
 	return leaf && !leaf_is_quarantined(leaf, now_us) ? leaf : NULL;
 }
 
+struct leaf *leafset_barred_find(const struct leafset *s, const char *service,
+				 const GPtrArray *regions, uint64_t now_us)
+{
+	const GPtrArray *list = leaves_of(s, service);
+
+	for (guint i = 0; list && i < list->len; i++) {
+		struct leaf *l = g_ptr_array_index(list, i);
+
+		if (leaf_is_usable(l, now_us) && !leaf_is_quarantined(l, now_us) &&
+		    !region_allows(regions, l->region))
+			return l;
+	}
+	return NULL;
+}
+
 void leaf_call_started(struct leaf *l, uint64_t now_us)
 {
 	if (l->outstanding++ == 0)
--- a/src/leafset.h
+++ b/src/leafset.h
@@ -15,6 +15,7 @@
 #include "backlog.h"
 #include "leafload.h"
 #include "ratecap.h"
+#include "region.h"
 #include "spread.h"
 
 #include <glib.h>
@@ -91,6 +92,7 @@
 	char *id;
 	char *service;
 	char *dc;
+	const char *region; /* of its data centre; NULL: unknown */
 	char *address;
 	struct sockaddr_in socket_address;
 	enum leaf_state state;
@@ -137,11 +139,11 @@
 void leafset_destroy(struct leafset *s);
 
 /*
- * Adds or updates a leaf. A report with another service, address or start time means a new process:
- * a new leaf replaces the old one (LEAF_RESTARTED) and starts without health and latency data.
- * Returns LEAF_UPDATED only if the state changed; slots and the warm-up are updated in any case. If
- * leaf is not NULL, *leaf is set to the leaf (borrowed). The address in the report must be valid.
- * Strings are copied.
+ * Adds or updates a leaf. A report with another service, address, start time or data centre means a
+ * new process: a new leaf replaces the old one (LEAF_RESTARTED) and starts without health and
+ * latency data. Returns LEAF_UPDATED only if the state changed; slots and the warm-up are updated
+ * in any case. If leaf is not NULL, *leaf is set to the leaf (borrowed). The address in the report
+ * must be valid. Strings are copied.
  */
 enum leaf_change leafset_update(struct leafset *s, const char *id, const struct leaf_report *report,
 				uint64_t now_us, struct leaf **leaf);
@@ -153,6 +155,12 @@
 /* Calls visit for each leaf, in no order; visit must not change the set. */
 void leafset_each(const struct leafset *s, void (*visit)(const struct leaf *leaf, void *arg),
 		  void *arg);
+/*
+ * Sets the regions of the data centres for all leaves, also those that are added later. t is not
+ * copied and must be valid until the next call or leafset_destroy(). Returns the leaves (borrowed)
+ * whose region has changed, in an array that the caller frees.
+ */
+GPtrArray *leafset_regions_set(struct leafset *s, const struct region_table *t);
 /*
  * Names of the data centres that have at least half as many ready leaves as the data centre with
  * the most, in alphabetical order. The list ends with NULL; the caller frees it with g_strfreev().
@@ -192,12 +200,13 @@
 
 /*
  * The ready leaf of the service with the shortest expected time to an answer, or NULL (borrowed).
- * Leaves in tried[] and leaves whose address is taken are left out. A quarantined leaf is chosen
- * only when no other is left. If the service is being spread and n_tried is 0, one of two random
- * leaves among those that may be called at once.
+ * Leaves in tried[], leaves whose address is taken and leaves outside the regions (of struct route;
+ * NULL: no restriction) are left out. A quarantined leaf is chosen only when no other is left. If
+ * the service is being spread and n_tried is 0, one of two random leaves among those that may be
+ * called at once.
  */
-struct leaf *leafset_choose(const struct leafset *s, const char *service, struct leaf *const *tried,
-			    unsigned int n_tried, uint64_t now_us);
+struct leaf *leafset_choose(const struct leafset *s, const char *service, const GPtrArray *regions,
+			    struct leaf *const *tried, unsigned int n_tried, uint64_t now_us);
 
 /*
  * Like leafset_choose(), but never spread, and NULL instead of a quarantined leaf. For the second
@@ -205,8 +214,15 @@
  * called a leaf already.
  */
 struct leaf *leafset_choose_healthy(const struct leafset *s, const char *service,
-				    struct leaf *const *tried, unsigned int n_tried,
-				    uint64_t now_us);
+				    const GPtrArray *regions, struct leaf *const *tried,
+				    unsigned int n_tried, uint64_t now_us);
+
+/*
+ * A leaf of the service that may be called now and is left out only because of the regions, or NULL
+ * (borrowed).
+ */
+struct leaf *leafset_barred_find(const struct leafset *s, const char *service,
+				 const GPtrArray *regions, uint64_t now_us);
 
 /* Expected time until the answer to a call that is sent now. */
 double leaf_cost_us(const struct leaf *l, const char *own_dc, uint64_t now_us);
@@ -222,11 +238,11 @@
 /* Sets how long the leaf stays cold from now on; 0: it is warm. */
 void leaf_warmup_set(struct leaf *l, unsigned int warmup_ms, uint64_t now_us);
 /*
- * Shortest leaf_wait_us of the leaves of the service that can be chosen now or after a pause; false
- * when there is none.
+ * Shortest leaf_wait_us of the leaves of the service in the regions that can be chosen now or after
+ * a pause; false when there is none.
  */
-bool leafset_wait_us(const struct leafset *s, const char *service, uint64_t now_us,
-		     uint64_t *wait_us);
+bool leafset_wait_us(const struct leafset *s, const char *service, const GPtrArray *regions,
+		     uint64_t now_us, uint64_t *wait_us);
 /*
  * Notes what the leaf says of itself. share: this VM's part of a limit. Returns the changes, of
  * enum leaf_signals_change. A leaf that has said that it leaves gets no call any more.
--- a/src/logevent.h
+++ b/src/logevent.h
@@ -29,6 +29,10 @@
 	X("evacuation_begun", "the operator wants no call to the leaves of a data centre")         \
 	X("evacuation_ended", "calls to the leaves of a data centre are allowed again")            \
 	X("evacuation_refused", "a request to evacuate has no usable name or is one too many")     \
+	X("regions_unknown",                                                                       \
+	  "routes are restricted, but the settings name no region: all refused")                   \
+	X("regions_known", "no route is restricted any more, or the settings name regions")        \
+	X("regions_changed", "leaves are in other regions by the settings; how many")              \
 	X("held_short", "answers wait or requests are refused, since too many bytes are held")     \
 	X("held_ample", "less than half of the bound is held again; what happened since")          \
 	X("leaf_changed", "a leaf is new, has restarted, or changed its state")                    \
--- a/src/main.c
+++ b/src/main.c
@@ -98,6 +98,7 @@
 	struct gateway_settings gateway = {
 		.address = settings->gateway,
 		.dc = settings->dc,
+		.dc_regions = settings->dc_regions,
 		.held_bound_bytes = heldbytes_bound(settings->held_mb, settings->memory_mb),
 		.stop_limit_ms = limit_ms,
 		.features = adapter->ops->features_parse(
@@ -112,6 +113,7 @@
 		.ready_address = settings->ready,
 		.dc = settings->dc,
 		.ttl_ms = (unsigned int)settings->entry_ttl_ms,
+		.dc_regions = settings->dc_regions,
 	};
 	struct feed_settings feed = {
 		.store_address = settings->platform,
--- a/tests/explain_test.cc
+++ b/tests/explain_test.cc
@@ -112,6 +112,24 @@
 		<< out;
 }
 
+/* Guards against a refusal because of region restrictions that looks like a lack of leaves. */
+TEST(explain, barred_regions_are_named)
+{
+	bool found;
+	std::string out = explain(
+		"ab12",
+		"2026-12-04T12:00:02.000Z level=warning vm=n1 event=request_done request=ab12 "
+		"outcome=refused status=503 route=r version=4 in=0 of=4 wait_ms=1500 took_us=90 "
+		"trace=\"+0 barred s3 i-7 region far south, 2 of the shards;+0 missing s3 - no "
+		"leaf;\"\n",
+		&found);
+
+	EXPECT_NE(out.find("the route may not be served in the regions of the usable leaves of 2 "
+			   "shards (leaf i-7, region far south)"),
+		  std::string::npos)
+		<< out;
+}
+
 /* Guards against an evacuation that is not named, or that is named after its end. */
 TEST(explain, evacuations_are_named)
 {
--- a/tests/leafload_test.cc
+++ b/tests/leafload_test.cc
@@ -58,7 +58,9 @@
 			else
 				leaf_call_ended(l, LEAF_END_CANCELLED, 0, now_us);
 		} else if (w[0] == "choose") {
-			return std::string(leafset_choose(s, "s", nullptr, 0, now_us)->id) + "\n";
+			return std::string(
+				       leafset_choose(s, "s", nullptr, nullptr, 0, now_us)->id) +
+			       "\n";
 		} else if (w[0] == "cost") { /* cost ID */
 			return std::to_string((int)(leaf_cost_us(l, "a", now_us) / 1000 + 0.5)) +
 			       " ms\n";
--- a/tests/leafset_test.cc
+++ b/tests/leafset_test.cc
@@ -14,6 +14,9 @@
 /* The step "@N" sets the time in milliseconds. The data centre of this VM is "a". */
 struct leafset_script : script_interpreter {
 	struct leafset *s = leafset_create("a");
+	struct region_table *table = nullptr;
+	/* For choices and waits: the regions of the route, or NULL. */
+	GPtrArray *regions = nullptr;
 	std::vector<struct leaf *> calls;
 	uint64_t now_us = 0;
 	GRand *rand = g_rand_new_with_seed(1);
@@ -26,6 +29,9 @@
 			leaf_put(l);
 		}
 		leafset_destroy(s);
+		region_table_destroy(table);
+		if (regions)
+			g_ptr_array_free(regions, TRUE);
 	}
 
 	/* update ID SERVICE ADDRESS DC STATE SLOTS WARMUP_MS START_MS */
@@ -46,6 +52,31 @@
 		       "\n";
 	}
 
+	std::string regions_set(const char *list)
+	{
+		struct region_table *read = region_table_parse(list, nullptr);
+		GPtrArray *changed = leafset_regions_set(s, read);
+		std::string n = std::to_string(changed->len);
+
+		g_ptr_array_free(changed, TRUE);
+		region_table_destroy(table);
+		table = read;
+		return n + " leaves\n";
+	}
+
+	std::string route(const std::vector<std::string> &w)
+	{
+		if (regions)
+			g_ptr_array_free(regions, TRUE);
+		regions = nullptr;
+		if (w.size() > 1 && w[1] == "everywhere")
+			return "";
+		regions = g_ptr_array_new_with_free_func(g_free);
+		for (size_t i = 1; i < w.size(); i++)
+			g_ptr_array_add(regions, g_strdup(w[i].c_str()));
+		return "";
+	}
+
 	std::string run(const std::vector<std::string> &w) override
 	{
 		if (w[0][0] == '@') {
@@ -61,7 +92,17 @@
 			struct leaf *tried = w.size() > 2 ? leafset_find(s, w[2].c_str()) : nullptr;
 			auto choose =
 				w[0] == "choose_healthy" ? leafset_choose_healthy : leafset_choose;
-			struct leaf *l = choose(s, w[1].c_str(), &tried, tried ? 1 : 0, now_us);
+			struct leaf *l =
+				choose(s, w[1].c_str(), regions, &tried, tried ? 1 : 0, now_us);
+
+			return std::string(l ? l->id : "none") + "\n";
+		}
+		if (w[0] == "dc_regions") /* dc_regions LIST */
+			return regions_set(w[1].c_str());
+		if (w[0] == "route") /* route everywhere|REGION... */
+			return route(w);
+		if (w[0] == "barred") { /* barred SERVICE: a leaf that only the regions bar */
+			struct leaf *l = leafset_barred_find(s, w[1].c_str(), regions, now_us);
 
 			return std::string(l ? l->id : "none") + "\n";
 		}
@@ -123,7 +164,7 @@
 		if (w[0] == "wait") { /* wait SERVICE: ms until a leaf of it may be called */
 			uint64_t wait_us = 0;
 
-			return leafset_wait_us(s, w[1].c_str(), now_us, &wait_us)
+			return leafset_wait_us(s, w[1].c_str(), regions, now_us, &wait_us)
 				       ? std::to_string(wait_us / 1000) + "\n"
 				       : "none\n";
 		}
--- a/tests/spread_test.cc
+++ b/tests/spread_test.cc
@@ -19,6 +19,8 @@
 	GRand *rand = g_rand_new_with_seed(1);
 	uint64_t now_us = 1000000;
 	std::string changes;
+	struct region_table *table = nullptr;
+	GPtrArray *regions = nullptr; /* of the route that makes the choices */
 
 	spread_script()
 	{
@@ -30,6 +32,9 @@
 	~spread_script() override
 	{
 		leafset_destroy(s);
+		region_table_destroy(table);
+		if (regions)
+			g_ptr_array_free(regions, TRUE);
 		g_rand_free(rand);
 	}
 
@@ -72,15 +77,24 @@
 		}
 	}
 
+	void restrict_to(const char *list, const char *region)
+	{
+		table = region_table_parse(list, nullptr);
+		g_ptr_array_free(leafset_regions_set(s, table), TRUE);
+		regions = g_ptr_array_new_with_free_func(g_free);
+		g_ptr_array_add(regions, g_strdup(region));
+	}
+
 	/* Each leaf with its share of the choices, in tenths. */
 	std::string shares(struct leaf *(*choose)(const struct leafset *, const char *,
-						  struct leaf *const *, unsigned int, uint64_t))
+						  const GPtrArray *, struct leaf *const *,
+						  unsigned int, uint64_t))
 	{
 		std::map<std::string, int> counts;
 		std::string out;
 
 		for (int i = 0; i < DRAWS; i++)
-			counts[choose(s, "s", nullptr, 0, now_us)->id]++;
+			counts[choose(s, "s", regions, nullptr, 0, now_us)->id]++;
 		for (auto &[id, n] : counts)
 			out += (out.empty() ? "" : " ") + id + ":" +
 			       std::to_string((n * 10 + DRAWS / 2) / DRAWS);
@@ -151,6 +165,8 @@
 			be(leafset_find(s, w[1].c_str()), w[2]);
 		else if (w[0] == "choose")
 			return shares(leafset_choose);
+		else if (w[0] == "restrict") /* restrict DC_REGIONS REGION */
+			restrict_to(w[1].c_str(), w[2].c_str());
 		else if (w[0] == "hedge")
 			return shares(leafset_choose_healthy);
 		else if (w[0] == "model")
