Tell callers of restricted hosts the VMs that suit them

Cause: callers of a host with region restrictions could be sent through VMs in regions where its data may not be. Change: the directory names, of the usual addresses, those in the region of the caller or in regions that all restricted routes of the host allow; without any, chosen entry VMs, then up to 4 other usable VMs that qualify, then the usual addresses. The choice of entry VMs is as before.

--- a/src/directory.c
+++ b/src/directory.c
@@ -6,6 +6,7 @@
 #include "log.h"
 #include "message.h"
 #include "pausewatch.h"
+#include "region.h"
 #include "retryafter.h"
 
 #include <string.h>
@@ -37,6 +38,8 @@
 	bool is_entry;
 	char **leaf_dcs; /* data centres of the leaves, ended by NULL; NULL: not known yet */
 	bool has_routes; /* a routing configuration is in force */
+	struct routemap *map; /* NULL before the first configuration */
+	struct region_table *regions;
 	bool is_stopping;
 	uint64_t started_ms;
 	struct event *tick;
@@ -144,19 +147,51 @@
 	http_request_answer(request, 503, fields, "", 0);
 }
 
+/*
+ * The VMs of the roster with those named to a caller whose host has routes with region
+ * restrictions, in an array that the caller frees. NULL if no restriction applies to the answer.
+ */
+static struct region_vm *region_vms_create(const struct directory *d, const char *target,
+					   const char *dc, unsigned int n)
+{
+	g_autofree char *host = parameter_find(target, d->adapter->entries_host_parameter);
+	g_autofree char *named = parameter_find(target, d->adapter->entries_region_parameter);
+	const char *region = *named ? named : region_table_find(d->regions, dc);
+	g_autoptr(GPtrArray) routes = region_routes_list(d->map, host);
+	struct region_vm *vms;
+
+	if (!routes || !region || n == 0)
+		return NULL;
+	vms = g_new0(struct region_vm, n);
+	for (unsigned int i = 0; i < n; i++)
+		vms[i] = (struct region_vm){
+			.region = region_table_find(d->regions, d->choice[i].dc),
+			.name_hash = d->choice[i].name_hash,
+			.weight = d->choice[i].weight_left,
+			.is_usable = d->choice[i].is_usable,
+			.is_chosen = d->choice[i].is_chosen,
+			.is_offered = entrychoice_is_offered(d->choice, n, i, dc),
+		};
+	region_vms_name(vms, n, routes, region);
+	return vms;
+}
+
 static void entries_answer(struct directory *d, struct http_request *request)
 {
 	const char *target = http_reader_target(http_request_message(request));
 	g_autofree char *dc = parameter_find(target, d->adapter->entries_dc_parameter);
 	GPtrArray *addresses = g_ptr_array_new();
 	g_autofree char *body = NULL;
+	struct region_vm *vms = NULL;
 	unsigned int n_own = 0;
 	unsigned int n;
 
 	pause_check(d);
 	n = d->roster && !roster_is_stale(d) ? d->roster->n_vms : 0;
+	if (d->map && d->map->has_regions)
+		vms = region_vms_create(d, target, dc, n);
 	for (unsigned int i = 0; i < n && addresses->len < ENTRIES_MAX; i++) {
-		if (!entrychoice_is_offered(d->choice, n, i, dc))
+		if (vms ? !vms[i].is_named : !entrychoice_is_offered(d->choice, n, i, dc))
 			continue;
 		g_ptr_array_add(addresses, d->roster->vms[i].http);
 		n_own += strcmp(d->roster->vms[i].dc, dc) == 0;
@@ -173,6 +208,7 @@
 				    strlen(body));
 	}
 	g_ptr_array_free(addresses, TRUE);
+	g_free(vms);
 }
 
 static void entries_request(void *arg, struct http_request *request)
@@ -217,6 +253,26 @@
 	choice_update(d);
 }
 
+static void map_apply(struct directory *d, struct routemap *map)
+{
+	d->has_routes = true;
+	if (d->map && d->map->version >= map->version)
+		return;
+	routemap_put(d->map);
+	d->map = routemap_get(map);
+}
+
+static void settings_apply(struct directory *d, const struct settings_read *settings)
+{
+	struct region_table *regions = region_table_parse(settings->dc_regions, NULL);
+
+	d->settings.ttl_ms = (unsigned int)settings->entry_ttl_ms;
+	if (!regions)
+		return;
+	region_table_destroy(d->regions);
+	d->regions = regions;
+}
+
 static void directory_receive(struct service *s, struct message *m)
 {
 	struct directory *d = (struct directory *)s;
@@ -228,14 +284,14 @@
 		choice_update(d);
 		break;
 	case MESSAGE_ROUTES_READ:
-		d->has_routes = true;
+		map_apply(d, ((struct routes_read *)m)->map);
 		choice_update(d);
 		break;
 	case MESSAGE_LEAF_DCS_CHANGED:
 		leaf_dcs_apply(d, (struct leaf_dcs_changed *)m);
 		break;
 	case MESSAGE_SETTINGS_READ:
-		d->settings.ttl_ms = (unsigned int)((struct settings_read *)m)->entry_ttl_ms;
+		settings_apply(d, (struct settings_read *)m);
 		break;
 	case MESSAGE_STATE_RENEWED:
 		pausewatch_renewed(d->pausewatch, ((struct state_renewed *)m)->asked_ms);
@@ -259,6 +315,8 @@
 	http_server_destroy(d->entries_server);
 	http_server_destroy(d->ready_server);
 	roster_put(d->roster);
+	routemap_put(d->map);
+	region_table_destroy(d->regions);
 	g_free(d->choice);
 	g_strfreev(d->leaf_dcs);
 	g_free((char *)d->settings.dc);
@@ -285,6 +343,7 @@
 	d->adapter = adapter;
 	d->settings = *settings;
 	d->settings.dc = g_strdup(settings->dc);
+	d->regions = region_table_parse(settings->dc_regions, NULL);
 	if (settings->address) {
 		d->entries_server = http_server_create(kernel_base(k), settings->address,
 						       &entries_ops, d, &request_limits, error);
--- a/src/region.c
+++ b/src/region.c
@@ -72,10 +72,8 @@
 	return g_hash_table_lookup(t->regions, dc);
 }
 
-bool region_allows(const GPtrArray *regions, const char *region)
+bool region_is_listed(const GPtrArray *regions, const char *region)
 {
-	if (!regions)
-		return true;
 	for (guint i = 0; region && i < regions->len; i++)
 		if (strcmp(g_ptr_array_index(regions, i), region) == 0)
 			return true;
--- a/src/region.h
+++ b/src/region.h
@@ -38,11 +38,17 @@
 /* The region of the data centre, or NULL if it is unknown. The text is never freed. */
 const char *region_table_find(const struct region_table *t, const char *dc);
 
+/* True if the region is one of these; NULL: unknown, and none of them. */
+bool region_is_listed(const GPtrArray *regions, const char *region);
+
 /*
  * True if a call of a route with these regions (struct route) may go to a leaf in the region; NULL:
- * unknown.
+ * unknown. Inline, since routes without restrictions ask it for each leaf as well.
  */
-bool region_allows(const GPtrArray *regions, const char *region);
+static inline bool region_allows(const GPtrArray *regions, const char *region)
+{
+	return !regions || region_is_listed(regions, region);
+}
 
 /*
  * The routes of the host with region restrictions, in an array that the caller frees, or NULL if
