Tell which leaves load spreading has chosen

Cause: the trace of a request and apricotctl explain did not say that a leaf was chosen by load spreading, so that a call to a slower leaf looked like a mistake. Change: the first call of a request to one service, and the first leaf of each shard whose calls the trace names, tell the unevenness measured at that time.

--- a/src/explain.c
+++ b/src/explain.c
@@ -218,6 +218,22 @@
 	}
 }
 
+/* Appends how many first calls went to leaves that spreading chose, and the unevenness then. */
+static void spread_append(GString *out, const struct line *line, const char *trace)
+{
+	g_autofree char *n = value_find(line->text, "spread");
+	const char *uneven = trace ? strstr(trace, " spread uneven=") : NULL;
+
+	if (!n || g_ascii_strtoull(n, NULL, 10) == 0)
+		return;
+	g_string_append_printf(out, "; %s first leaves were chosen by load spreading", n);
+	if (uneven) {
+		uneven += strlen(" spread uneven=");
+		g_string_append_printf(out, " (greatest over mean load %.*s)",
+				       (int)strcspn(uneven, ";"), uneven);
+	}
+}
+
 static void missing_append(GString *out, const char *trace)
 {
 	unsigned int no_leaf = words_count(trace, " no leaf;");
@@ -372,6 +388,7 @@
 		g_string_append(out, "; no leaf ran it");
 	if (trace)
 		missing_append(out, trace);
+	spread_append(out, line, trace);
 	if (took && wait)
 		g_string_append_printf(out, "; %" G_GUINT64_FORMAT " of %s ms passed",
 				       g_ascii_strtoull(took, NULL, 10) / 1000, wait);
--- a/src/jobanswer.c
+++ b/src/jobanswer.c
@@ -31,6 +31,36 @@
 			       why ? " " : "", why ? why : "");
 }
 
+void jobanswer_trace_spread_add(struct job *j, const char *what, const struct job_shard *sh,
+				const struct leaf *leaf, uint64_t now_us)
+{
+	char why[64];
+
+	g_snprintf(why, sizeof(why), "spread uneven=%.2f", sh->spread_uneven);
+	jobanswer_trace_add(j, what, sh->service, leaf, why, now_us);
+}
+
+/*
+ * Adds to the trace of a sharded request the first leaves that spreading chose, of the shards whose
+ * calls the trace names. Returns the number of such leaves in all shards.
+ */
+static unsigned int trace_spread_add(struct job *j, uint64_t now_us)
+{
+	unsigned int n_spread = 0;
+
+	for (unsigned int i = 0; i < j->n_shards; i++) {
+		const struct job_shard *sh = &j->shards[i];
+
+		if (sh->spread_uneven <= 0)
+			continue;
+		n_spread++;
+		if (job_is_sharded(j) && sh->n_tried > 0 &&
+		    (sh->n_tried > 1 || !scatter_is_answered(j->scatter, i)))
+			jobanswer_trace_spread_add(j, "first", sh, sh->tried[0], now_us);
+	}
+	return n_spread;
+}
+
 /* Adds to the trace each shard that the answer lacks, with the leaves that were tried. */
 static void trace_missing_add(struct job *j, uint64_t now_us)
 {
@@ -53,21 +83,22 @@
  * Logs the end of the request. When the rate limit drops the line, the request is added to the next
  * line that lists requests (LOG_BATCH_BRIEF).
  */
-static void end_log(const struct job *j, enum job_outcome outcome, unsigned int status,
-		    uint64_t took_us)
+static void end_log(struct job *j, enum job_outcome outcome, unsigned int status, uint64_t took_us)
 {
+	unsigned int n_spread = trace_spread_add(j, j->read_us + took_us);
 	enum log_level level = outcome == JOB_COMPLETE ? LOG_LEVEL_INFO : LOG_LEVEL_WARNING;
 	unsigned int n_answered = scatter_answered_count(j->scatter);
 
 	if (log_request(level, j->id, "request_done",
 			"outcome=%s status=%u route=%s version=%" G_GUINT64_FORMAT
 			" version_age_ms=%" G_GUINT64_FORMAT
-			" in=%u of=%u calls=%u hedges=%u moved=%u retries=%u held=%u denied=%u"
+			" in=%u of=%u calls=%u hedges=%u moved=%u retries=%u held=%u denied=%u "
+			"spread=%u"
 			" wait_ms=%" G_GUINT64_FORMAT " took_us=%" G_GUINT64_FORMAT " trace=\"%s\"",
 			outcome_names[outcome], status, j->route->name ? j->route->name : "-",
 			j->map->version, clock_now_ms() - j->map->applied_ms, n_answered,
 			j->n_shards, j->n_calls, j->n_hedges, j->n_moved, j->n_retries, j->n_held,
-			j->n_denied, (j->deadline_us - j->read_us) / 1000, took_us,
+			j->n_denied, n_spread, (j->deadline_us - j->read_us) / 1000, took_us,
 			j->trace ? j->trace->str : ""))
 		return;
 	log_batch_add(LOG_BATCH_BRIEF, "%s:%s:%u:%u/%u", j->id, outcome_names[outcome], status,
--- a/src/jobcall.c
+++ b/src/jobcall.c
@@ -317,8 +317,13 @@
 
 void jobcall_first_send(struct job *j, unsigned int shard, struct leaf *leaf, uint64_t now_us)
 {
-	if (!job_is_sharded(j))
-		jobanswer_trace_add(j, "call", j->shards[shard].service, leaf, NULL, now_us);
+	struct job_shard *sh = &j->shards[shard];
+
+	sh->spread_uneven = leafset_spread_uneven(j->env->leaves, leaf, now_us);
+	if (!job_is_sharded(j) && sh->spread_uneven > 0)
+		jobanswer_trace_spread_add(j, "call", sh, leaf, now_us);
+	else if (!job_is_sharded(j))
+		jobanswer_trace_add(j, "call", sh->service, leaf, NULL, now_us);
 	call_start(j, shard, leaf, now_us);
 }
 
--- a/src/jobstate.h
+++ b/src/jobstate.h
@@ -32,6 +32,7 @@
 	struct leaf *first_leaf; /* chosen for the first call; borrowed, used by job_start only */
 	struct leaf *tried[JOB_TRIED_MAX]; /* leaf of each call so far, with a reference */
 	unsigned int n_tried;
+	double spread_uneven; /* when spreading chose the first leaf; 0: it did not */
 	unsigned int n_maybe_run; /* ended calls that the leaf has run or may have run */
 	unsigned int n_sent; /* calls that were sent, including those that a leaf refused */
 };
@@ -164,5 +165,8 @@
  */
 void jobanswer_trace_add(struct job *j, const char *what, const char *service,
 			 const struct leaf *leaf, const char *why, uint64_t now_us);
+/* Like jobanswer_trace_add(), for a leaf that spreading chose. */
+void jobanswer_trace_spread_add(struct job *j, const char *what, const struct job_shard *sh,
+				const struct leaf *leaf, uint64_t now_us);
 
 #endif
--- a/src/leafset.c
+++ b/src/leafset.c
@@ -435,6 +435,13 @@
 	return changes;
 }
 
+/* Whether spreading may choose the leaf. */
+static bool is_spreadable(const struct leaf *l, uint64_t now_us)
+{
+	return leaf_is_usable(l, now_us) && !leaf_is_quarantined(l, now_us) &&
+	       now_us >= l->warmup_until_us && leaf_wait_us(l, now_us) == 0;
+}
+
 /*
  * One of two random leaves that may be called at once, or NULL if there is none: a leaf that is
  * quarantined, cold, limited or paused takes no call from one that is not.
@@ -449,8 +456,7 @@
 		struct spread_candidate candidate;
 		double usual_us;
 
-		if (!leaf_is_usable(l, now_us) || leaf_is_quarantined(l, now_us) ||
-		    now_us < l->warmup_until_us || leaf_wait_us(l, now_us) > 0)
+		if (!is_spreadable(l, now_us))
 			continue;
 		usual_us = usual_latency_us(l, l->steady_us, now_us);
 		candidate.cost_us = cost_at_us(l, s->own_dc, usual_us, now_us);
@@ -548,6 +554,15 @@
 	return found ? &found->spread : NULL;
 }
 
+double leafset_spread_uneven(const struct leafset *s, const struct leaf *l, uint64_t now_us)
+{
+	const struct leaf_service *found = g_hash_table_lookup(s->services, l->service);
+
+	return found && found->spread.is_in_force && is_spreadable(l, now_us)
+		       ? found->spread.load_uneven
+		       : 0;
+}
+
 void leafset_spread_each(const struct leafset *s,
 			 void (*visit)(const char *service, const struct spread *spread, void *arg),
 			 void *arg)
--- a/src/leafset.h
+++ b/src/leafset.h
@@ -181,6 +181,11 @@
 void leafset_spread_advance(struct leafset *s, uint64_t now_us);
 /* The measures of the service, or NULL if there is no such service (borrowed). */
 struct spread *leafset_spread(const struct leafset *s, const char *service);
+/*
+ * The unevenness measured by now if leafset_choose() with n_tried 0 has chosen the leaf at now_us
+ * by spreading; 0 if it has chosen the leaf of the least expected time.
+ */
+double leafset_spread_uneven(const struct leafset *s, const struct leaf *l, uint64_t now_us);
 /* Calls visit for each service with at least two leaves, in no order. */
 void leafset_spread_each(const struct leafset *s,
 			 void (*visit)(const char *service, const struct spread *spread, void *arg),
--- a/tests/explain_test.cc
+++ b/tests/explain_test.cc
@@ -112,6 +112,36 @@
 		<< out;
 }
 
+/* Guards against a leaf that spreading chose and that looks chosen for its expected time. */
+TEST(explain, leaf_chosen_by_spreading_is_named)
+{
+	bool found;
+	std::string head =
+		"2026-12-04T12:00:02.000Z level=info vm=n1 event=request_done request=ab12 "
+		"outcome=passed status=200 route=r version=4 in=1 of=1 calls=1 hedges=0 "
+		"retries=0 denied=0 ";
+	std::string out =
+		explain("ab12",
+			head + "spread=1 wait_ms=1500 took_us=9000 trace=\"+0 call s3 i-7 "
+			       "spread uneven=1.73;\"\n",
+			&found);
+
+	EXPECT_NE(out.find("; 1 first leaves were chosen by load spreading (greatest over mean "
+			   "load 1.73); 9 of 1500 ms passed"),
+		  std::string::npos)
+		<< out;
+	EXPECT_NE(out.find("    +0 call s3 i-7 spread uneven=1.73\n"), std::string::npos) << out;
+	/* A sharded request names the leaves of those shards only that were called again. */
+	out = explain("ab12", head + "spread=20 wait_ms=1500 took_us=9000 trace=\"\"\n", &found);
+	EXPECT_NE(out.find("; 20 first leaves were chosen by load spreading; 9 of"),
+		  std::string::npos)
+		<< out;
+	out = explain("ab12",
+		      head + "spread=0 wait_ms=1500 took_us=9000 trace=\"+0 call s3 i-7;\"\n",
+		      &found);
+	EXPECT_EQ(out.find("spreading"), std::string::npos) << out;
+}
+
 /* Guards against an evacuation that is not named, or that is named after its end. */
 TEST(explain, evacuations_are_named)
 {
--- a/tests/spread_test.cc
+++ b/tests/spread_test.cc
@@ -87,6 +87,17 @@
 		return out + "\n";
 	}
 
+	/* uneven ID: the unevenness by which a choice of the leaf is explained */
+	std::string uneven(const struct leaf *l) const
+	{
+		double measured = leafset_spread_uneven(s, l, now_us);
+
+		if (measured <= 0)
+			return "none\n";
+		EXPECT_EQ(measured, leafset_spread(s, "s")->load_uneven);
+		return measured >= 1.5 ? "1.5 or more\n" : "less\n";
+	}
+
 	/* be ID WHAT */
 	void be(struct leaf *l, const std::string &what)
 	{
@@ -151,6 +162,8 @@
 			be(leafset_find(s, w[1].c_str()), w[2]);
 		else if (w[0] == "choose")
 			return shares(leafset_choose);
+		else if (w[0] == "uneven")
+			return uneven(leafset_find(s, w[1].c_str()));
 		else if (w[0] == "hedge")
 			return shares(leafset_choose_healthy);
 		else if (w[0] == "model")
