--- a/soak/soak.py
+++ b/soak/soak.py
@@ -1,7 +1,8 @@
 #!/usr/bin/env python3
 """Randomized fault soak: injects faults into real daemons and checks their guarantees meanwhile.
 
-soak/soak.py [--seconds N] [--daemons N] [--parallel N] SEED...   one run for each seed
+soak/soak.py [--seconds N] [--daemons N] [--parallel N] [--ranks] SEED...   one run for each seed
+With --ranks the daemons serve by rank, and bursts of a lower rank ask more than the leaves can do.
 The seed determines the faults, their times and their targets. The timing of everything else depends on
 the machine. The exit status is 1 if a guarantee was violated; the logs of that run are kept.
 """
@@ -30,16 +31,21 @@
 EVACUATE_S = 5.0  # this long after an evacuation began, settled daemons send no calls there (evacuationMs)
 CONFIG_S = 3.0  # a settled daemon applies a new configuration within this time (configApplyMs)
 RECOVER_S = 12.0  # time from the last fault until all daemons serve complete answers
+RANK_WINDOW_S, RANK_TARGET_S = 2.0, 0.6  # span in which ranks are compared; latency target of both
+# Requests a second, share of rank 0, in windows without and with a burst. All leaves of a shard run 80 a second.
+RANK_CALM, RANK_BURST = (20, 0.5), (140, 0.2)
+RANK_LEAD_MAX, RANK_SIGMAS = 0.03, 3.0
 
 
 class Soak:
     """One run: a site, its daemons, callers, and a sequence of faults drawn from the seed."""
 
-    def __init__(self, seed, seconds, n_daemons, port):
+    def __init__(self, seed, seconds, n_daemons, port, has_ranks):
         self.random, self.seconds, self.port = random.Random(seed), seconds, port
         self.evacuation_random = random.Random(seed)  # of its own, so that the faults of a seed stay the same
         self.site, self.daemons, self.leaf_proxies, self.violations = Site(), [], {}, []
         self.n_daemons, self.running, self.tasks = n_daemons, True, []
+        self.has_ranks, self.windows = has_ranks, []  # of each window and rank: requests, those in time
         self.log_dir = tempfile.mkdtemp(prefix=f"soak-{seed}-")
         self.moves, self.move_at = [], {}  # service and time of each move of the route /move/
         self.newest_seen = {}  # (daemon, incarnation): newest move that it has served, time
@@ -62,6 +68,8 @@
         """Starts a leaf behind a proxy that can cut the path. The store lists the proxy's port."""
         self.next_leaf += 1
         leaf = await self.site.leaf_add(f"leaf{self.next_leaf}", service, dc)
+        if self.has_ranks and service[0] == "s":
+            leaf.work_s, leaf.slots = 0.05, asyncio.Semaphore(2)
         proxy = FaultProxy(leaf.address)
         await proxy.start()
         self.leaf_proxies[leaf.id] = proxy
@@ -79,8 +87,9 @@
             await self.leaf_start(f"m{i}", "ab"[i % 2])
         for dc in "ab":
             await self.leaf_start("loans", dc)
-        self.site.route_set("/all/", gather=[f"s{i}" for i in range(SHARDS)], topK=5,
-                            minShardRatio=0.6)
+        for rank, path in enumerate(("/look/", "/all/")):
+            self.site.route_set(path, gather=[f"s{i}" for i in range(SHARDS)], topK=5, minShardRatio=0.6,
+                                priority=rank, targetLatencyMs=int(RANK_TARGET_S * 1000) if self.has_ranks else 200)
         self.site.route_set("/loan/", service="loans", routeType="unsafe", maxAttempts=2)
         (await self.site.leaf_add("large", "large")).payload = bytes(400000)
         self.site.route_set("/large/", service="large")
@@ -89,7 +98,8 @@
             proxy = FaultProxy(self.site.store.address)
             await proxy.start()
             daemon = Daemon(BINARY, f"vm{i}", "ab"[i % 2], self.port + 8 * i, proxy.address,
-                            extra=("--held-mb", "4") if i % 2 else ())
+                            extra=(("--held-mb", "4") if i % 2 else ()) +
+                            (("--features", "base,pressure") if self.has_ranks else ()))
             daemon.peers = ",".join(f"127.0.0.1:{self.port + 8 * k + 4}" for k in range(3))
             daemon.store_proxy, daemon.starts = proxy, 0
             self.daemons.append(daemon)
@@ -136,6 +146,51 @@
                 streams[daemon.name] = kept
             await asyncio.sleep(source.uniform(0, 0.03))
 
+    async def rank_load(self):
+        """Sends requests of both ranks, in windows with and without a burst of the lower rank by turns."""
+        source, until, requests = random.Random(2000), time.monotonic() + self.seconds, []
+        while time.monotonic() < until:
+            per_s, share = RANK_BURST if len(self.windows) % 2 else RANK_CALM
+            window, end = [[0, 0], [0, 0]], time.monotonic() + RANK_WINDOW_S
+            self.windows.append(window)
+            while time.monotonic() < end:
+                rank = int(source.random() >= share)
+                requests.append(asyncio.create_task(self.ranked_request(window[rank], rank, source.choice(self.daemons))))
+                await asyncio.sleep(1 / per_s)
+        await asyncio.gather(*requests)
+        self.ranks_check()
+
+    async def ranked_request(self, counts, rank, daemon):
+        path, incarnation, began = ("/look/x", "/all/x")[rank], daemon.starts, time.monotonic()
+        request, answer = await call(daemon.gateway, path, timeout_s=4)
+        counts[0] += 1
+        counts[1] += answer is not None and answer[0] == 200 and time.monotonic() - began <= RANK_TARGET_S
+        self.answer_check(daemon, incarnation, began, path, request, answer)
+
+    def ranks_check(self):
+        """Checks each window, and all of them together, for a lower rank that is served in time more often.
+
+        Both ranks have the same shards and target, and chance draws the rank of each request, so a fault meets both
+        alike. Were they also served alike, the difference of the shares in time had the variance
+        p(1 - p)(1/n0 + 1/n1), with p of both ranks together and n0, n1 requests. RANK_SIGMAS times its root
+        is allowed besides RANK_LEAD_MAX. All windows together are weighted by their requests of rank 0.
+        """
+        sum_n = sum_lead = sum_variance = 0
+        for i, ((n0, in_time0), (n1, in_time1)) in enumerate(self.windows):
+            if not n0 or not n1:
+                continue
+            p = (in_time0 + in_time1) / (n0 + n1)
+            lead, variance = in_time1 / n1 - in_time0 / n0, p * (1 - p) * (1 / n0 + 1 / n1)
+            self.lead_check(f"window {i}: {in_time1} of {n1} and {in_time0} of {n0}", lead, variance)
+            sum_n, sum_lead, sum_variance = sum_n + n0, sum_lead + n0 * lead, sum_variance + n0 * n0 * variance
+        if sum_n:
+            self.lead_check("all windows", sum_lead / sum_n, sum_variance / sum_n ** 2)
+            self.counts["rank_lead"] = round(sum_lead / sum_n, 3)
+
+    def lead_check(self, what, lead, variance):
+        if lead > RANK_LEAD_MAX + RANK_SIGMAS * variance ** 0.5:
+            self.fail(f"{what}: rank 1 is in time {lead:.3f} more often than rank 0, standard deviation {variance ** 0.5:.3f}")
+
     async def slow_caller(self, number):
         """Reads large answers slowly, each over a connection with a small receive window."""
         source = random.Random(1000 + number)
@@ -378,7 +433,10 @@
         await self.setup()
         if not await wait_for(self.serves_all, 8):
             self.fail("not all daemons serve complete answers 8 s after the start")
-        callers = [asyncio.create_task(self.caller(i)) for i in range(8)]
+        # With ranks, few other requests: the leaves' capacity is for those of the windows.
+        callers = [asyncio.create_task(self.caller(i)) for i in range(2 if self.has_ranks else 8)]
+        if self.has_ranks:
+            self.tasks.append(asyncio.create_task(self.fault_run(self.rank_load())))
         self.tasks.append(asyncio.create_task(self.fault_run(self.evacuation())))
         callers += [asyncio.create_task(self.slow_caller(i)) for i in range(3)]
         until = time.monotonic() + self.seconds
@@ -427,7 +485,7 @@
 
 async def seed_run(seed, arguments):
     # Each run has ports of its own: with shared ports, parallel runs would answer each other's callers.
-    soak = Soak(seed, arguments.seconds, arguments.daemons, free_ports(8 * arguments.daemons))
+    soak = Soak(seed, arguments.seconds, arguments.daemons, free_ports(8 * arguments.daemons), arguments.ranks)
     try:
         await soak.run()
     except Exception as error:  # pylint: disable=broad-except
@@ -451,6 +509,7 @@
     parser.add_argument("--seconds", type=float, default=12)
     parser.add_argument("--daemons", type=int, default=4)
     parser.add_argument("--parallel", type=int, default=1)
+    parser.add_argument("--ranks", action="store_true")
     parser.add_argument("seeds", nargs="+", type=int)
     arguments = parser.parse_args()
     if arguments.parallel == 1:
@@ -468,7 +527,7 @@
         async with limit:
             process = await asyncio.create_subprocess_exec(
                 sys.executable, __file__, "--seconds", str(arguments.seconds), "--daemons",
-                str(arguments.daemons), str(seed))
+                str(arguments.daemons), *(["--ranks"] if arguments.ranks else []), str(seed))
             codes.append(await process.wait())
 
     await asyncio.gather(*(one(seed) for seed in arguments.seeds))
