Let a malformed item of the store cost only itself

Cause: a malformed value of a known leaf removed it from all VMs; an entry that JSON cannot read removed the leaf at the next listing; a page of a listing with only such entries ended the listing; a key of 300 bytes kept the VMs that follow from any change; an empty value became a removal in the mirror. Items were counted together in one log line. Change: a known leaf stays as last read. Each item is one log line and one count with its key or place. Malformed values are passed on as empty ones, which leave the value that the mirror has. Keys and values that messages cannot hold are used by no VM. The listing goes on after the key of an entry that cannot be read. Entries with a member twice are left out.

--- a/src/adapter.c
+++ b/src/adapter.c
@@ -9,8 +9,19 @@
 	g_free(item);
 }
 
+void store_unreadable_free(gpointer data)
+{
+	struct store_unreadable *unreadable = data;
+
+	g_free(unreadable->shown);
+	g_free(unreadable->key);
+	g_free(unreadable);
+}
+
 void store_answer_clear(struct store_answer *a)
 {
+	if (a->unreadable)
+		g_ptr_array_free(a->unreadable, TRUE);
 	if (a->items)
 		g_ptr_array_free(a->items, TRUE);
 	g_free(a->next);
--- a/src/adapter.h
+++ b/src/adapter.h
@@ -28,13 +28,21 @@
 	uint64_t read_ms;
 };
 
+/* An entry of an answer that lacks a usable key or revision, or is no JSON that can be read. */
+struct store_unreadable {
+	unsigned int position; /* among the entries of the answer, from 0 on */
+	char *shown; /* its key with all but common bytes as %XX; NULL: no key was found */
+	char *key; /* NULL: no key was found, or it is not UTF-8 text without NUL */
+};
+
 /* One page of a listing, or the changes that a watch has returned. */
 struct store_answer {
 	GPtrArray *items; /* struct store_item, in the order of the answer; owned */
 	bool has_more; /* the listing has more pages, after the last key of this one */
 	uint64_t revision; /* of the store when it answered */
 	char *next; /* where the listing's next page begins, for list_target; NULL: unknown */
-	unsigned int n_unreadable; /* entries left out since they lack a usable key or revision */
+	unsigned int n_unreadable; /* entries left out */
+	GPtrArray *unreadable; /* struct store_unreadable of each of them; owned; NULL: none */
 };
 
 /* Names of the header fields of requests and answers. */
@@ -108,6 +116,8 @@
 
 /* Frees a struct store_item. */
 void store_item_free(gpointer item);
+/* Frees a struct store_unreadable. */
+void store_unreadable_free(gpointer unreadable);
 /* Frees the items and sets all members to zero. */
 void store_answer_clear(struct store_answer *a);
 
--- a/src/feed.c
+++ b/src/feed.c
@@ -6,6 +6,7 @@
 #include "log.h"
 #include "message.h"
 #include "registry.h"
+#include "relay.h"
 
 #include <string.h>
 
@@ -60,6 +61,7 @@
 	uint64_t changed_ms; /* the changes that came last were complete as of this time */
 	/* From a failure until an answer or reading_set; only the first failure is logged. */
 	bool store_is_lost;
+	GHashTable *told; /* keys, as shown, of the listing's unreadable entries so far */
 	GPtrArray *listed; /* items of the listing's pages so far, for the relay; NULL: none yet */
 	char *next_page; /* where the listing goes on; "" before the first page */
 	uint64_t revision; /* of the store; all changes up to it are known */
@@ -133,20 +135,34 @@
 		  now_ms - f->lost_since_ms, f->revision);
 }
 
-static void routes_apply(struct feed *f, const struct store_item *item)
+/*
+ * Empties a malformed value, so that no VM passes it on. The relay keeps the value of the key that
+ * it has read last.
+ */
+static void value_clear(struct store_item *item)
+{
+	item->n_value = 0;
+}
+
+static void routes_apply(struct feed *f, struct store_item *item)
 {
 	static const char *const services[] = {"gateway", "membership", "directory"};
 	struct kernel *k = f->service.kernel;
 	GError *error = NULL;
-	struct routemap *map =
-		f->adapter->ops->routes_parse(f->adapter, item->value, item->n_value, &error);
+	struct routemap *map = NULL;
 
+	if (item->n_value > RELAY_VALUE_BYTES_MAX)
+		g_set_error(&error, RESULT_ERROR, RESULT_BAD_MANIFEST,
+			    "configuration has %zu bytes", item->n_value);
+	else
+		map = f->adapter->ops->routes_parse(f->adapter, item->value, item->n_value, &error);
 	if (!map) {
 		counter_increment(kernel_counters(k), COUNTER_CONFIG_REFUSED);
 		log_event(LOG_LEVEL_WARNING, "config_refused",
 			  "revision=%" G_GUINT64_FORMAT " reason=\"%s\"", item->revision,
 			  error->message);
 		g_error_free(error);
+		value_clear(item);
 		return;
 	}
 	for (size_t i = 0; i < G_N_ELEMENTS(services); i++)
@@ -162,11 +178,11 @@
 		  "key=%.200s revision=%" G_GUINT64_FORMAT " reason=\"%s\"", key, revision, why);
 }
 
-/* Adds the leaf to the updates; as removed if its entry is malformed, so that it gets no calls. */
-static void leaf_apply(struct feed *f, struct leaf_updates *updates, const struct store_item *item)
+/* Adds the leaf to the updates, unless its entry is malformed: a known leaf stays as last read. */
+static void leaf_apply(struct feed *f, struct leaf_updates *updates, struct store_item *item)
 {
 	const char *id = item->key + strlen(f->adapter->leaf_prefix);
-	struct leaf_updates_item *entry = leaf_updates_add(updates, id, item->revision);
+	struct leaf_report report = {0};
 	GError *error = NULL;
 
 	if (!http_field_value_is_token(id))
@@ -174,12 +190,14 @@
 	else if (item->n_value > LEAF_ENTRY_BYTES_MAX)
 		g_set_error(&error, RESULT_ERROR, RESULT_BAD_MANIFEST, "leaf entry has %zu bytes",
 			    item->n_value);
-	else if (f->adapter->ops->leaf_parse(f->adapter, item->value, item->n_value, &entry->report,
+	else if (f->adapter->ops->leaf_parse(f->adapter, item->value, item->n_value, &report,
 					     &error))
+		leaf_updates_add(updates, id, item->revision)->report = report;
+	if (!error)
 		return;
-	entry->is_removed = true;
 	entry_refuse(f, item->key, item->revision, error->message);
 	g_error_free(error);
+	value_clear(item);
 }
 
 static bool is_leaf(const struct feed *f, const struct store_item *item)
@@ -244,7 +262,7 @@
 	bool holds_removals = removal_count(f, answer->items) >= REMOVALS_HELD_MIN;
 
 	for (guint i = 0; i < answer->items->len; i++) {
-		const struct store_item *item = g_ptr_array_index(answer->items, i);
+		struct store_item *item = g_ptr_array_index(answer->items, i);
 		bool is_routes = strcmp(item->key, f->adapter->routes_key) == 0;
 		bool evacuates = is_evacuation(f, item->key);
 
@@ -274,9 +292,74 @@
 	for (guint i = 0; i < answer->items->len; i++) {
 		struct store_item *item = g_ptr_array_index(answer->items, i);
 
-		if (item->value && item->n_value > LEAF_ENTRY_BYTES_MAX &&
-		    strcmp(item->key, f->adapter->routes_key) != 0)
-			item->n_value = 0;
+		if (strcmp(item->key, f->adapter->routes_key) != 0 &&
+		    (!is_leaf(f, item) || item->n_value > LEAF_ENTRY_BYTES_MAX))
+			value_clear(item);
+	}
+}
+
+static void entry_unreadable(struct feed *f, const char *name, const char *value, uint64_t revision)
+{
+	counter_increment(kernel_counters(f->service.kernel), COUNTER_STORE_ENTRIES_REFUSED);
+	log_event(LOG_LEVEL_WARNING, "store_entry_unreadable",
+		  "%s=%.200s revision=%" G_GUINT64_FORMAT, name, value, revision);
+}
+
+/* Leaves out the items whose keys VMs cannot pass on. */
+static void long_keys_drop(struct feed *f, struct store_answer *answer)
+{
+	for (guint i = answer->items->len; i > 0; i--) {
+		const struct store_item *item = g_ptr_array_index(answer->items, i - 1);
+
+		if (strlen(item->key) <= RELAY_KEY_BYTES_MAX)
+			continue;
+		if (item->value) {
+			g_autofree char *shown = g_uri_escape_string(item->key, "/", FALSE);
+
+			entry_unreadable(f, "key", shown, item->revision);
+		}
+		g_ptr_array_remove_index(answer->items, i - 1);
+	}
+}
+
+/*
+ * Counts and logs each entry of an answer that could not be read, once in a listing: a page may
+ * begin with entries at which the one before has ended.
+ */
+static void unreadable_tell(struct feed *f, const struct store_answer *answer)
+{
+	for (guint i = 0; answer->unreadable && i < answer->unreadable->len; i++) {
+		const struct store_unreadable *u = g_ptr_array_index(answer->unreadable, i);
+		g_autofree char *position = g_strdup_printf("%u", u->position);
+
+		if (!u->shown)
+			entry_unreadable(f, "position", position, answer->revision);
+		else if (f->state != FEED_LISTING || g_hash_table_add(f->told, g_strdup(u->shown)))
+			entry_unreadable(f, "key", u->shown, answer->revision);
+	}
+}
+
+/*
+ * Adds to a page of a listing an item with an empty value for each unreadable entry of a leaf, or
+ * of a key that is known, so that neither this VM nor one that follows it takes the key for
+ * removed. The revision of the entry is unknown; one after the listing is higher. In a watch an
+ * entry that is left out changes nothing.
+ */
+static void unreadable_keep(struct feed *f, struct store_answer *answer)
+{
+	for (guint i = 0; answer->unreadable && i < answer->unreadable->len; i++) {
+		const struct store_unreadable *u = g_ptr_array_index(answer->unreadable, i);
+		struct store_item *item;
+
+		if (!u->key || strlen(u->key) > RELAY_KEY_BYTES_MAX ||
+		    (!g_str_has_prefix(u->key, f->adapter->leaf_prefix) &&
+		     !registry_knows(f->registry, u->key)))
+			continue;
+		item = g_new0(struct store_item, 1);
+		item->key = g_strdup(u->key);
+		item->value = g_strdup("");
+		item->revision = f->listing_revision;
+		g_ptr_array_add(answer->items, item);
 	}
 }
 
@@ -297,6 +380,7 @@
 		registry_listing_begin(f->registry);
 		f->listing_revision = answer->revision;
 	}
+	unreadable_keep(f, answer);
 	items_apply(f, answer);
 	items_trim(f, answer);
 	if (answer->has_more) {
@@ -327,16 +411,7 @@
 		g_ptr_array_free(g_steal_pointer(&f->listed), TRUE);
 	g_free(f->next_page);
 	f->next_page = g_strdup("");
-}
-
-/* Counts and logs the entries of an answer that have no usable key or revision. */
-static void entries_unreadable(struct feed *f, const struct store_answer *answer)
-{
-	for (unsigned int i = 0; i < answer->n_unreadable; i++)
-		counter_increment(kernel_counters(f->service.kernel),
-				  COUNTER_STORE_ENTRIES_REFUSED);
-	log_event(LOG_LEVEL_WARNING, "store_entries_unreadable",
-		  "entries=%u revision=%" G_GUINT64_FORMAT, answer->n_unreadable, answer->revision);
+	g_hash_table_remove_all(f->told);
 }
 
 /*
@@ -371,8 +446,9 @@
 		g_error_free(error);
 		return;
 	}
-	if (f->state == FEED_LISTING && answer.has_more && !answer.next) {
-		feed_fail(f, "page without a key");
+	if (f->state == FEED_LISTING && answer.has_more &&
+	    (!answer.next || strcmp(answer.next, f->next_page) == 0)) {
+		feed_fail(f, answer.next ? "page without a new key" : "page without a key");
 		store_answer_clear(&answer);
 		return;
 	}
@@ -380,8 +456,8 @@
 	store_answered(f);
 	if (answer.items->len > 0)
 		f->changed_ms = clock_now_ms();
-	if (answer.n_unreadable > 0)
-		entries_unreadable(f, &answer);
+	unreadable_tell(f, &answer);
+	long_keys_drop(f, &answer);
 	if (f->state == FEED_LISTING) {
 		listing_page_apply(f, &answer);
 	} else {
@@ -597,6 +673,7 @@
 	if (f->listed)
 		g_ptr_array_free(f->listed, TRUE);
 	g_free(f->next_page);
+	g_hash_table_destroy(f->told);
 	g_free((char *)f->settings.store_address);
 	g_free(f);
 }
@@ -617,6 +694,7 @@
 	f->settings = *settings;
 	f->settings.store_address = g_strdup(settings->store_address);
 	f->registry = registry_create();
+	f->told = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
 	f->tick = event_new(kernel_base(k), -1, EV_PERSIST, tick_handle, f);
 	if (!address_parse(settings->store_address, &f->store)) {
 		g_set_error(error, RESULT_ERROR, RESULT_BAD_SETTING, "'%s' is not IP:PORT",
--- a/src/jsonspan.c
+++ b/src/jsonspan.c
@@ -124,3 +124,73 @@
 		return false;
 	return byte_take(elements, ',') || elements->n == 0;
 }
+
+/* The four hexadecimal digits after "\\u"; -1 when there are fewer. */
+static int unit_parse(const char *at, const char *end)
+{
+	int unit = 0;
+
+	if (end - at < 6 || at[0] != '\\' || at[1] != 'u')
+		return -1;
+	for (int i = 2; i < 6; i++) {
+		int digit = g_ascii_xdigit_value(at[i]);
+
+		if (digit < 0)
+			return -1;
+		unit = unit * 16 + digit;
+	}
+	return unit;
+}
+
+static void code_append(GString *out, int code)
+{
+	if (code < 0xd800 || code > 0xdfff) {
+		g_string_append_unichar(out, (gunichar)code);
+		return;
+	}
+	g_string_append_c(out, (char)(0xe0 | code >> 12));
+	g_string_append_c(out, (char)(0x80 | (code >> 6 & 0x3f)));
+	g_string_append_c(out, (char)(0x80 | (code & 0x3f)));
+}
+
+/* Appends what the escape at the position stands for; returns the position after it. */
+static const char *escape_append(GString *out, const char *at, const char *end)
+{
+	static const char plain[] = "\"\\/bfnrt";
+	static const char values[] = "\"\\/\b\f\n\r\t";
+	int unit = unit_parse(at, end);
+	int low = unit >= 0xd800 && unit < 0xdc00 ? unit_parse(at + 6, end) : -1;
+	const char *found = end - at > 1 && at[1] ? strchr(plain, at[1]) : NULL;
+
+	if (low >= 0xdc00 && low <= 0xdfff) {
+		code_append(out, 0x10000 + ((unit - 0xd800) << 10) + (low - 0xdc00));
+		return at + 12;
+	}
+	if (unit >= 0) {
+		code_append(out, unit);
+		return at + 6;
+	}
+	if (found) {
+		g_string_append_c(out, values[found - plain]);
+		return at + 2;
+	}
+	g_string_append_c(out, *at);
+	return at + 1;
+}
+
+GString *json_span_string(struct json_span string)
+{
+	const char *end = string.at + string.n - 1;
+	GString *out;
+
+	if (string.n < 2 || *string.at != '"' || *end != '"')
+		return NULL;
+	out = g_string_new(NULL);
+	for (const char *at = string.at + 1; at < end;) {
+		if (*at == '\\')
+			at = escape_append(out, at, end);
+		else
+			g_string_append_c(out, *at++);
+	}
+	return out;
+}
--- a/src/jsonspan.h
+++ b/src/jsonspan.h
@@ -33,6 +33,13 @@
  */
 bool json_span_next(struct json_span *elements, struct json_span *element);
 
+/*
+ * The bytes of a string, which the caller frees, or NULL when the span is no string. Bytes that are
+ * not UTF-8 stay as they are, half a surrogate pair becomes three bytes of the same pattern, and an
+ * escape that JSON does not know stays as it is.
+ */
+GString *json_span_string(struct json_span string);
+
 G_END_DECLS
 
 #endif
--- a/src/logevent.h
+++ b/src/logevent.h
@@ -42,12 +42,13 @@
 	X("spread_ended", "calls go to the fastest leaf of a service again")                       \
 	X("leaf_paused", "a leaf refused a call and wants none for a time")                        \
 	X("leaf_leaving", "a leaf says in an answer that it leaves; it gets no further calls")     \
-	X("leaf_gone", "a leaf was removed or its entry became unusable; the store's revision")    \
+	X("leaf_gone", "a leaf was removed; the store's revision")                                 \
 	X("leaf_doubted", "a leaf is quarantined for a time or its address is another's; why")     \
 	X("leaf_entry_refused", "an entry of the store does not describe a usable leaf; why")      \
 	X("rank_short", "requests of a rank are refused for lack of room; why, and who holds it")  \
 	X("rank_served", "requests of a rank have not been refused for 2 s")                       \
-	X("store_entries_unreadable", "entries of an answer of the store that were left out")      \
+	X("store_entry_unreadable",                                                                \
+	  "an entry of the store's answer was left out; its key or place")                         \
 	X("store_lost", "the store does not answer; the last revision known")                      \
 	X("store_back", "the store answers again; how long it did not")                            \
 	X("store_listed", "all keys of the store were read")                                       \
--- a/src/mirror.c
+++ b/src/mirror.c
@@ -20,8 +20,10 @@
 	copy->revision = item->revision;
 	copy->n_value = item->n_value;
 	copy->read_ms = item->read_ms;
-	if (item->value)
-		copy->value = g_memdup2(item->value, item->n_value);
+	if (item->value) { /* an empty value is none of a removal */
+		copy->value = g_malloc0(item->n_value + 1);
+		memcpy(copy->value, item->value, item->n_value);
+	}
 	return copy;
 }
 
@@ -67,6 +69,13 @@
 	if (known && known->revision >= item->revision)
 		return;
 	copy = item_copy(item);
+	/* The feed empties a malformed value. It must not remove what others know of the key. */
+	if (copy->value && copy->n_value == 0 && known && known->value) {
+		g_free(copy->value);
+		copy->n_value = known->n_value;
+		copy->value = g_malloc0(known->n_value + 1);
+		memcpy(copy->value, known->value, known->n_value);
+	}
 	g_hash_table_replace(m->items, copy->key, copy);
 	if (!copy->value)
 		removal_add(m, copy->key);
--- a/src/mirror.h
+++ b/src/mirror.h
@@ -14,7 +14,10 @@
 struct mirror *mirror_create(void);
 void mirror_destroy(struct mirror *m); /* accepts NULL */
 
-/* Applies the changes of an answer of the store; an item not newer than the copy's is ignored. */
+/*
+ * Applies the changes of an answer of the store; an item not newer than the copy's is ignored. One
+ * with an empty value leaves the value of a known key as last read.
+ */
 void mirror_apply(struct mirror *m, const struct store_answer *answer);
 /*
  * Applies a complete listing of the store. Keys that it lacks are removed, unless their revision is
--- a/src/registry.c
+++ b/src/registry.c
@@ -57,6 +57,11 @@
 	return true;
 }
 
+bool registry_knows(const struct registry *r, const char *key)
+{
+	return g_hash_table_contains(r->entries, key);
+}
+
 bool registry_remove(struct registry *r, const char *key, uint64_t revision, bool is_held,
 		     uint64_t read_ms)
 {
--- a/src/registry.h
+++ b/src/registry.h
@@ -26,6 +26,8 @@
  * removal of the key is then dropped. Returns false when the revision or a later change is known.
  */
 bool registry_put(struct registry *r, const char *key, uint64_t revision);
+/* True for a key that was put and whose removal has not taken effect. */
+bool registry_knows(const struct registry *r, const char *key);
 /*
  * Notes that the key was removed at the revision, which a VM first read at read_ms. Returns false
  * when a later value is known, the key is unknown or its removal is noted already. The removal
--- a/src/relay.c
+++ b/src/relay.c
@@ -29,6 +29,9 @@
 #define SEARCH_TURNS 3
 #define TICK_MS 50
 
+G_STATIC_ASSERT(RELAY_KEY_BYTES_MAX <= APR_KEY_MAX);
+G_STATIC_ASSERT(RELAY_VALUE_BYTES_MAX <= APR_HITS_MAX);
+
 /* A query of another VM that is held open until there are changes. */
 struct waiter {
 	struct list_head node;
--- a/src/relay.h
+++ b/src/relay.h
@@ -12,6 +12,13 @@
 G_BEGIN_DECLS
 
 /* dc: data centre of this VM; copied. */
+/*
+ * Longest key and value that VMs pass on to each other, in bytes. A VM uses none that is longer, so
+ * that all VMs know the same.
+ */
+#define RELAY_KEY_BYTES_MAX 256
+#define RELAY_VALUE_BYTES_MAX (1u << 20)
+
 struct service *relay_create(struct kernel *k, const char *dc);
 
 G_END_DECLS
--- a/tests/adapter_test.cc
+++ b/tests/adapter_test.cc
@@ -274,9 +274,13 @@
 						     "01",
 						     "+1",
 						     "0x10",
-						     "{\"a\":1e400}"};
+						     "{\"a\":1e400}",
+						     "{\"a\":1,\"a\":2}"};
 	std::vector<std::string> odd;
 
+	for (const char *field : {"key", "value", "revision", "createRevision", "lease"})
+		odd.push_back("{\"" + std::string(field) + "\":7," + sound.substr(1));
+
 	for (const std::string &value : odd_values) {
 		for (const char *field : {"key", "value", "revision", "createRevision", "lease"}) {
 			std::string entry = sound;
@@ -312,6 +316,56 @@
 			}
 }
 
+/*
+ * Guards against an entry that is left out without its key or place, and against a page without a
+ * key that JSON can read, after which the listing cannot go on.
+ */
+TEST(adapter, entry_left_out_is_named)
+{
+	static const struct {
+		const char *entry;
+		const char *shown;
+		const char *key;
+	} cases[] = {
+		{"{\"key\":\"s/K\",\"value\":\"\",\"revision\":1e400}", "s/K", "s/K"},
+		{"{\"key\":\"s/K\",\"value\":\"\",\"revision\":-1}", "s/K", "s/K"},
+		{"{\"value\":\"\",\"revision\":9223372036854775808,\"key\":\"s\\/K\"}", "s/K",
+		 "s/K"},
+		{"{\"key\":\"\\u00e9\\ud83d\\ude00\",\"lease\":1e999}", "%C3%A9%F0%9F%98%80",
+		 "\u00e9\U0001f600"},
+		{"{\"key\":\"s/\\ud83d\",\"revision\":1}", "s/%ED%A0%BD", nullptr},
+		{"{\"key\":\"s/\\ud83dx\\ude00\",\"revision\":1}", "s/%ED%A0%BDx%ED%B8%80",
+		 nullptr},
+		{"{\"key\":\"s/\xff\",\"revision\":1}", "s/%FF", nullptr},
+		{"{\"key\":\"s/\\u0000 1\",\"revision\":1}", "s/%00%201", nullptr},
+		{"{\"key\":\"s/\\u12\",\"revision\":1}", "s/%5Cu12", "s/\\u12"},
+		{"{\"key\":7,\"revision\":1e400}", nullptr, nullptr},
+		{"{\"revision\":1}", nullptr, nullptr},
+		{"[]", nullptr, nullptr},
+		{"[1e400]", nullptr, nullptr},
+	};
+
+	for (const auto &c : cases) {
+		const std::string sound = "{\"key\":\"a b\",\"value\":\"e30=\",\"revision\":7}";
+		answer_ref both("{\"items\":[" + sound + "," + c.entry +
+				"],\"hasMore\":true,\"storeRevision\":9}");
+		answer_ref alone("{\"items\":[" + std::string(c.entry) + "," + c.entry +
+				 "],\"hasMore\":true,\"storeRevision\":9}");
+
+		ASSERT_TRUE(both.is_read) << c.entry;
+		ASSERT_TRUE(alone.is_read) << c.entry;
+		ASSERT_EQ(both.answer.n_unreadable, 1u) << c.entry;
+		EXPECT_EQ(alone.answer.n_unreadable, 2u) << c.entry;
+		EXPECT_EQ(both.answer.items->len, 1u) << c.entry;
+		auto *u = static_cast<const struct store_unreadable *>(
+			g_ptr_array_index(both.answer.unreadable, 0));
+		EXPECT_EQ(u->position, 1u);
+		EXPECT_STREQ(u->shown, c.shown);
+		EXPECT_STREQ(u->key, c.key);
+		EXPECT_EQ(alone.answer.next != nullptr, c.shown != nullptr) << c.entry;
+	}
+}
+
 /* Guards against an answer that breaks off, or is no list, and is taken for a list of what it has.
  */
 TEST(adapter, broken_answer_is_no_list)
--- a/tests/mirror_test.cc
+++ b/tests/mirror_test.cc
@@ -11,8 +11,12 @@
 			   const std::vector<std::pair<std::string, uint64_t>> &puts,
 			   const std::vector<std::pair<std::string, uint64_t>> &removals = {})
 {
-	struct store_answer a = {g_ptr_array_new_with_free_func(store_item_free), false, revision,
-				 nullptr, 0};
+	struct store_answer a = {g_ptr_array_new_with_free_func(store_item_free),
+				 false,
+				 revision,
+				 nullptr,
+				 0,
+				 nullptr};
 
 	for (const auto *list : {&puts, &removals})
 		for (const auto &entry : *list) {
@@ -106,3 +110,34 @@
 	EXPECT_EQ(changes_since(m, 20), "");
 	mirror_destroy(m);
 }
+
+/*
+ * Guards against an empty value, which stands for a malformed one, that is passed on as a removal
+ * or takes the place of the value that was read last.
+ */
+TEST(mirror, empty_value_is_no_removal)
+{
+	struct mirror *m = mirror_create();
+	struct store_answer malformed = answer(7, {{"a", 6}, {"b", 7}});
+	struct store_answer out = {};
+	bool is_full;
+
+	apply(m, answer(5, {{"a", 3}}), true);
+	for (guint i = 0; i < malformed.items->len; i++)
+		static_cast<struct store_item *>(g_ptr_array_index(malformed.items, i))->n_value =
+			0;
+	apply(m, malformed);
+	EXPECT_EQ(changes_since(m, 5), "a b ");
+	mirror_changes_since(m, 5, &out, &is_full);
+	for (guint i = 0; i < out.items->len; i++) {
+		auto *item = static_cast<struct store_item *>(g_ptr_array_index(out.items, i));
+
+		ASSERT_NE(item->value, nullptr) << item->key;
+		EXPECT_EQ(std::string(item->value, item->n_value),
+			  std::string(item->key) == "a" ? "v" : "");
+	}
+	store_answer_clear(&out);
+	apply(m, answer(9, {}, {{"a", 8}, {"b", 9}}));
+	EXPECT_EQ(changes_since(m, 7), "-a -b ");
+	mirror_destroy(m);
+}
--- a/tests/relay_test.cc
+++ b/tests/relay_test.cc
@@ -228,7 +228,11 @@
 	void store_answer_send(uint64_t revision, int64_t removal_age_ms)
 	{
 		struct store_answer answer = {g_ptr_array_new_with_free_func(store_item_free),
-					      false, revision, nullptr, 0};
+					      false,
+					      revision,
+					      nullptr,
+					      0,
+					      nullptr};
 		struct store_update *update;
 
 		if (removal_age_ms >= 0) {
