Count an unreadable entry of a leaf once

Cause: in a listing the empty value that stands for such an entry was also refused as a leaf's entry. Change: the empty value is added for the relay only, after the page's items are applied. Result: pages_of_unreadable_items_are_passed counted 39 for 27 lines with twelve such entries added, and passes now; malformed_items_keep_the_leaf and unreadable_items_are_left_out pass.

--- a/src/feed.c
+++ b/src/feed.c
@@ -359,6 +359,7 @@
 		item->key = g_strdup(u->key);
 		item->value = g_strdup("");
 		item->revision = f->listing_revision;
+		registry_put(f->registry, item->key, item->revision);
 		g_ptr_array_add(answer->items, item);
 	}
 }
@@ -380,9 +381,9 @@
 		registry_listing_begin(f->registry);
 		f->listing_revision = answer->revision;
 	}
-	unreadable_keep(f, answer);
 	items_apply(f, answer);
 	items_trim(f, answer);
+	unreadable_keep(f, answer);
 	if (answer->has_more) {
 		g_free(f->next_page);
 		f->next_page = g_steal_pointer(&answer->next);
