Count what gathering requests keep and expect of answers

Cause: the parts of the shards' answers that a gathering request keeps were not counted, and small answers of open calls only once they were read, so that requests were admitted whose answers did not fit together. Change: a kind of its own (parts_of_answers), bytes expected of open calls by the size of the route's answers lately, and refusal (503, not run) of requests whose answers do not fit beside them; merged records take memory as they come; bodies above 4 KB are freed with their message, where idle connections kept up to 64 KB each.

--- a/src/explain.c
+++ b/src/explain.c
@@ -235,6 +235,8 @@
 		g_string_append_printf(out, "; calls to %u leaves were lost", lost);
 	if (strstr(trace, " backlog;"))
 		g_string_append(out, "; the leaves had too many calls to answer in time");
+	if (strstr(trace, " memory;"))
+		g_string_append(out, "; this VM held and expected as many bytes as it may");
 	ranks_append(out, trace);
 	if (strstr(trace, " denied "))
 		g_string_append(out, "; the budget for repeated calls denied some");
--- a/src/gateway.c
+++ b/src/gateway.c
@@ -488,6 +488,7 @@
 		mallopt(M_MMAP_THRESHOLD, RETURNED_BYTES_MIN);
 	g->held = heldbytes_create(settings->held_bound_bytes, &held_ops, g);
 	g->held_tick = event_new(kernel_base(k), -1, EV_PERSIST, held_tick_handle, g);
+	g->env.held = g->held;
 	g->env.upstream = upstream_create(kernel_base(k), g->held);
 	g->env.repeats = repeats_create(&settings->repeats, clock_now_us());
 	vmshare_init(&g->env.vmshare, clock_now_us());
--- a/src/gatewaymetrics.c
+++ b/src/gatewaymetrics.c
@@ -160,14 +160,16 @@
 	g_string_append_printf(out,
 			       "apricot_held_bound_bytes %" G_GUINT64_FORMAT "\n"
 			       "apricot_held_peak_bytes %" G_GUINT64_FORMAT "\n"
+			       "apricot_held_expected_bytes %" G_GUINT64_FORMAT "\n"
 			       "apricot_held_answers_waiting %u\n"
 			       "apricot_held_paused_total %" G_GUINT64_FORMAT "\n"
 			       "apricot_held_given_up_total %" G_GUINT64_FORMAT "\n"
 			       "apricot_held_refused_total %" G_GUINT64_FORMAT "\n"
 			       "apricot_held_callers_total %" G_GUINT64_FORMAT "\n",
 			       heldbytes_bound_bytes(g->held), stats->peak_bytes,
-			       heldbytes_waiting(g->held), stats->paused, stats->given_up,
-			       stats->refused, http_server_held_back(g->server));
+			       heldbytes_expected(g->held), heldbytes_waiting(g->held),
+			       stats->paused, stats->given_up, stats->refused,
+			       http_server_held_back(g->server));
 }
 
 static json_t *evacuations_status(const struct gateway *g)
--- a/src/heldbytes.c
+++ b/src/heldbytes.c
@@ -14,6 +14,11 @@
 #define CALLER_DIVISOR 16
 /* Part of the bound that the large answers of one leaf may take, or one answer if it is larger. */
 #define LEAF_DIVISOR 4
+/*
+ * A request whose calls bring more than fits beside others is admitted while no more than this part
+ * of the bound is held and expected. Together with LARGE_PART it leaves room for small requests.
+ */
+#define ALONE_DIVISOR 8
 /* Answers and bodies up to this size, and up to this part of the bound, are small. */
 #define SMALL_BYTES 65536
 #define SMALL_DIVISOR 64
@@ -30,6 +35,8 @@
 	uint64_t bound_bytes; /* 0: nothing is bounded */
 	uint64_t bytes[HELD_KIND_COUNT];
 	uint64_t total;
+	uint64_t expected; /* by open calls, with what has been read of their small answers */
+	uint64_t small_read; /* of small answers; part of the total */
 	struct list_head waiting; /* struct held_answer, oldest first */
 	unsigned int n_waiting;
 	struct held_stats stats;
@@ -111,6 +118,34 @@
 	return false;
 }
 
+uint64_t heldbytes_expected(const struct heldbytes *h)
+{
+	return h->expected > h->small_read ? h->expected - h->small_read : 0;
+}
+
+size_t heldbytes_expected_of_call(const struct heldbytes *h, size_t answer_bytes,
+				  unsigned int n_calls)
+{
+	if (h->bound_bytes == 0)
+		return answer_bytes;
+	if (answer_bytes > small_bytes(h) && n_calls == 1)
+		return 0;
+	return MIN(MIN(answer_bytes, small_bytes(h)), (size_t)(large_bytes(h) / n_calls));
+}
+
+bool heldbytes_admits_answers(struct heldbytes *h, size_t bytes, uint64_t now_ms)
+{
+	uint64_t committed = h->total + heldbytes_expected(h);
+	uint64_t limit = bytes <= small_bytes(h) ? h->bound_bytes : large_bytes(h);
+
+	if (h->bound_bytes == 0 || committed + bytes <= limit ||
+	    committed <= h->bound_bytes / ALONE_DIVISOR)
+		return true;
+	h->stats.refused++;
+	short_note(h, now_ms);
+	return false;
+}
+
 uint64_t heldbytes_bound_bytes(const struct heldbytes *h)
 {
 	return h->bound_bytes;
@@ -157,8 +192,17 @@
 	h->stats.peak_bytes = MAX(h->stats.peak_bytes, h->total);
 }
 
+void held_account_expect(struct held_account *a, size_t bytes)
+{
+	if (!a->held)
+		return;
+	a->held->expected += bytes - a->expected_bytes;
+	a->expected_bytes = bytes;
+}
+
 void held_account_close(struct held_account *a)
 {
+	held_account_expect(a, 0);
 	for (int kind = 0; kind < HELD_KIND_COUNT; kind++)
 		held_account_set(a, (enum held_kind)kind, 0);
 }
@@ -203,10 +247,17 @@
 	held_account_set(a->account, HELD_ANSWERS, MAX(bytes, a->read_bytes));
 }
 
+static void small_set(struct held_answer *a, size_t bytes)
+{
+	a->account->held->small_read += bytes - a->small_bytes;
+	a->small_bytes = bytes;
+}
+
 /* Counts the whole answer, so that all of it fits once its reading goes on. */
 static bool fits_vm(const struct heldbytes *h, const struct held_answer *a)
 {
-	return h->total - a->account->bytes[HELD_ANSWERS] + a->due_bytes <= large_bytes(h);
+	return h->total + heldbytes_expected(h) - a->account->bytes[HELD_ANSWERS] + a->due_bytes <=
+	       large_bytes(h);
 }
 
 static bool fits_leaf(const struct heldbytes *h, const struct held_answer *a)
@@ -225,8 +276,12 @@
 		return true;
 	a->read_bytes = read_bytes;
 	held_account_set(a->account, HELD_ANSWERS, MAX(read_bytes, a->granted_bytes));
-	if (h->bound_bytes == 0 || MAX(read_bytes, due_bytes) <= small_bytes(h) ||
-	    (a->granted_bytes > 0 && MAX(read_bytes, due_bytes) <= a->granted_bytes))
+	if (h->bound_bytes == 0 || MAX(read_bytes, due_bytes) <= small_bytes(h)) {
+		small_set(a, read_bytes);
+		return true;
+	}
+	small_set(a, 0);
+	if (a->granted_bytes > 0 && MAX(read_bytes, due_bytes) <= a->granted_bytes)
 		return true;
 	/* The size of an answer without a length is taken for twice of what has arrived. */
 	a->due_bytes = due_bytes > 0 ? due_bytes : 2 * read_bytes;
@@ -248,6 +303,7 @@
 	if (!a->account->held)
 		return;
 	wait_end(a->account->held, a);
+	small_set(a, 0);
 	a->read_bytes = 0;
 	granted_set(a, 0);
 }
--- a/src/heldbytes.h
+++ b/src/heldbytes.h
@@ -7,7 +7,9 @@
  * - A caller's next request is not read while more than its share is unsent to it.
  * - A large answer of a leaf is read once all of it fits into LARGE_PART of the bound. One that has
  *   waited HELD_ANSWER_WAIT_MS is given up, or earlier if the bound is reached. Small answers are
- * always read.
+ *   always read.
+ * - A request is refused when the answers that its calls may bring do not fit beside those that
+ * other requests expect.
  * - At the bound, new requests are refused.
  * Without a bound the bytes are only counted.
  *
@@ -38,7 +40,8 @@
 	X(CALLERS, "unsent_to_callers")                                           \
 	X(BODIES, "request_bodies") /* of requests read in part or in progress */ \
 	X(ANSWERS, "answers_being_read") /* from leaves */                        \
-	X(LEAVES, "unsent_to_leaves")
+	X(LEAVES, "unsent_to_leaves")                                             \
+	X(PARTS, "parts_of_answers") /* kept by requests in progress */
 
 enum held_kind {
 #define X(symbol, name) HELD_##symbol,
@@ -83,24 +86,42 @@
 /* False when a new request is to be refused, which is counted. */
 bool heldbytes_admits(struct heldbytes *h, uint64_t now_ms);
 
+/*
+ * False when a new request whose calls may bring so many bytes is to be refused, which is counted.
+ * A small sum may take the whole bound. A large one leaves room for small requests, and is admitted
+ * alone if it never fits beside others.
+ */
+bool heldbytes_admits_answers(struct heldbytes *h, size_t bytes, uint64_t now_ms);
+/*
+ * What to expect of one call, in bytes, if one of n_calls usually brings answer_bytes. Large
+ * answers are not expected beyond the begin that is read without asking, since they wait for room.
+ */
+size_t heldbytes_expected_of_call(const struct heldbytes *h, size_t answer_bytes,
+				  unsigned int n_calls);
+/* Bytes of small answers that open calls may still bring; not part of the total. */
+uint64_t heldbytes_expected(const struct heldbytes *h);
+
 uint64_t heldbytes_bound_bytes(const struct heldbytes *h);
 uint64_t heldbytes_total(const struct heldbytes *h);
 uint64_t heldbytes_of_kind(const struct heldbytes *h, enum held_kind kind);
 unsigned int heldbytes_waiting(const struct heldbytes *h);
 const struct held_stats *heldbytes_stats(const struct heldbytes *h);
 
-/* What is held for a connection, or for all connections to a leaf. */
+/* What is held for a connection, for all connections to a leaf, or for a request in progress. */
 struct held_account {
 	struct heldbytes *held; /* NULL: nothing is counted */
 	struct held_account *leaf; /* of a connection to a leaf; NULL for a caller */
 	size_t bytes[HELD_KIND_COUNT];
 	size_t granted_bytes; /* of a leaf: its large answers that are being read */
+	size_t expected_bytes; /* of a request: what its open calls bring */
 };
 
 /* held and leaf may be NULL; leaf must outlive the account. */
 void held_account_init(struct held_account *a, struct heldbytes *held, struct held_account *leaf);
 /* Replaces the number of bytes of the kind. */
 void held_account_set(struct held_account *a, enum held_kind kind, size_t bytes);
+/* Replaces the number of bytes that the open calls of a request are expected to bring in all. */
+void held_account_expect(struct held_account *a, size_t bytes);
 void held_account_close(struct held_account *a);
 /* True while too much is unsent to the caller for its next request to be read. */
 bool held_account_is_over_share(const struct held_account *a);
@@ -123,6 +144,7 @@
 	size_t read_bytes;
 	size_t due_bytes;
 	size_t granted_bytes; /* 0: not granted, or small */
+	size_t small_bytes; /* read of a small answer */
 	bool is_waiting;
 };
 
--- a/src/httpmsg.c
+++ b/src/httpmsg.c
@@ -9,7 +9,7 @@
 
 /* The memory of a larger body is freed with its message, since a connection may be idle for long.
  */
-#define BODY_KEPT_BYTES 65536
+#define BODY_KEPT_BYTES 4096
 
 /* A sender that goes on with interim answers beyond this many never sends the answer itself. */
 #define INTERIM_MAX 16
--- a/src/job.c
+++ b/src/job.c
@@ -28,6 +28,8 @@
 	if (stats)
 		return stats;
 	stats = g_new0(struct route_stats, 1);
+	/* Shards usually answer with as many records as the merged answer may have. */
+	stats->answer_bytes = route->shards ? (size_t)route->top_k * TOPK_RECORD_BYTES : 0;
 	stats->call_us = hist_create();
 	stats->answer_us = hist_create();
 	g_hash_table_insert(env->stats, g_steal_pointer(&key), stats);
@@ -43,8 +45,19 @@
 	g_free(stats);
 }
 
+void job_held_update(struct job *j)
+{
+	size_t kept = j->top ? topk_held_bytes(j->top) + j->signatures->allocated_len : 0;
+
+	if (j->failure_fields)
+		kept += j->failure_fields->allocated_len + j->failure_body->len;
+	held_account_set(&j->held, HELD_PARTS, kept);
+	held_account_expect(&j->held, j->n_open * j->expected_bytes);
+}
+
 void job_destroy(struct job *j)
 {
+	held_account_close(&j->held);
 	for (unsigned int i = 0; i < j->n_shards; i++)
 		for (unsigned int k = 0; k < j->shards[i].n_tried; k++)
 			leaf_put(j->shards[i].tried[k]);
@@ -328,6 +341,8 @@
 	list_init(&j->calls);
 	list_add_tail(&j->node, &env->jobs);
 	env->n_jobs++;
+	held_account_init(&j->held, env->held, NULL);
+	j->expected_bytes = heldbytes_expected_of_call(env->held, j->stats->answer_bytes, n);
 	head_render(j, message);
 	times_set(j, &policy, http_reader_field_find(message, env->adapter->fields.deadline_ms));
 	j->scatter = scatter_create(&policy);
@@ -356,6 +371,7 @@
 	const char *host = http_reader_field_find(message, "Host");
 	const char *id = http_reader_field_find(message, env->adapter->fields.request_id);
 	const struct route *route;
+	unsigned int n_answers = 0; /* that the request's calls bring */
 	uint64_t wake_us;
 	struct job *j;
 
@@ -385,12 +401,20 @@
 		j->shards[i].first_leaf = jobcall_first_leaf(j, i, j->read_us);
 		if (!j->shards[i].first_leaf)
 			scatter_calls_exhausted(j->scatter, i);
+		else
+			n_answers++;
 	}
 	/* No call is sent for a request that cannot be served. */
 	if (scatter_verdict(j->scatter, j->read_us, &wake_us) == SCATTER_FAILED) {
 		jobanswer_failed_send(j);
 		return;
 	}
+	if (!heldbytes_admits_answers(env->held, n_answers * j->expected_bytes, clock_now_ms())) {
+		j->is_unsent = true;
+		jobanswer_trace_add(j, "refused", j->shards[0].service, NULL, "memory", j->read_us);
+		jobanswer_refuse(j, RETRYAFTER_MEMORY);
+		return;
+	}
 	if (!is_admitted(j)) {
 		j->is_unsent = true;
 		jobanswer_refuse(j, RETRYAFTER_LEAVES_FULL);
--- a/src/job.h
+++ b/src/job.h
@@ -9,6 +9,7 @@
 #define APRICOT_JOB_H
 
 #include "adapter.h"
+#include "heldbytes.h"
 #include "hist.h"
 #include "httpserver.h"
 #include "kernel.h"
@@ -46,6 +47,7 @@
 	struct hist *call_us; /* latency of the leaf calls that were answered */
 	struct hist *answer_us; /* time from reading a request to its end */
 	uint64_t outcomes[JOB_OUTCOME_COUNT]; /* requests by outcome */
+	size_t answer_bytes; /* bodies of the leaves' answers: the largest lately */
 	/*
 	 * Longest waiting time that a request has named. A caller's retry names a shorter one than
 	 * its first attempt, so this is taken as the waiting time of a first attempt.
@@ -60,6 +62,7 @@
 	const struct adapter *adapter;
 	struct leafset *leaves;
 	struct upstream *upstream;
+	struct heldbytes *held;
 	struct repeats *repeats;
 	struct vmshare vmshare; /* this VM's part of the leaves' limits */
 	struct warmups *warmups;
--- a/src/jobanswer.c
+++ b/src/jobanswer.c
@@ -105,6 +105,17 @@
 		rank_ended(j->rank_group, j->rank_route, &end, now_us);
 }
 
+/* Frees what was kept of the answers. Calls that are open still bring theirs. */
+static void parts_release(struct job *j)
+{
+	topk_destroy(j->top);
+	j->top = NULL;
+	if (j->signatures)
+		g_string_free(j->signatures, TRUE);
+	j->signatures = NULL;
+	job_held_update(j);
+}
+
 void jobanswer_finish(struct job *j, enum job_outcome outcome, unsigned int status,
 		      uint64_t linger_us)
 {
@@ -119,6 +130,7 @@
 		trace_missing_add(j, now_us);
 	end_log(j, outcome, status, took_us);
 	jobcall_unsent_cancel(j, now_us);
+	parts_release(j);
 	if (list_is_empty(&j->calls))
 		job_destroy(j);
 	else
@@ -250,6 +262,7 @@
 	j->failure_status = http_reader_status(answer);
 	j->failure_body = g_byte_array_new();
 	g_byte_array_append(j->failure_body, (const guint8 *)body, (guint)n);
+	job_held_update(j);
 }
 
 void jobanswer_part_add(struct job *j, const struct http_reader *answer, const char *signature)
@@ -259,6 +272,7 @@
 
 	topk_add(j->top, body, n);
 	g_string_append_printf(j->signatures, "%s%s", j->signatures->len ? ", " : "", signature);
+	job_held_update(j);
 }
 
 void jobanswer_forward(struct job *j, const struct http_reader *answer)
--- a/src/jobcall.c
+++ b/src/jobcall.c
@@ -8,6 +8,17 @@
 /* No call is started when less time than this is left until the deadline. */
 #define CALL_MIN_US 2000
 
+/* Smaller answers make up for this part of the difference to the largest one each. */
+#define ANSWER_BYTES_DECAY 64
+
+/* The call has ended: removes it from its job. */
+static void call_remove(struct job_call *c)
+{
+	list_del(&c->node);
+	c->job->n_open--;
+	job_held_update(c->job);
+}
+
 /*
  * Cancels and frees a call that was removed from the job's list. The calling function tells
  * scatter where that is needed.
@@ -33,7 +44,7 @@
 
 		if (c->call.conn)
 			continue;
-		list_del(&c->node);
+		call_remove(c);
 		call_cancel(c, LEAF_END_CANCELLED, now_us);
 	}
 }
@@ -103,7 +114,7 @@
 
 	if (c->is_repeat && c->call.sent_us == 0)
 		repeats_rank_refund(j->env->repeats, j->shards[shard].service, job_rank(j), now_us);
-	list_del(&c->node);
+	call_remove(c);
 	g_free(c);
 	jobanswer_trace_add(j, "lost", j->shards[shard].service, leaf, leaf_end_name(end), now_us);
 	if (!j->request) {
@@ -120,6 +131,15 @@
 	return end;
 }
 
+/* The largest answer counts, and is forgotten over some hundred smaller ones. */
+static void answer_bytes_note(struct route_stats *stats, size_t bytes)
+{
+	if (bytes >= stats->answer_bytes)
+		stats->answer_bytes = bytes;
+	else
+		stats->answer_bytes -= (stats->answer_bytes - bytes) / ANSWER_BYTES_DECAY;
+}
+
 static void call_succeeded(struct job_call *c, const struct http_reader *answer,
 			   const char *signature)
 {
@@ -129,7 +149,8 @@
 	bool is_first;
 
 	hist_add(j->stats->call_us, now_us - c->call.started_us);
-	list_del(&c->node);
+	answer_bytes_note(j->stats, http_reader_body_bytes(answer));
+	call_remove(c);
 	g_free(c);
 	if (!j->request) {
 		if (list_is_empty(&j->calls))
@@ -268,6 +289,8 @@
 	c->call.is_optional = job_is_sharded(j);
 	c->call.wants_fresh = !j->route->is_idempotent;
 	list_add_tail(&c->node, &j->calls);
+	j->n_open++;
+	job_held_update(j);
 	j->n_calls++;
 	scatter_call_started(j->scatter, shard, now_us);
 	upstream_call(j->env->upstream, &c->call, leaf, service ? service->max_connections : 1,
@@ -389,7 +412,7 @@
 		scatter_hedge_defer(j->scatter, shard, now_us);
 		return;
 	}
-	list_del(&waiting->node);
+	call_remove(waiting);
 	call_cancel(waiting, LEAF_END_CANCELLED, now_us);
 	/*
 	 * If an earlier call of the shard was sent, the moved call is a repeat of that one.
--- a/src/jobstate.h
+++ b/src/jobstate.h
@@ -46,6 +46,9 @@
 	struct scatter *scatter;
 	struct event *timer;
 	struct list_head calls;
+	unsigned int n_open; /* length of calls */
+	struct held_account held; /* what is kept of the answers, and what calls may bring */
+	size_t expected_bytes; /* of one call */
 	char *id;
 	char *method;
 	GString *head; /* request line and the header fields that every leaf gets alike */
@@ -93,6 +96,8 @@
 
 /* Frees the job, which must have no open call. */
 void job_destroy(struct job *j);
+/* Takes note of what the job keeps of the leaves' answers, and of what its open calls may bring. */
+void job_held_update(struct job *j);
 /* Sets the job's timer; a time in the past fires at once. */
 void job_timer_set(struct job *j, uint64_t at_us, uint64_t now_us);
 /*
--- a/src/topk.c
+++ b/src/topk.c
@@ -2,9 +2,14 @@
 
 #include <string.h>
 
+/* Records for which there is room at first; more is allocated as they come, since k may be large.
+ */
+#define FIRST_ROOM 64
+
 struct topk {
 	unsigned int k;
 	unsigned int n; /* records kept so far, at most k */
+	unsigned int room; /* records that fit into the allocated memory */
 	char *records; /* sorted, greatest first */
 };
 
@@ -46,23 +51,36 @@
 	return low;
 }
 
+static void room_make(struct topk *t)
+{
+	if (t->n < t->room)
+		return;
+	t->room = MIN(t->k, MAX(FIRST_ROOM, t->room > G_MAXUINT / 2 ? t->k : 2 * t->room));
+	t->records = g_realloc(t->records, (size_t)t->room * TOPK_RECORD_BYTES);
+}
+
 void topk_add(struct topk *t, const char *part, size_t n)
 {
-	if (!t->records)
-		t->records = g_malloc((size_t)MAX(1, t->k) * TOPK_RECORD_BYTES);
 	for (; n >= TOPK_RECORD_BYTES; part += TOPK_RECORD_BYTES, n -= TOPK_RECORD_BYTES) {
 		unsigned int position = position_find(t, part);
 
 		if (position == t->k)
 			continue;
-		if (t->n < t->k)
+		if (t->n < t->k) {
+			room_make(t);
 			t->n++;
+		}
 		memmove(record_at(t, position) + TOPK_RECORD_BYTES, record_at(t, position),
 			(size_t)(t->n - 1 - position) * TOPK_RECORD_BYTES);
 		memcpy(record_at(t, position), part, TOPK_RECORD_BYTES);
 	}
 }
 
+size_t topk_held_bytes(const struct topk *t)
+{
+	return (size_t)t->room * TOPK_RECORD_BYTES;
+}
+
 const char *topk_records(const struct topk *t, size_t *n)
 {
 	*n = (size_t)t->n * TOPK_RECORD_BYTES;
--- a/src/topk.h
+++ b/src/topk.h
@@ -24,6 +24,9 @@
  */
 void topk_add(struct topk *t, const char *part, size_t n);
 
+/* Bytes allocated for the records. */
+size_t topk_held_bytes(const struct topk *t);
+
 /* The kept records, greatest first, valid until the next call; *n is set to their size in bytes. */
 const char *topk_records(const struct topk *t, size_t *n);
 
--- a/tests/heldbytes_test.cc
+++ b/tests/heldbytes_test.cc
@@ -35,6 +35,15 @@
 	bool is_asking = false;
 };
 
+/* A caller that asks for one gathered answer after the other. All its calls go at the same pace. */
+struct gatherer {
+	struct held_account account;
+	std::vector<call> calls;
+	size_t read_bytes = 0; /* of each call's answer */
+	uint64_t again_ms = 0;
+	bool is_asking = false;
+};
+
 struct heldbytes_script : script_interpreter {
 	struct heldbytes *held = nullptr;
 	std::map<std::string, std::unique_ptr<held_account>> accounts;
@@ -144,6 +153,35 @@
 		return 'a';
 	}
 
+	/* One step of a gathering caller; returns 'a': answered, 'r': refused, or 0. */
+	char step_gather(gatherer &g, size_t part_bytes, size_t expected, size_t step_bytes)
+	{
+		if (!g.is_asking) {
+			if (now_ms < g.again_ms)
+				return 0;
+			if (!heldbytes_admits(held, now_ms) ||
+			    !heldbytes_admits_answers(held, g.calls.size() * expected, now_ms)) {
+				g.again_ms = now_ms + RETRY_MS;
+				return 'r';
+			}
+			g.is_asking = true;
+			g.read_bytes = 0;
+			held_account_expect(&g.account, g.calls.size() * expected);
+		}
+		g.read_bytes = std::min(part_bytes, g.read_bytes + step_bytes);
+		for (auto &c : g.calls)
+			if (g.read_bytes < part_bytes)
+				held_answer_read(&c.answer, g.read_bytes, part_bytes, now_ms);
+			else
+				held_answer_end(&c.answer);
+		held_account_set(&g.account, HELD_PARTS, g.read_bytes < part_bytes ? KB : 0);
+		if (g.read_bytes < part_bytes)
+			return 0;
+		held_account_expect(&g.account, 0);
+		g.is_asking = false;
+		return 'a';
+	}
+
 	/*
 	 * load N KB KB_PER_S SECONDS BOUND_MB: N slow callers beside one caller that asks for a
 	 * small answer in each step. BOUND_MB: what the peak is compared with.
@@ -186,6 +224,58 @@
 		return text;
 	}
 
+	/*
+	 * gathers N SHARDS KB KB_PER_S SECONDS BOUND_MB: N callers that ask for gathered answers of
+	 * so many shards of KB each, which arrive slowly, beside one caller that asks for a small
+	 * answer in each step. "blind" at the end: answers are not expected before they arrive.
+	 */
+	std::string gathers(const std::vector<std::string> &w)
+	{
+		std::vector<gatherer> callers(std::stoul(w[1]));
+		size_t part_bytes = std::stoul(w[3]) * KB;
+		auto n_shards = static_cast<unsigned int>(std::stoul(w[2]));
+		bool is_blind = w.size() > 7;
+		size_t expected =
+			is_blind ? 0 : heldbytes_expected_of_call(held, part_bytes, n_shards);
+		uint64_t end_ms = now_ms + std::stoull(w[5]) * 1000;
+		std::map<char, unsigned int> n;
+		unsigned int n_small = 0;
+		unsigned int n_small_refused = 0;
+		double peak_mb;
+		char text[160];
+
+		for (auto &g : callers) {
+			held_account_init(&g.account, held, nullptr);
+			g.calls = std::vector<call>(n_shards);
+			for (auto &c : g.calls)
+				call_init(&c, nullptr);
+		}
+		for (; now_ms < end_ms; now_ms += STEP_MS) {
+			for (auto &g : callers)
+				n[step_gather(g, part_bytes, expected,
+					      std::stoul(w[4]) * KB * STEP_MS / 1000)]++;
+			if (heldbytes_admits(held, now_ms) &&
+			    heldbytes_admits_answers(held, KB, now_ms))
+				n_small++;
+			else
+				n_small_refused++;
+			heldbytes_advance(held, now_ms);
+		}
+		peak_mb = (double)heldbytes_stats(held)->peak_bytes / KB / KB;
+		for (auto &g : callers) {
+			for (auto &c : g.calls)
+				held_answer_end(&c.answer);
+			held_account_close(&g.account);
+		}
+		events.clear();
+		g_snprintf(text, sizeof(text),
+			   "gathered: %u answered, %u refused; small: %u served, %u refused\n"
+			   "peak %.1f MB: %s\n",
+			   n['a'], n['r'], n_small, n_small_refused, peak_mb,
+			   peak_mb <= std::stod(w[6]) ? "kept" : "BROKEN");
+		return text;
+	}
+
 	std::string state()
 	{
 		std::string out;
@@ -204,7 +294,10 @@
 	{
 		static const struct heldbytes_ops ops = {.changed = changed};
 		static const std::map<std::string, enum held_kind> kinds = {
-			{"unsent", HELD_CALLERS}, {"body", HELD_BODIES}, {"request", HELD_LEAVES}};
+			{"unsent", HELD_CALLERS},
+			{"body", HELD_BODIES},
+			{"request", HELD_LEAVES},
+			{"parts", HELD_PARTS}};
 
 		if (w[0] == "bound") { /* bound HELD_MB MEMORY_MB */
 			uint64_t bytes = heldbytes_bound(std::stoull(w[1]), std::stoull(w[2]));
@@ -212,7 +305,7 @@
 			held = heldbytes_create(bytes, &ops, this);
 			return std::to_string(bytes / KB) + " KB\n";
 		}
-		if (kinds.count(w[0])) { /* unsent|body|request ACCOUNT KB */
+		if (kinds.count(w[0])) { /* unsent|body|request|parts ACCOUNT KB */
 			held_account_set(account(w[1]), kinds.at(w[0]), std::stoul(w[2]) * KB);
 		} else if (w[0] == "next") { /* next CALLER */
 			return held_account_is_over_share(account(w[1])) ? "not read\n" : "read\n";
@@ -220,6 +313,19 @@
 			return held_account_body_may_grow(account(w[1])) ? "read\n" : "refused\n";
 		} else if (w[0] == "admit") {
 			return heldbytes_admits(held, now_ms) ? "admitted\n" : "refused\n";
+		} else if (w[0] == "expect") { /* expect ACCOUNT KB */
+			held_account_expect(account(w[1]), std::stoul(w[2]) * KB);
+		} else if (w[0] == "gather") { /* gather KB */
+			return heldbytes_admits_answers(held, std::stoul(w[1]) * KB, now_ms)
+				       ? "admitted\n"
+				       : "refused\n";
+		} else if (w[0] == "call") { /* call KB N_CALLS */
+			return std::to_string(heldbytes_expected_of_call(
+				       held, std::stoul(w[1]) * KB,
+				       static_cast<unsigned int>(std::stoul(w[2])))) +
+			       " bytes\n";
+		} else if (w[0] == "expected") {
+			return std::to_string(heldbytes_expected(held) / KB) + " KB\n";
 		} else if (w[0] == "read") { /* read CALL LEAF KB DUE_KB */
 			return read(w);
 		} else if (w[0] == "end") { /* end CALL */
@@ -229,6 +335,8 @@
 		} else if (w[0] == "wait") { /* wait MS */
 			now_ms += std::stoull(w[1]);
 			heldbytes_advance(held, now_ms);
+		} else if (w[0] == "gathers") {
+			return gathers(w);
 		} else if (w[0] == "load") {
 			return load(w);
 		} else { /* state */
