Keep slow callers for ten seconds without progress

Cause: TCP's limit of 2 s for unacknowledged bytes reset callers that stalled for longer, or read at 30 kB/s; a slow caller's progress was only seen when the socket took more bytes; a connection with the last answer in the socket's buffer was closed after 1 s; and answers of leaves above 8 MB were refused (502). Change: 10 s for callers, counted from the last byte that the caller acknowledged, also before a connection is closed as idle or finished; answers of up to 16 MB are read. Result: slow_callers_get_large_answers (16 MB, chunked, 250 and 30 kB/s, stalls of 1 s, 8 s and for ever) and stops_deliver_large_answers (SIGTERM at three moments, and with a stalled caller) pass; the code before, with the limit of 16 MB, fails the first (resets for stalls of 8 s and at 30 kB/s) and passes the second; with 8 MB it fails both.

--- a/fakes/routed_site.py
+++ b/fakes/routed_site.py
@@ -296,6 +296,7 @@
         self.endless = 0  # responses without end that are being sent
         self.copies, self.cut, self.slots = None, None, None
         self.warmup_ms = 0  # remaining warm-up, as the entry says
+        self.framing = "length"  # of each complete response, see framed_response()
         self.payload = None  # body of each response; None: as Site.make_payload draws it
 
     def entry(self):
@@ -406,8 +407,9 @@
                 writer.write(response_bytes(200, payload, headers)[:-3])
                 return
             else:
-                writer.write(response_bytes(200, payload, headers))
-                copy = await self._send_copy(writer, response_bytes(200, payload, headers))
+                response = framed_response(payload, headers, self.framing)
+                writer.write(response)
+                copy = await self._send_copy(writer, response)
             if self.has_fault("twice"):
                 writer.write(response_bytes(200, payload, headers))
             await writer.drain()
--- a/src/httpserver.c
+++ b/src/httpserver.c
@@ -32,7 +32,7 @@
 /*
  * Longest time in which a peer takes nothing of an answer. No caller of the deployments waits
  * longer than 10 s for one. The idle time does not apply: it may be shorter than a stall on a slow
- * link.
+ * link, and neither does the time that ends other connections when nothing is acknowledged.
  */
 #define STALL_MAX_MS 10000
 /* The owner of a request makes a copy of its body, which is counted from the start so that it fits.
@@ -52,7 +52,7 @@
 	 * of an answer, or the sending side was ended.
 	 */
 	uint64_t since_ms;
-	size_t unsent_bytes; /* of the answer, at the last check */
+	size_t untaken_bytes; /* not taken by the peer at the last check, see untaken_check */
 	bool is_busy; /* the request was passed to the owner, who has not answered yet */
 	bool is_paused; /* reading is paused */
 	bool is_held_back; /* the next request is not read while so much is unsent */
@@ -137,8 +137,8 @@
 		r->is_paused = false;
 		stream_read_resume(&r->stream);
 	}
-	r->unsent_bytes = stream_unsent_bytes(&r->stream);
-	if (!keep && r->unsent_bytes == 0)
+	r->untaken_bytes = stream_unacknowledged_bytes(&r->stream);
+	if (!keep && stream_unsent_bytes(&r->stream) == 0)
 		connection_write_end(r);
 	return true;
 }
@@ -281,7 +281,6 @@
 {
 	struct http_request *r = list_entry(stream, struct http_request, stream);
 
-	r->unsent_bytes = 0;
 	if (!r->is_busy && http_reader_is_empty(r->reader))
 		r->since_ms = clock_now_ms();
 	if (r->is_closing)
@@ -307,6 +306,7 @@
 	list_add_tail(&r->node, &s->connections);
 	s->n_connections++;
 	stream_socket_adopt(&r->stream, s->base, fd, &connection_ops);
+	stream_stall_max_set(&r->stream, STALL_MAX_MS);
 }
 
 static void listener_handle(evutil_socket_t listener, short what, void *arg)
@@ -322,19 +322,35 @@
 	}
 }
 
-/* Closes a connection whose peer has taken nothing of an answer for STALL_MAX_MS. */
-static void unsent_check(struct http_request *r, uint64_t now_ms)
+/*
+ * Closes a connection whose peer has taken nothing of an answer for STALL_MAX_MS. Bytes in the
+ * socket's buffer count as well: a slow peer may need longer than that for the part of them after
+ * which the socket accepts more.
+ */
+static void untaken_check(struct http_request *r, size_t untaken_bytes, uint64_t now_ms)
 {
-	size_t unsent_bytes = stream_unsent_bytes(&r->stream);
-
-	if (unsent_bytes != r->unsent_bytes) {
-		r->unsent_bytes = unsent_bytes;
+	if (untaken_bytes != r->untaken_bytes) {
+		r->untaken_bytes = untaken_bytes;
 		r->since_ms = now_ms;
 	} else if (now_ms - r->since_ms > STALL_MAX_MS) {
 		connection_destroy(r);
 	}
 }
 
+/*
+ * Closes a connection on which nothing is expected, once the peer has taken all of the last answer.
+ * A request that crosses the close would reset what is on its way.
+ */
+static void quiet_close(struct http_request *r, uint64_t now_ms)
+{
+	size_t untaken_bytes = stream_unacknowledged_bytes(&r->stream);
+
+	if (untaken_bytes == 0)
+		connection_destroy(r);
+	else
+		untaken_check(r, untaken_bytes, now_ms);
+}
+
 static void connection_check(struct http_request *r, uint64_t now_ms)
 {
 	const struct http_server_limits *limits = &r->server->limits;
@@ -343,16 +359,15 @@
 	if (r->is_busy)
 		return;
 	if (stream_unsent_bytes(&r->stream) > 0) {
-		unsent_check(r, now_ms);
+		untaken_check(r, stream_unacknowledged_bytes(&r->stream), now_ms);
 	} else if (r->is_write_ended) {
 		if (waited_ms > CLOSE_WAIT_MS)
-			connection_destroy(r);
+			quiet_close(r, now_ms);
 	} else if (http_reader_is_empty(r->reader)) {
 		unsigned int idle_ms = r->server->is_draining ? CHECK_MS : limits->idle_ms;
 
-		/* A request that crosses the close would reset what is on its way. */
-		if (waited_ms > idle_ms && stream_unacknowledged_bytes(&r->stream) == 0)
-			connection_destroy(r);
+		if (waited_ms > idle_ms)
+			quiet_close(r, now_ms);
 	} else if (!http_reader_has_head(r->reader)) {
 		if (waited_ms > limits->head_ms)
 			request_refuse(r, 408);
--- a/src/stream.c
+++ b/src/stream.c
@@ -15,8 +15,8 @@
  */
 #define UNSENT_BLOCK_BYTES (16384 - 64)
 /*
- * A connection ends when sent bytes stay unacknowledged for this time, about as long as a caller
- * waits for an answer.
+ * Default: a connection ends when sent bytes stay unacknowledged for this time, or when the peer
+ * takes nothing for so long (its window stays closed).
  */
 #define UNACKNOWLEDGED_MS_MAX 2000
 /* TCP keep-alive, for a peer that may be silent for long although the connection is intact. */
@@ -99,6 +99,11 @@
 		   sizeof(unacknowledged_ms));
 }
 
+void stream_stall_max_set(struct stream *s, unsigned int stall_max_ms)
+{
+	setsockopt(s->fd, IPPROTO_TCP, TCP_USER_TIMEOUT, &stall_max_ms, sizeof(stall_max_ms));
+}
+
 static void stream_init(struct stream *s, struct event_base *base, int fd,
 			const struct stream_ops *ops)
 {
--- a/src/stream.h
+++ b/src/stream.h
@@ -64,6 +64,11 @@
 size_t stream_unacknowledged_bytes(const struct stream *s);
 /* Ends the sending side once nothing is unsent; bytes of the peer are still received. */
 void stream_write_end(struct stream *s);
+/*
+ * Sets how long the peer may acknowledge or take nothing of what was sent, 2 s by default, before
+ * the connection ends.
+ */
+void stream_stall_max_set(struct stream *s, unsigned int stall_max_ms);
 /* Pause and resume reading; during a pause TCP flow control stops a peer that sends too much. */
 void stream_read_pause(struct stream *s);
 void stream_read_resume(struct stream *s);
--- a/src/upstream.c
+++ b/src/upstream.c
@@ -101,7 +101,7 @@
 };
 
 /* A leaf's answer is kept in memory as a whole; a larger one would not fit a VM's memory. */
-static const struct http_limits answer_limits = {65536, 8u << 20};
+static const struct http_limits answer_limits = {65536, 16u << 20};
 
 static void queue_serve(struct upstream *u, struct leaf_link *link, uint64_t now_us);
 
