Measure the cost of reading a listing of the store

Cause: the cost of telling malformed items one by one was not measured; it may be 5% of the processor time of a listing of 400 leaves.

--- a/Makefile
+++ b/Makefile
@@ -91,6 +91,7 @@
 	scripts/run-tests
 
 bench: all
+	$B/bench-listing
 	scripts/bench
 
 demo: deps
