Go on with a listing after a page without a key

Cause: a page of which no entry has a key that can be found ended the listing, also before the keys that VMs use. Change: the listing goes on right before the next keys that VMs use. It still fails among these, since keys that are skipped would count as removed.

--- a/src/adapter.h
+++ b/src/adapter.h
@@ -69,6 +69,8 @@
 	 * otherwise from where the page with this store_answer.next ended.
 	 */
 	char *(*list_target)(const struct adapter *adapter, const char *prefix, const char *next);
+	/* Where a listing goes on after a key, for list_target. */
+	char *(*list_next)(const struct adapter *adapter, const char *key);
 	/*
 	 * Request target that returns the changes after a revision; when there are none the store
 	 * waits for one for up to wait_ms.
--- a/src/feed.c
+++ b/src/feed.c
@@ -433,6 +433,34 @@
 		((struct store_item *)g_ptr_array_index(answer->items, i))->read_ms = read_ms;
 }
 
+/*
+ * Where a listing goes on after a page without any key: right before the next keys that VMs use.
+ * NULL when keys that VMs use may lie between, or when none follow.
+ */
+static char *unused_skip(const struct feed *f)
+{
+	const struct adapter *adapter = f->adapter;
+	const char *used[] = {adapter->routes_key, adapter->evacuation_prefix,
+			      adapter->leaf_prefix};
+	const struct store_item *last = f->listed && f->listed->len > 0
+						? g_ptr_array_index(f->listed, f->listed->len - 1)
+						: NULL;
+	const char *position = last ? last->key : "";
+	const char *first = NULL;
+	g_autofree char *before = NULL;
+
+	for (size_t i = 0; i < G_N_ELEMENTS(used); i++) {
+		if (g_str_has_prefix(position, used[i]) && strcmp(position, used[0]) != 0)
+			return NULL;
+		if (strcmp(used[i], position) > 0 && (!first || strcmp(used[i], first) < 0))
+			first = used[i];
+	}
+	/* The text without its last character sorts before all keys that begin with it. */
+	before = first ? g_strndup(first, strlen(first) - 1) : NULL;
+	return before && strcmp(before, position) > 0 ? adapter->ops->list_next(adapter, before)
+						      : NULL;
+}
+
 static void answer_apply(struct feed *f, const struct http_reader *message)
 {
 	struct store_answer answer = {0};
@@ -447,6 +475,8 @@
 		g_error_free(error);
 		return;
 	}
+	if (f->state == FEED_LISTING && answer.has_more && !answer.next)
+		answer.next = unused_skip(f);
 	if (f->state == FEED_LISTING && answer.has_more &&
 	    (!answer.next || strcmp(answer.next, f->next_page) == 0)) {
 		feed_fail(f, answer.next ? "page without a new key" : "page without a key");
