Let waiting answers go on one by one, and copy large ones once less

Cause: large answers without a length that waited for each other were all given up in the same moment, so that none was delivered; and an answer was joined with its head in a copy of its own. Change: after each answer that is given up the others are tried again; bodies above 64 KB are written without joining them.

--- a/src/heldbytes.c
+++ b/src/heldbytes.c
@@ -354,6 +354,8 @@
 		wait_end(h, expired);
 		h->stats.given_up++;
 		expired->ops->give_up(expired);
+		/* What it held may let another go on that would expire next. */
+		fitting_resume(h);
 	}
 	fitting_resume(h);
 	short_end_check(h, now_ms);
--- a/src/httpserver.c
+++ b/src/httpserver.c
@@ -38,6 +38,8 @@
 /* The owner of a request makes a copy of its body, which is counted from the start so that it fits.
  */
 #define BODY_COPIES 2
+/* A larger body is written by itself, since joining it with the head takes one copy more. */
+#define JOINED_BODY_BYTES_MAX 65536
 
 struct http_request {
 	struct stream stream;
@@ -119,13 +121,16 @@
 static bool answer_write(struct http_request *r, unsigned int status, const char *fields,
 			 const char *body, size_t n, bool keep)
 {
-	GString *out = g_string_sized_new(256 + n);
+	bool is_joined = n <= JOINED_BODY_BYTES_MAX;
+	GString *out = g_string_sized_new(256 + (is_joined ? n : 0));
 
 	g_string_append_printf(out, "HTTP/1.1 %u %s\r\n%sContent-Length: %zu\r\n%s\r\n", status,
 			       http_status_text(status), fields, n,
 			       keep ? "" : "Connection: close\r\n");
-	g_string_append_len(out, body, (gssize)n);
-	if (!stream_write(&r->stream, out->str, out->len)) {
+	if (is_joined)
+		g_string_append_len(out, body, (gssize)n);
+	if (!stream_write(&r->stream, out->str, out->len) ||
+	    (!is_joined && !stream_write(&r->stream, body, n))) {
 		g_string_free(out, TRUE);
 		connection_destroy(r);
 		return false;
