Deliver answers of the product's own interface over a planned stop

Cause: a planned stop waited for unanswered requests only, so that it cut answers which were being sent; and a caller that took nothing of its answer was held for ever. Change: an answer counts as work until it is sent; a connection is closed when its caller takes nothing for 10 s.

--- a/fakes/fake_leaf.c
+++ b/fakes/fake_leaf.c
@@ -32,6 +32,7 @@
  * - wrong_id: puts the id of another call into successful responses
  * - garbage: sends a truncated JSON body in successful responses
  * - lie_load: reports no running and no queued calls in GET /load
+ * - hit_bytes: adds a text of so many bytes to each hit
  *
  * Capacity, for each leaf:
  * - slots: calls that run at the same time; queue: calls that wait for a slot
@@ -51,6 +52,7 @@
 	X(wrong_id, 0)      \
 	X(garbage, 0)       \
 	X(lie_load, 0)      \
+	X(hit_bytes, 0)     \
 	X(slots, 2)         \
 	X(queue, 0)         \
 	X(connections, 25)  \
@@ -308,15 +310,23 @@
 static json_t *hits_create(const struct call *call)
 {
 	json_t *hits = json_array();
+	gsize n_text = (gsize)call->leaf->settings.hit_bytes;
 
 	for (unsigned int i = 0; i < HITS_PER_SHARD; i++) {
 		char *id = g_strdup_printf("s%u-v%u-%u", call->shard, call->version, i);
 		char *seed = g_strdup_printf("%s %s", id, call->body);
 
-		json_array_append_new(hits, json_pack("{s:s, s:f, s:i, s:I}", "id", id, "score",
-						      g_str_hash(seed) / (double)UINT32_MAX,
-						      "shard", (int)call->shard, "q",
-						      (json_int_t)g_str_hash(call->body)));
+		json_t *hit = json_pack("{s:s, s:f, s:i, s:I}", "id", id, "score",
+					g_str_hash(seed) / (double)UINT32_MAX, "shard",
+					(int)call->shard, "q", (json_int_t)g_str_hash(call->body));
+
+		if (n_text > 0) {
+			char *text = g_strnfill(n_text, 'x');
+
+			json_object_set_new(hit, "text", json_string(text));
+			g_free(text);
+		}
+		json_array_append_new(hits, hit);
 		g_free(seed);
 		g_free(id);
 	}
--- a/src/front.c
+++ b/src/front.c
@@ -2,23 +2,32 @@
 
 #include "clock.h"
 #include "hist.h"
+#include "list.h"
 #include "message.h"
 #include "request.h"
 
 #include <event2/buffer.h>
+#include <event2/bufferevent.h>
 #include <event2/http.h>
 #include <inttypes.h>
+#include <linux/sockios.h>
 #include <string.h>
+#include <sys/ioctl.h>
 
 #define BODY_BYTES_MAX 65536
 #define HEADER_BYTES_MAX 16384
 #define NAME_BYTES_MAX 63
+/* A connection is closed when its caller takes nothing of an answer for this time. */
+#define STALL_MAX_MS 10000
+#define STALL_CHECK_MS 500
 
 struct front {
 	struct service service;
 	struct evhttp *http;
 	struct evhttp_bound_socket *bound;
 	GHashTable *pending; /* tag -> struct pending */
+	struct list_head sending; /* struct sending */
+	struct event *stall_check;
 	GHashTable *latency; /* "service/class" -> struct hist of microseconds */
 	uint64_t next_tag;
 	bool refuses_new_requests; /* a planned stop is near its time limit */
@@ -34,6 +43,14 @@
 	json_t *body; /* merged status replies */
 };
 
+/* An answer to a caller that the socket has not taken as a whole yet. */
+struct sending {
+	struct list_head node; /* in front.sending */
+	struct evhttp_connection *evcon;
+	size_t untaken_bytes; /* not acknowledged by the caller when last looked at */
+	uint64_t since_ms; /* when they last changed */
+};
+
 /* The HTTP status for a result code; see result.h for the ranges of the codes. */
 static int http_status(enum result result)
 {
@@ -251,6 +268,72 @@
 		error_send(f, req, RESULT_NOT_FOUND, "no such path or method");
 }
 
+static void sending_end(struct sending *s)
+{
+	list_del(&s->node);
+	g_free(s);
+}
+
+static void answer_sent(struct evhttp_request *req, void *arg)
+{
+	struct sending *s = arg;
+
+	evhttp_connection_set_closecb(s->evcon, NULL, NULL);
+	sending_end(s);
+}
+
+static void connection_closed(struct evhttp_connection *evcon, void *arg)
+{
+	sending_end(arg);
+}
+
+/* Counts the answer, which is sent next, as work until it is sent or its connection is closed. */
+static void sending_begin(struct front *f, struct evhttp_request *req)
+{
+	struct evhttp_connection *evcon = evhttp_request_get_connection(req);
+	struct sending *s;
+
+	if (!evcon) /* the caller has left */
+		return;
+	s = g_new0(struct sending, 1);
+	s->evcon = evcon;
+	s->since_ms = clock_now_ms();
+	list_add_tail(&s->node, &f->sending);
+	evhttp_request_set_on_complete_cb(req, answer_sent, s);
+	evhttp_connection_set_closecb(evcon, connection_closed, s);
+}
+
+/* False when the caller has taken nothing for STALL_MAX_MS. */
+static bool sending_goes_on(struct sending *s, uint64_t now_ms)
+{
+	struct bufferevent *bev = evhttp_connection_get_bufferevent(s->evcon);
+	size_t untaken_bytes = evbuffer_get_length(bufferevent_get_output(bev));
+	int queued = 0;
+
+	if (ioctl(bufferevent_getfd(bev), SIOCOUTQ, &queued) == 0 && queued > 0)
+		untaken_bytes += (size_t)queued;
+	if (untaken_bytes != s->untaken_bytes) {
+		s->untaken_bytes = untaken_bytes;
+		s->since_ms = now_ms;
+	}
+	return now_ms - s->since_ms <= STALL_MAX_MS;
+}
+
+static void stall_check_handle(evutil_socket_t fd, short what, void *arg)
+{
+	struct front *f = arg;
+	struct list_head *pos;
+	struct list_head *next;
+	uint64_t now_ms = clock_now_ms();
+
+	list_for_each_safe (pos, next, &f->sending) {
+		struct sending *s = list_entry(pos, struct sending, node);
+
+		if (!sending_goes_on(s, now_ms))
+			evhttp_connection_free(s->evcon); /* ends s */
+	}
+}
+
 static void latency_add(struct front *f, const struct caller_answer *answer)
 {
 	g_autofree char *key = NULL;
@@ -274,6 +357,7 @@
 	if (!p)
 		return;
 	latency_add(f, answer);
+	sending_begin(f, p->req);
 	json_send(p->req, http_status(answer->result), answer->body);
 	g_hash_table_remove(f->pending, (gpointer)(guintptr)answer->tag);
 }
@@ -294,10 +378,14 @@
 	g_hash_table_remove(f->pending, (gpointer)(guintptr)reply->tag);
 }
 
-/* Reports how many requests of callers are unanswered; a planned stop waits for them. */
+/*
+ * Reports how many requests of callers are unanswered or have answers that are being sent; a
+ * planned stop waits for them.
+ */
 static void own_status_answer(struct front *f, const struct status_request *request)
 {
 	json_int_t n = 0;
+	struct list_head *pos;
 	GHashTableIter iter;
 	gpointer value;
 	struct status_reply *reply;
@@ -305,6 +393,8 @@
 	g_hash_table_iter_init(&iter, f->pending);
 	while (g_hash_table_iter_next(&iter, NULL, &value))
 		n += ((struct pending *)value)->kind == PENDING_REQUEST;
+	list_for_each (pos, &f->sending)
+		n++;
 	reply = status_reply_create(request->tag, json_pack("{s:{s:I}}", "front", "requests", n));
 	kernel_message_send(f->service.kernel, request->reply_to, &reply->message);
 }
@@ -338,6 +428,8 @@
 
 	if (f->http)
 		evhttp_free(f->http);
+	if (f->stall_check)
+		event_free(f->stall_check);
 	g_hash_table_destroy(f->pending);
 	g_hash_table_destroy(f->latency);
 	g_free(f);
@@ -350,14 +442,18 @@
 		.receive = front_receive,
 		.destroy = front_destroy,
 	};
+	static const struct timeval stall_period = {0, STALL_CHECK_MS * 1000L};
 	struct front *f = g_new0(struct front, 1);
 	const char *colon = strrchr(http_address, ':');
 	g_autofree char *ip = colon ? g_strndup(http_address, colon - http_address) : NULL;
 
 	f->service.ops = &ops;
+	list_init(&f->sending);
 	f->pending = g_hash_table_new_full(NULL, NULL, NULL, pending_free);
 	f->latency = g_hash_table_new_full(g_str_hash, g_str_equal, g_free,
 					   (GDestroyNotify)hist_destroy);
+	f->stall_check = event_new(kernel_base(k), -1, EV_PERSIST, stall_check_handle, f);
+	event_add(f->stall_check, &stall_period);
 	f->http = evhttp_new(kernel_base(k));
 	evhttp_set_max_body_size(f->http, BODY_BYTES_MAX);
 	evhttp_set_max_headers_size(f->http, HEADER_BYTES_MAX);
