Test that explain names refusals for expected answers

Cause: the reason of a refusal for expected answers had no test. Change: a test of the line that explain prints for it. Result: explain.refusal_by_expected_answers_is_named passes.

--- a/tests/explain_test.cc
+++ b/tests/explain_test.cc
@@ -92,6 +92,21 @@
 	EXPECT_NE(out.find("held as many bytes for slow callers"), std::string::npos) << out;
 }
 
+/* Guards against a refusal for lack of memory that does not say why no leaf was called. */
+TEST(explain, refusal_by_expected_answers_is_named)
+{
+	bool found;
+	std::string out = explain(
+		"ab12",
+		"2026-12-04T12:00:02.000Z level=warning vm=n1 event=request_done request=ab12 "
+		"outcome=refused status=503 route=r version=4 version_age_ms=5300 in=0 of=90 "
+		"wait_ms=1500 took_us=100 trace=\"+0 refused s0 - memory;\"\n",
+		&found);
+
+	EXPECT_NE(out.find("this VM held and expected as many bytes as it may"), std::string::npos)
+		<< out;
+}
+
 /* Guards against a refusal by rank that does not say which capacity was short and who held it. */
 TEST(explain, refusal_by_rank_names_the_holder)
 {
