Draw the leaf of a call among equally fast leaves

Cause: every VM calls the leaf with the least expected time, an average of about five answers, so that nearly all calls of a VM go to a few of many equal leaves. A service whose leaves tell no load was never spread. Change: the leaf of a first call is drawn among those that the averages cannot tell apart; off with APRICOT_SPREAD=off.

--- a/bench/common/spreadmodel.c
+++ b/bench/common/spreadmodel.c
@@ -87,6 +87,8 @@
 	vm->leaves = leafset_create(vm->dc);
 	if (m->s->rule == SPREADMODEL_SPREAD || m->s->rule == SPREADMODEL_ALWAYS)
 		leafset_spread_enable(vm->leaves, m->choice_rand, &spread_ops, NULL);
+	if (m->s->rule == SPREADMODEL_DRAW)
+		leafset_draw_enable(vm->leaves, m->choice_rand);
 	for (unsigned int l = 0; l < N_LEAVES; l++) {
 		g_autofree char *id = g_strdup_printf("l%u", l);
 		g_autofree char *dc = g_strdup(dc_name(l));
@@ -255,7 +257,8 @@
 static void call_learn(struct model *m, unsigned int l, struct call *c)
 {
 	struct leaf *leaf = m->vms[c->vm].leaf[l];
-	struct leaf_signals signals = {.has_load = m->s->rule != SPREADMODEL_TODAY,
+	struct leaf_signals signals = {.has_load = m->s->rule != SPREADMODEL_TODAY &&
+						   m->s->rule != SPREADMODEL_DRAW,
 				       .load = c->load};
 
 	leaf->outstanding++;
--- a/bench/common/spreadmodel.h
+++ b/bench/common/spreadmodel.h
@@ -19,6 +19,7 @@
 #define SPREADMODEL_RULE_LIST(X)                                                     \
 	X(TODAY, "today", "least expected time, leaves tell no load")                \
 	X(LOAD, "load", "least expected time, leaves tell their load")               \
+	X(DRAW, "draw", "the same as today, drawn among equally fast leaves")        \
 	X(TWO, "two", "the better of two random leaves")                             \
 	X(AGED, "aged", "least expected time, blurred more the older the knowledge") \
 	X(SUBSET, "subset", "least expected time of a third, by rendezvous hashing") \
--- a/src/gateway.c
+++ b/src/gateway.c
@@ -532,8 +532,10 @@
 	g->stop_limit_ms = MAX(settings->stop_limit_ms, ANSWER_WRITE_MS);
 	g->env.adapter = adapter;
 	g->env.leaves = leafset_create(settings->dc);
-	if (settings->has_spread)
+	if (settings->has_spread) {
 		leafset_spread_enable(g->env.leaves, g->env.rand, &spread_ops, g);
+		leafset_draw_enable(g->env.leaves, g->env.rand);
+	}
 	g->evacuations = evacuations_create();
 	g->env.warmups = warmups_create(&warmup_ops, g);
 	g->warmup_tick = event_new(kernel_base(k), -1, EV_PERSIST, warmup_tick_handle, g);
--- a/src/gateway.h
+++ b/src/gateway.h
@@ -18,7 +18,7 @@
 	uint64_t held_bound_bytes; /* held for callers and leaves at most; 0: not bounded */
 	unsigned int features; /* enum feature values combined */
 	const char *dc_regions; /* regions of the data centres, see region.h; or NULL */
-	bool has_spread; /* services that are unevenly loaded are spread */
+	bool has_spread; /* calls are spread over leaves, see spread.h */
 	uint64_t stop_limit_ms; /* from the announcement of a planned stop until the process ends */
 };
 
--- a/src/leafset.c
+++ b/src/leafset.c
@@ -53,7 +53,8 @@
 	GHashTable *services; /* name -> struct leaf_service */
 	const struct leafset_spread_ops *spread_ops; /* NULL: no spreading */
 	void *spread_arg;
-	GRand *rand;
+	GRand *rand; /* of the spreading */
+	GRand *draw_rand; /* NULL: the fastest leaf is called */
 	uint64_t window_end_us; /* of the measure of load */
 	GPtrArray *found; /* reused by choices: the leaves that may be called */
 	GArray *candidates; /* reused by choices: struct spread_candidate of each */
@@ -464,11 +465,12 @@
 }
 
 /*
- * One of two random leaves that may be called at once, or NULL if there is none: a leaf that is
- * quarantined, cold, limited or paused takes no call from one that is not.
+ * Collects the leaves that may be called at once in s->found and s->candidates: a leaf that is
+ * quarantined, cold, limited or paused takes no call from one that is not. is_steady: their cost is
+ * by the steady latency.
  */
-static struct leaf *spread_leaf_choose(const struct leafset *s, const GPtrArray *list,
-				       const GPtrArray *regions, uint64_t now_us)
+static void candidates_collect(const struct leafset *s, const GPtrArray *list,
+			       const GPtrArray *regions, bool is_steady, uint64_t now_us)
 {
 	g_ptr_array_set_size(s->found, 0);
 	g_array_set_size(s->candidates, 0);
@@ -479,12 +481,20 @@
 
 		if (!is_spreadable(l, now_us) || !region_allows(regions, l->region))
 			continue;
-		usual_us = usual_latency_us(l, l->steady_us, now_us);
+		usual_us = usual_latency_us(l, is_steady ? l->steady_us : l->latency_us, now_us);
 		candidate.cost_us = cost_at_us(l, s->own_dc, usual_us, now_us);
+		candidate.calls_per_slot = (double)l->outstanding / l->slots;
 		candidate.is_near = strcmp(l->dc, s->own_dc) == 0;
 		g_ptr_array_add(s->found, l);
 		g_array_append_val(s->candidates, candidate);
 	}
+}
+
+/* One of two random leaves, or NULL if none may be called at once. */
+static struct leaf *spread_leaf_choose(const struct leafset *s, const GPtrArray *list,
+				       const GPtrArray *regions, uint64_t now_us)
+{
+	candidates_collect(s, list, regions, true, now_us);
 	if (s->found->len == 0)
 		return NULL;
 	return g_ptr_array_index(s->found,
@@ -492,6 +502,21 @@
 					       s->found->len, s->rand));
 }
 
+/* A random leaf that is as good as the fastest one. */
+static struct leaf *similar_leaf_draw(const struct leafset *s, const GPtrArray *list,
+				      const GPtrArray *regions, struct leaf *fastest,
+				      uint64_t now_us)
+{
+	guint best;
+
+	candidates_collect(s, list, regions, false, now_us);
+	if (!g_ptr_array_find(s->found, fastest, &best))
+		return fastest;
+	return g_ptr_array_index(s->found,
+				 spread_draw((const struct spread_candidate *)s->candidates->data,
+					     s->found->len, best, s->draw_rand));
+}
+
 static struct leaf *fastest_leaf_choose(const struct leafset *s, const char *service,
 					const GPtrArray *regions, struct leaf *const *tried,
 					unsigned int n_tried, uint64_t now_us)
@@ -528,7 +553,17 @@
 
 	if (n_tried == 0 && found && found->spread.is_in_force)
 		leaf = spread_leaf_choose(s, found->leaves, regions, now_us);
-	return leaf ? leaf : fastest_leaf_choose(s, service, regions, tried, n_tried, now_us);
+	if (leaf)
+		return leaf;
+	leaf = fastest_leaf_choose(s, service, regions, tried, n_tried, now_us);
+	return leaf && found && n_tried == 0 && s->draw_rand
+		       ? similar_leaf_draw(s, found->leaves, regions, leaf, now_us)
+		       : leaf;
+}
+
+void leafset_draw_enable(struct leafset *s, GRand *rand)
+{
+	s->draw_rand = rand;
 }
 
 void leafset_spread_enable(struct leafset *s, GRand *rand, const struct leafset_spread_ops *ops,
--- a/src/leafset.h
+++ b/src/leafset.h
@@ -185,6 +185,11 @@
  */
 void leafset_spread_enable(struct leafset *s, GRand *rand, const struct leafset_spread_ops *ops,
 			   void *arg);
+/*
+ * Draws the leaf of a first call among those that are expected to be equally fast (spread_draw()).
+ * Without this call it is the one with the least expected time. rand is borrowed.
+ */
+void leafset_draw_enable(struct leafset *s, GRand *rand);
 /* Ends windows of the measure of load that are over. To be called several times a second. */
 void leafset_spread_advance(struct leafset *s, uint64_t now_us);
 /* The measures of the service, or NULL if there is no such service (borrowed). */
--- a/src/spread.c
+++ b/src/spread.c
@@ -16,6 +16,14 @@
 /* A leaf that has told nothing for so long is left out of the measure. */
 #define LOAD_AGE_MAX_US 2000000
 
+/*
+ * Leaves that are expected to take up to this much longer are as good as the best one. The averages
+ * are of the last five answers or so, and differ by this much between equal leaves whose calls vary
+ * by half of their mean either way. The way to another data centre is within it for long calls
+ * only.
+ */
+#define SIMILAR_FACTOR 1.25
+
 void spread_load_add(struct spread_meter *m, double calls_per_slot)
 {
 	m->load_sum += calls_per_slot;
@@ -127,3 +135,20 @@
 	second = (first + (unsigned int)g_rand_int_range(rand, 1, (gint32)n)) % n;
 	return candidates[second].cost_us < candidates[first].cost_us ? second : first;
 }
+
+unsigned int spread_draw(const struct spread_candidate *candidates, unsigned int n,
+			 unsigned int best, GRand *rand)
+{
+	double limit_us = SIMILAR_FACTOR * candidates[best].cost_us;
+	unsigned int drawn = best;
+	gint32 n_similar = 0;
+
+	for (unsigned int i = 0; i < n; i++) {
+		if (candidates[i].calls_per_slot > candidates[best].calls_per_slot ||
+		    candidates[i].cost_us > limit_us)
+			continue;
+		if (g_rand_int_range(rand, 0, ++n_similar) == 0)
+			drawn = i;
+	}
+	return drawn;
+}
--- a/src/spread.h
+++ b/src/spread.h
@@ -7,6 +7,10 @@
  * of the calls. It measures the load by what the leaves tell in answers; a service whose leaves
  * tell nothing is never spread.
  *
+ * For any service a VM draws among the leaves that it cannot tell apart. This answers many VMs that
+ * send nearly all calls to a few of many equal leaves, because these were a little faster the last
+ * time.
+ *
  * Times are in microseconds; callers pass the current time and the random source.
  */
 #ifndef APRICOT_SPREAD_H
@@ -38,6 +42,7 @@
 
 struct spread_candidate {
 	double cost_us;
+	double calls_per_slot; /* open calls of this VM */
 	bool is_near; /* in the data centre of this VM */
 };
 
@@ -54,6 +59,12 @@
  */
 bool spread_window_end(struct spread *s, struct spread_meter *const *meters, unsigned int n,
 		       uint64_t now_us);
+/*
+ * The index of a random one of the candidates that are as good as the best one: they have no more
+ * open calls, and their cost exceeds its cost by no more than what it varies. best: its index.
+ */
+unsigned int spread_draw(const struct spread_candidate *candidates, unsigned int n,
+			 unsigned int best, GRand *rand);
 /* The index of the leaf for a call; n is at least 1. */
 unsigned int spread_choose(const struct spread_candidate *candidates, unsigned int n, GRand *rand);
 
--- a/tests/spread_test.cc
+++ b/tests/spread_test.cc
@@ -139,6 +139,14 @@
 		}
 	}
 
+	void take(struct leaf *l, uint64_t ms) const
+	{
+		for (int i = 0; i < 20; i++) {
+			leaf_call_started(l, now_us);
+			leaf_call_ended(l, LEAF_END_ANSWERED, ms * 1000, now_us);
+		}
+	}
+
 	/* model RULE CASE VMS AGE_MS LOAD_PCT RATIO P99_MS: whether the run stays within both */
 	static std::string model(const std::vector<std::string> &w)
 	{
@@ -176,6 +184,12 @@
 			be(leafset_find(s, w[1].c_str()), w[2]);
 		else if (w[0] == "choose")
 			return shares(leafset_choose);
+		else if (w[0] == "draw")
+			leafset_draw_enable(s, rand);
+		else if (w[0] == "take") /* take ID MS: an answer after this time */
+			take(leafset_find(s, w[1].c_str()), std::stoull(w[2]));
+		else if (w[0] == "open") /* open ID: a call that is not answered */
+			leaf_call_started(leafset_find(s, w[1].c_str()), now_us);
 		else if (w[0] == "restrict") /* restrict DC_REGIONS REGION */
 			restrict_to(w[1].c_str(), w[2].c_str());
 		else if (w[0] == "uneven")
