--- a/src/mirror.c
+++ b/src/mirror.c
@@ -20,7 +20,7 @@
 	copy->revision = item->revision;
 	copy->n_value = item->n_value;
 	copy->read_ms = item->read_ms;
-	if (item->value) { /* an empty value is none of a removal */
+	if (item->value) { /* an empty value is not a removal */
 		copy->value = g_malloc0(item->n_value + 1);
 		memcpy(copy->value, item->value, item->n_value);
 	}
