Copy no empty value from a null pointer in the relay

Cause: malformed and unused values are relayed empty, and XDR leaves an empty value NULL. memcpy from it is undefined behaviour; with UndefinedBehaviorSanitizer a VM that asks others ended (check-sanitize: evacuated_data_centre and evacuations_and_store_outage failed). Change: an empty value is not copied.

--- a/src/relay.c
+++ b/src/relay.c
@@ -283,7 +283,8 @@
 		if (!from->is_removed) {
 			item->n_value = from->value.value_len;
 			item->value = g_malloc0(item->n_value + 1);
-			memcpy(item->value, from->value.value_val, item->n_value);
+			if (item->n_value > 0) /* XDR leaves an empty value NULL */
+				memcpy(item->value, from->value.value_val, item->n_value);
 		}
 		g_ptr_array_add(out->items, item);
 	}
