--- a/review/lib-2/deployment.py
+++ b/review/lib-2/deployment.py
@@ -11,6 +11,7 @@
 import shlex
 import shutil
 import signal
+import socket
 import sys
 import tempfile
 import time
@@ -214,6 +215,24 @@
             return False
 
 
+def free_ports(ip, count):
+    """The first of some consecutive ports that nothing uses on the address."""
+    for first in random.SystemRandom().sample(range(6000, 20000, count), 100):
+        probes = []
+        try:
+            for port in range(first, first + count):
+                for kind in (socket.SOCK_STREAM, socket.SOCK_DGRAM):
+                    probes.append(socket.socket(socket.AF_INET, kind))
+                    probes[-1].bind((ip, port))
+            return first
+        except OSError:
+            pass
+        finally:
+            for probe in probes:
+                probe.close()
+    raise RuntimeError("no free ports")
+
+
 class Site:
     def __init__(self, case_folder, zones=("za", "zb", "zc")):
         self.folder = tempfile.mkdtemp(prefix="review-")
@@ -222,8 +241,9 @@
         self.store, self.routes, self.version, self.runs = Store(), [], 0, {}
         block = random.SystemRandom().randrange(1 << 14)
         self.net = f"127.{64 + (block >> 8)}.{block & 255}"
-        self.ports = {"front": 8104, "ready": 8108, "control": 8106, "directory": 8100}
-        self.internal_port = 7380
+        first = free_ports(f"{self.net}.1", 20)
+        self.ports = {"front": first, "ready": first + 1, "control": first + 2, "directory": first + 3}
+        self.internal_port = first + 4
 
     async def start(self):
         self.store.ip = self.net + ".200"
