--- a/src/logevent.h
+++ b/src/logevent.h
@@ -58,6 +58,7 @@
 	X("store_listed", "all keys of the store were read")                                       \
 	X("store_history_lost", "the store has dropped its history; all keys are read again")      \
 	X("store_reading", "whether this VM now reads the store or gets changes from peers; why")  \
+	X("readers_lost", "no reader answers as current any more; other VMs are asked as well")    \
 	X("second_reader_asked",                                                                   \
 	  "changes that a reader knows have not arrived from the first one; another is asked")     \
 	X("entries_chosen", "number of entry VMs, those whose addresses callers get")              \
--- a/src/relay.c
+++ b/src/relay.c
@@ -53,6 +53,7 @@
 	bool is_following; /* asks readers */
 	unsigned int search_turn; /* a multiple of SEARCH_TURNS: the readers are asked */
 	uint64_t search_next_ms; /* when the next turn may begin */
+	bool is_searching; /* all readers were lost, and no VM has answered as current since */
 	bool is_reading; /* the feed of this VM was told to read the store */
 	bool is_current; /* as in the last store_update of the feed since it began to read */
 };
@@ -210,6 +211,10 @@
 {
 	if (reads_itself(r) || now_ms < r->search_next_ms || !follower_is_lost(r->follower, now_ms))
 		return;
+	if (!r->is_searching)
+		log_event(LOG_LEVEL_INFO, "readers_lost", "revision=%" G_GUINT64_FORMAT,
+			  mirror_revision(r->mirror));
+	r->is_searching = true;
 	r->search_turn++;
 	r->search_next_ms = now_ms + SEARCH_MS;
 }
@@ -324,6 +329,8 @@
 	bool asked_changes = follower_answered(r->follower, message->tag, is_current,
 					       is_current ? reply->revision : 0, now_ms, &asked_ms);
 
+	if (is_current)
+		r->is_searching = false;
 	/* The revision of the store can rise without a change of a key. */
 	if (is_current && (asked_changes || reply->items.items_len > 0))
 		changes_receive(r, reply, asked_ms);
