Decide to read the store before asking other VMs

Cause: when the last reader tells that it has lost the store, the relay first turns to other VMs, which replaces the readers in the follower. The new ones do not count as lost yet, so the follower sees no need to read the store until 2.3 s after the last answer of a reader. With the line readers_lost the log shows it: the VMs know of the loss 0 to 101 ms after the last store_lost and begin to read 1.3 s later.

The decision is now taken first. It needs no more: each change of what the follower knows is followed by it, before any reader is replaced.

relay.store_is_read_at_once_when_all_readers_have_lost_it fails without the change (3 of 3 runs) and passes with it.

--- a/src/relay.c
+++ b/src/relay.c
@@ -261,9 +261,10 @@
 		return;
 	}
 	following_set(r, true, now_ms);
-	readers_ask(r, &readers, now_ms);
+	/* Decided before readers_ask turns to VMs of which the follower knows nothing yet. */
 	if (now_ms >= r->self_until_ms && follower_needs_store(r->follower, now_ms))
 		r->self_until_ms = now_ms + SELF_READING_MS;
+	readers_ask(r, &readers, now_ms);
 	reading_set(r, now_ms < r->self_until_ms,
 		    now_ms < r->self_until_ms ? "no reader answers" : "a reader answers");
 }
--- a/tests/relay_test.cc
+++ b/tests/relay_test.cc
@@ -309,6 +309,9 @@
 			return peer.changes_sent <= std::stoul(w[1]) ? "yes\n" : "no\n";
 		} else if (w[0] == "readers-lose-store") { /* this VM as well */
 			readers_lose_store(true);
+		} else if (w[0] == "no-vm-reads-store") { /* none of the other VMs */
+			for (auto &r : readers)
+				r.has_lost_store = true;
 		} else if (w[0] == "own-weight") { /* own-weight N: with three other VMs */
 			readers.resize(3);
 			roster_send(3, (unsigned int)std::stoul(w[1]));
@@ -323,7 +326,9 @@
 			return ask(std::stoull(w[1]));
 		} else if (w[0] == "vms-asked") { /* number of VMs that got a query */
 			return std::to_string(peer.asked.size()) + "\n";
-		} else if (w[0] == "reads-store") {
+		} else if (w[0] == "reads-store") { /* reads-store [within MS] */
+			loop(w.size() > 2 ? std::stoull(w[2]) : 0,
+			     [&] { return feed.reads_store; });
 			return feed.reads_store ? "yes\n" : "no\n";
 		} else {
 			return "unknown step " + w[0] + "\n";
