Let leaves send heads, chunks and trailers without end

endless_answers_are_given_up covered a field, interim answers and a body that never end. A report names bytes without end in a head or in a body of any form, so the stand-in also repeats reason phrases, blank lines, fields, chunks, chunk lines, chunk sizes and trailers, and a body that announces 1 TB.

--- a/fakes/routed_site.py
+++ b/fakes/routed_site.py
@@ -253,6 +253,9 @@
             await writer.drain()
 
 
+CHUNKED_HEAD = b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
+
+
 class Leaf(Server):
     """One leaf of a service, with faults. A run is counted when the work begins.
 
@@ -262,8 +265,8 @@
     - after the work: "lose" (aborts the connection), "error" (responds 500), "deny" (responds 408, 429 or
       503 without X-Not-Executed), "garbage" (sends bytes
       that are not HTTP and closes), "cut" (omits the last 3 bytes and closes), "twice" (sends the
-      response twice), "short_head" (closes within the head), "endless_head", "endless_interim" and
-      "endless_body" (go on until the connection is closed)
+      response twice), "short_head" (closes within the head), those of ENDLESS (go on until the connection
+      is closed)
 
     copies sends each response of a connection a second time. "whole": right before the next response on
     it; "unnamed": the same without the request's id; "halves": the first half at once, the second half
@@ -287,7 +290,16 @@
     # Modes that send without end: the begin of the response, and what is repeated.
     ENDLESS = {"endless_head": (b"HTTP/1.1 200 OK\r\nX-A: ", b"x" * 4096),
                "endless_interim": (b"", b"HTTP/1.1 100 Continue\r\n\r\n" * 160),
-               "endless_body": (b"HTTP/1.1 200 OK\r\nX-Response-Signature: s\r\n\r\n", b"x" * 4096)}
+               "endless_body": (b"HTTP/1.1 200 OK\r\nX-Response-Signature: s\r\n\r\n", b"x" * 4096),
+               "endless_length": (b"HTTP/1.1 200 OK\r\nContent-Length: 1000000000000\r\n\r\n", b"x" * 4096),
+               "endless_reason": (b"HTTP/1.1 200 ", b"x" * 4096),
+               "endless_blank_lines": (b"", b"\r\n" * 2048),
+               "endless_fields": (b"HTTP/1.1 200 OK\r\n", b"X-A: b\r\n" * 512),
+               "endless_chunks": (CHUNKED_HEAD, b"1\r\nx\r\n" * 700),
+               "endless_chunk_line": (CHUNKED_HEAD + b"1;", b"x" * 4096),
+               "endless_chunk_size": (CHUNKED_HEAD, b"0" * 4096),
+               "endless_trailer": (CHUNKED_HEAD + b"0\r\nX-A: ", b"x" * 4096),
+               "endless_trailers": (CHUNKED_HEAD + b"0\r\n", b"X-A: b\r\n" * 512)}
 
     def __init__(self, site, leaf_id, service, dc="a", work_s=0.003):
         super().__init__()
