Refuse statuses outside 100 to 599 in answers of leaves

Callers got answers with the statuses 600 and 999 of a leaf in trouble, which are no answers of HTTP (RFC 9110, 15), and the leaf's connection was used again. 000, which other operators reported, was refused already.

Cause: httpwire only checked that the first of three digits is not 0. It now has to be 1 to 5, so the answer is malformed like one without a status: its connection is closed and the request is retried or ends with 502.

--- a/fakes/routed_site.py
+++ b/fakes/routed_site.py
@@ -272,8 +272,8 @@
     it; "unnamed": the same without the request's id; "halves": the first half at once, the second half
     before the next response.
 
-    raw is a response without its first line that is sent instead, with %s for the usual fields; after_raw
-    counts requests that arrive on a connection behind such a response.
+    raw is a response without its first line that is sent instead, with %s for the usual fields, behind
+    first_line; after_raw counts requests that arrive on a connection behind such a response.
 
     cut is (framing, number of bytes, whether the connection is reset then) of a response that breaks off;
     framing is one of framed_response().
@@ -311,7 +311,7 @@
         self.endless = 0  # responses without end that are being sent
         self.copies, self.cut, self.slots = None, None, None
         self.warmup_ms = 0  # remaining warm-up, as the entry says
-        self.raw, self.after_raw = None, 0
+        self.raw, self.first_line, self.after_raw = None, "HTTP/1.1 200 X", 0
         self.framing = "length"  # of each complete response, see framed_response()
         self.payload = None  # body of each response; None: as Site.make_payload draws it
 
@@ -409,7 +409,7 @@
             if self.raw:
                 was_raw = True
                 lines = "".join(f"{name}: {value}\r\n" for name, value in headers.items())
-                writer.write(("HTTP/1.1 200 X\r\n" + self.raw % lines).encode())
+                writer.write((self.first_line + "\r\n" + self.raw % lines).encode())
             elif self.has_fault("error"):
                 writer.write(response_bytes(500, b"no", headers))
             elif self.has_fault("deny"):
--- a/src/httpwire.c
+++ b/src/httpwire.c
@@ -72,9 +72,12 @@
 
 static enum http_wire_state status_check(struct http_wire *w, char c)
 {
-	if (w->n < STATUS_DIGITS)
-		return g_ascii_isdigit(c) && (w->n++ > 0 || c != '0') ? HTTP_WIRE_STATUS
-								      : HTTP_WIRE_MALFORMED;
+	if (w->n < STATUS_DIGITS) {
+		/* RFC 9110, 15: a status is 100 to 599 */
+		bool is_valid = w->n++ == 0 ? c >= '1' && c <= '5' : g_ascii_isdigit(c);
+
+		return is_valid ? HTTP_WIRE_STATUS : HTTP_WIRE_MALFORMED;
+	}
 	if (c == '\r')
 		return HTTP_WIRE_LINE_LF;
 	return c == ' ' ? HTTP_WIRE_REASON : HTTP_WIRE_MALFORMED;
--- a/tests/fuzz/http.c
+++ b/tests/fuzz/http.c
@@ -144,7 +144,7 @@
 			return false;
 		m->status = m->status * 10 + (unsigned int)(rest.data[i] - '0');
 	}
-	return m->status >= 100 && span_is_text(rest, true);
+	return m->status >= 100 && m->status <= 599 && span_is_text(rest, true);
 }
 
 /* Reads fields up to and including the blank line. */
--- a/tests/httpmsg_test.cc
+++ b/tests/httpmsg_test.cc
@@ -411,9 +411,10 @@
 	for (const char *line :
 	     {"HTTP/1.1 200 OK\n", "HTTP/1.1  200 OK\r\n", "HTTP/1.1 20 OK\r\n",
 	      "HTTP/1.1 2000 OK\r\n", "HTTP/1.1 099 OK\r\n", "HTTP/1.1 000 OK\r\n",
-	      "HTTP/1.1 +20 OK\r\n", "HTTP/1.1\r\n", "HTTP/2.0 200 OK\r\n", "HTTP/1.1 200OK\r\n",
-	      "HTTP/1.1 200 OK\rX: y\r\n", "HTTP/1.1 200 O\x01K\r\n", " HTTP/1.1 200 OK\r\n",
-	      "\r\nHTTP/1.1 200 OK\r\n", "HTTP/1.1 200\tOK\r\n"})
+	      "HTTP/1.1 600 OK\r\n", "HTTP/1.1 999 OK\r\n", "HTTP/1.1 +20 OK\r\n", "HTTP/1.1\r\n",
+	      "HTTP/2.0 200 OK\r\n", "HTTP/1.1 200OK\r\n", "HTTP/1.1 200 OK\rX: y\r\n",
+	      "HTTP/1.1 200 O\x01K\r\n", " HTTP/1.1 200 OK\r\n", "\r\nHTTP/1.1 200 OK\r\n",
+	      "HTTP/1.1 200\tOK\r\n"})
 		result_expect(HTTP_MESSAGE_ANSWER, line + end, HTTP_MALFORMED);
 }
 
