Bound what waits unread on a connection to a backend server

With interim answers a daemon grew to 564 MB within 2 s; bytes behind a chunk size are kept as well. Answers to GET /load, with which connections are opened, end by no time limit, since that of evhttp starts anew with each byte.

Cause: evhttp limits heads and bodies, but not the lines between chunks, and takes one interim answer in a turn of the event loop, in which more arrive. inputlimit stops reading when more waits than the largest part that evhttp takes as a whole, and fails the connection.

check-routed-faults product_survives_endless_answers (13 forms, when a connection is opened and as the answer to a search) failed before (peak 564 MB of 100 MB allowed) and passes now (peak 23 MB). The routed deployment has no such fault: endless_answers_are_bounded (bound of 8 MB, 40 calls at a time) passes without a change of the daemon.

--- a/Makefile
+++ b/Makefile
@@ -18,7 +18,7 @@
 
 # Files that use sockets or clocks. All other files of src/ are part of libapricot.
 TASKS = kernel message request log peer rpc clock http front searcher commander holder leafgroup leafpool marks configurer membership stopper settings \
-	stream httpserver httpconn upstream job jobcall jobanswer gateway gatewaymetrics feed relay directory reload loadmeter
+	inputlimit stream httpserver httpconn upstream job jobcall jobanswer gateway gatewaymetrics feed relay directory reload loadmeter
 MAINS = main ctl
 
 ALL_SRCS = $(wildcard src/*.c)
--- a/src/leafpool.c
+++ b/src/leafpool.c
@@ -2,6 +2,7 @@
 
 #include "backoff.h"
 #include "clock.h"
+#include "inputlimit.h"
 #include "list.h"
 
 #include <event2/buffer.h>
@@ -266,6 +267,7 @@
 	evhttp_connection_set_timeout_tv(conn->evcon, &timeout);
 	evhttp_connection_set_max_body_size(conn->evcon, ANSWER_BODY_BYTES_MAX);
 	evhttp_connection_set_max_headers_size(conn->evcon, ANSWER_HEADER_BYTES_MAX);
+	inputlimit_set(evhttp_connection_get_bufferevent(conn->evcon), ANSWER_BODY_BYTES_MAX);
 	conn->has_timeout = true;
 	evhttp_connection_set_closecb(conn->evcon, conn_closed, conn);
 	list_add_tail(&conn->node, &p->in_use);
