Bound what waits unread from callers and the configuration service

The cause is the one found for backend servers: evhttp goes on reading while its owner takes nothing. The configuration service is read through the same library, and its heads had no limit at all.

Both now have the limit of inputlimit: the largest body of an answer, and 1 MiB of further requests for a caller, so that requests sent ahead are still answered. Heads of the configuration service end at 16 KB.

--- a/src/front.c
+++ b/src/front.c
@@ -2,6 +2,7 @@
 
 #include "clock.h"
 #include "hist.h"
+#include "inputlimit.h"
 #include "list.h"
 #include "message.h"
 #include "request.h"
@@ -16,6 +17,8 @@
 
 #define BODY_BYTES_MAX 65536
 #define HEADER_BYTES_MAX 16384
+/* A caller may send further requests before an answer; with more than this its connection fails. */
+#define AHEAD_BYTES_MAX (1 << 20)
 #define NAME_BYTES_MAX 63
 /* A connection is closed when its caller takes nothing of an answer for this time. */
 #define STALL_MAX_MS 10000
@@ -473,6 +476,15 @@
 	g_free(f);
 }
 
+static struct bufferevent *caller_bev_create(struct event_base *base, void *arg)
+{
+	struct bufferevent *bev = bufferevent_socket_new(base, -1, 0);
+
+	if (bev)
+		inputlimit_set(bev, AHEAD_BYTES_MAX);
+	return bev;
+}
+
 struct service *front_create(struct kernel *k, const char *http_address, GError **error)
 {
 	static const struct service_ops ops = {
@@ -495,6 +507,7 @@
 	f->http = evhttp_new(kernel_base(k));
 	evhttp_set_max_body_size(f->http, BODY_BYTES_MAX);
 	evhttp_set_max_headers_size(f->http, HEADER_BYTES_MAX);
+	evhttp_set_bevcb(f->http, caller_bev_create, NULL);
 	evhttp_set_allowed_methods(f->http, EVHTTP_REQ_GET | EVHTTP_REQ_POST);
 	evhttp_set_gencb(f->http, http_handle, f);
 	if (!manifest_address_is_valid(http_address)) {
--- a/src/http.c
+++ b/src/http.c
@@ -1,10 +1,13 @@
 #include "http.h"
 
+#include "inputlimit.h"
+
 #include <event2/buffer.h>
 #include <string.h>
 
 /* The platform's values are at most 1 MiB; a status or metrics page is smaller. */
 #define BODY_BYTES_MAX (4 << 20)
+#define HEADER_BYTES_MAX 16384
 
 struct http_client {
 	struct event_base *base;
@@ -107,6 +110,8 @@
 		timeout.tv_sec += 1;
 		evhttp_connection_set_timeout_tv(c->evcon, &timeout);
 		evhttp_connection_set_max_body_size(c->evcon, BODY_BYTES_MAX);
+		evhttp_connection_set_max_headers_size(c->evcon, HEADER_BYTES_MAX);
+		inputlimit_set(evhttp_connection_get_bufferevent(c->evcon), BODY_BYTES_MAX);
 	}
 	evhttp_add_header(headers, "Host", c->address);
 	if (caller)
