Let readers vouch with the answers of the store

VMs served by an old version more than 3.0 s after the confirmation of the next one when the store had fallen silent to all readers and these were paused, or cut off, before they noticed (CONFIG): none of the other VMs had the version after 3.0 s.

Cause: a reader ends a query after 2.0 s, whether the store has answered it since or not, and the VM that asked counts 2.3 s from there. The last answer may so vouch for content that is 2.6 s old.

A reader now holds a query until the store answers it or is lost. The follower counts 2.6 s from such an answer; answers that were not held, the first of a reader and those with changes, count only right after the restart. Wire and number of queries stay as they were; VMs of the build before hold and count as before.

The stand-in reader of follower_test answers as the relay does, so all_readers_lose_the_store reads the store 2.6 s after the last answer instead of 3.7 s; the latest case, an answer right before the silence, is a case of its own.

--- a/src/follower.c
+++ b/src/follower.c
@@ -6,10 +6,11 @@
 
 /*
  * A reader that has not answered a query for its revision for this long counts as lost, and what
- * this VM knows counts as current for as long after an answer. Readers hold such a query for
- * 2,000 ms; the strictest limit for a change to be in force is 3,000 ms.
+ * this VM knows counts as current for as long after an answer. Readers hold such a query until the
+ * store answers them, at most 2,400 ms with a slow store; the strictest limit for a change to be in
+ * force is 3,000 ms, of which the read of the store takes a part.
  */
-#define CURRENT_MS 2300
+#define CURRENT_MS 2600
 /* Limit for the first answer after a start. */
 #define FIRST_ANSWER_MS 700
 /*
@@ -35,6 +36,7 @@
 
 struct query {
 	bool is_open; /* waits for its answer */
+	bool is_held; /* the reader answers when the store has answered it */
 	uint64_t tag;
 	uint64_t asked_ms;
 	uint64_t next_ms; /* earliest time of the next one */
@@ -62,7 +64,7 @@
 	struct report reports[REPORTS_MAX]; /* in order of revision and time */
 	unsigned int n_reports;
 	bool was_served; /* since the restart */
-	uint64_t served_ms; /* last answer of a current reader, or the restart */
+	uint64_t served_ms; /* last time as of which a reader was current, or the restart */
 	uint64_t changes_asked_ms; /* last query for changes */
 	uint64_t repeat_ms; /* present delay, see REPEAT_MIN_MS */
 };
@@ -194,11 +196,12 @@
 	if (q->is_open || now_ms < q->next_ms)
 		return false;
 	query_open(f, q, now_ms);
+	/* A reader that has not answered as current yet is to answer at once. */
+	q->is_held = s->revision && !s->is_stale;
 	*out = (struct follower_query){
 		.address = s->address,
 		.tag = q->tag,
-		/* A reader that has not answered as current yet is to answer at once. */
-		.known_revision = s->revision && !s->is_stale ? MAX(f->revision, s->revision) : 0,
+		.known_revision = q->is_held ? MAX(f->revision, s->revision) : 0,
 	};
 	return true;
 }
@@ -252,13 +255,21 @@
 		f->repeat_ms = CLAMP(2 * answer_ms, REPEAT_MIN_MS, REPEAT_MAX_MS);
 }
 
+/*
+ * Notes an answer of a current reader. One that was held comes with an answer of the store. Others
+ * may come from a reader that has lost the store without knowing it yet; a VM that has just begun
+ * to follow starts with one of these.
+ */
+static void served_note(struct follower *f, bool was_held, uint64_t now_ms)
+{
+	if (was_held || !f->was_served)
+		f->served_ms = now_ms;
+	f->was_served = true;
+}
+
 bool follower_answered(struct follower *f, uint64_t tag, bool is_current, uint64_t revision,
 		       uint64_t now_ms, uint64_t *asked_ms)
 {
-	if (is_current) {
-		f->was_served = true;
-		f->served_ms = now_ms;
-	}
 	for (unsigned int i = 0; i < READERS_MAX; i++) {
 		struct slot *s = &f->slots[i];
 		bool is_changes = s->changes_query.is_open && s->changes_query.tag == tag;
@@ -275,6 +286,7 @@
 				now_ms + (slot_is_new(s, now_ms) ? NEW_READER_RETRY_MS : RETRY_MS);
 			return is_changes;
 		}
+		served_note(f, !is_changes && q->is_held, now_ms);
 		if (is_changes)
 			changes_answered(f, s, revision, now_ms);
 		s->revision = MAX(s->revision, revision);
--- a/src/follower.h
+++ b/src/follower.h
@@ -6,7 +6,7 @@
  * slow links, so that changes take longer to arrive than a reader may be behind otherwise; readers
  * that are paused, cut off or have lost the store without knowing it yet.
  *
- * Each reader is asked for its revision, and holds the query until it knows a later one. The first
+ * Each reader is asked for its revision, and holds the query until the store answers it. The first
  * reader that answers as current is then asked for its changes, another one only when these have
  * not arrived after a delay. No query for changes is given up. Times are in milliseconds.
  */
--- a/src/relay.c
+++ b/src/relay.c
@@ -10,8 +10,12 @@
 
 #include <string.h>
 
-/* Longest time that a reader holds a query open. An answer also shows that the reader is alive. */
-#define ASK_WAIT_MS 2000
+/*
+ * Longest time that a reader holds a query open. It answers earlier, at the next answer of the
+ * store or when it has lost the store (feed.c), so that no answer vouches for what the store said
+ * before the query.
+ */
+#define ASK_WAIT_MS 2800
 #define ASK_TIMEOUT_US ((uint64_t)(ASK_WAIT_MS + 800) * CLOCK_US_PER_MS)
 /* Changes that take seconds over a slow link are still applied. */
 #define CHANGES_TIMEOUT_US ((uint64_t)(ASK_WAIT_MS + 6000) * CLOCK_US_PER_MS)
@@ -121,7 +125,8 @@
 	       now_ms >= w->until_ms;
 }
 
-static void waiters_serve(struct relay *r, uint64_t now_ms)
+/* is_confirmed: the store has answered now, so all waiting queries are due. */
+static void waiters_serve(struct relay *r, bool is_confirmed, uint64_t now_ms)
 {
 	struct list_head waiting;
 	struct list_head *node;
@@ -130,7 +135,7 @@
 	while ((node = list_pop_head(&r->waiters))) {
 		struct waiter *w = list_entry(node, struct waiter, node);
 
-		if (!waiter_is_due(r, w, now_ms)) {
+		if (!is_confirmed && !waiter_is_due(r, w, now_ms)) {
 			list_add_tail(node, &waiting);
 			continue;
 		}
@@ -248,7 +253,7 @@
 	uint64_t now_ms = clock_now_ms();
 	struct readers readers;
 
-	waiters_serve(r, now_ms);
+	waiters_serve(r, false, now_ms);
 	if (!r->roster || (r->roster->n_vms < 2 && now_ms - r->started_ms < SETTLE_MS))
 		return;
 	readers = readers_choose(r->roster);
@@ -343,7 +348,7 @@
 	r->is_current = update->is_current;
 	if (update->answer.items)
 		mirror_update(r, &update->answer, update->is_listing);
-	waiters_serve(r, clock_now_ms());
+	waiters_serve(r, update->is_current, clock_now_ms());
 }
 
 static void relay_receive(struct service *s, struct message *m)
--- a/tests/follower_test.cc
+++ b/tests/follower_test.cc
@@ -10,12 +10,13 @@
 #define STEP_MS 10
 #define N_READERS 3
 #define NEVER UINT64_MAX
+#define WATCH_MS 2100 /* from an answer of the store to the next one, if nothing changes */
 
 /* Reader as the follower sees it; it reads the store itself. Times in milliseconds. */
 struct reader {
 	uint64_t paused_ms = NEVER; /* answers nothing from then on */
 	uint64_t lost_ms = NEVER; /* the store answers it nothing from then on */
-	uint64_t notice_ms = 2700; /* time until it notices that */
+	uint64_t notice_ms = 2700; /* time until it notices that; at most since the last answer */
 	uint64_t current_ms = 0; /* vouches for nothing before */
 	uint64_t reading_ms = 0; /* time from a write until it has read it */
 	uint64_t changes_ms = 0; /* time that an answer with changes takes */
@@ -25,7 +26,7 @@
 struct open_query {
 	size_t reader;
 	struct follower_query query;
-	uint64_t until_ms; /* held until then */
+	uint64_t asked_ms;
 	uint64_t timeout_ms; /* counts as lost then */
 	uint64_t due_ms; /* of the answer; 0: not known yet */
 	uint64_t revision; /* in the answer */
@@ -64,6 +65,23 @@
 		return revision;
 	}
 
+	/* When the store has last answered the reader. */
+	uint64_t confirmed_ms(const reader &r) const
+	{
+		uint64_t until_ms = std::min(now_ms, r.lost_ms);
+		uint64_t last_ms = 0;
+
+		for (const auto &w : writes) {
+			if (w.first + r.reading_ms <= now_ms && w.first < r.lost_ms)
+				last_ms = std::max(last_ms, w.first + r.reading_ms);
+			else if (w.first <= now_ms) /* an answer since then would contain it */
+				until_ms = std::min(until_ms, w.first);
+		}
+		if (last_ms >= until_ms)
+			return last_ms;
+		return until_ms - (until_ms - last_ms) % WATCH_MS;
+	}
+
 	bool is_current(const reader &r) const
 	{
 		return now_ms >= r.current_ms &&
@@ -95,7 +113,7 @@
 			if (q.query.wants_changes)
 				line("r" + std::to_string(q.reader) + " changes since " +
 				     std::to_string(q.query.known_revision));
-		} else if (!q.due_ms && now_ms >= q.until_ms) {
+		} else if (!q.due_ms && confirmed_ms(r) > q.asked_ms) {
 			q.revision = revision;
 			q.due_ms = now_ms;
 		}
@@ -121,8 +139,8 @@
 				open.push_back(q);
 		queries = open;
 		while (follower_query_next(f, now_ms, &query))
-			queries.push_back({(size_t)(query.address[1] - '0'), query, now_ms + 2000,
-					   now_ms + (query.wants_changes ? 8000 : 2800), 0, 0});
+			queries.push_back({(size_t)(query.address[1] - '0'), query, now_ms,
+					   now_ms + (query.wants_changes ? 8000 : 3600), 0, 0});
 	}
 
 	void step()
@@ -191,17 +209,23 @@
 				  [] { return std::make_unique<follower_script>(); });
 } // namespace
 
-/* Draws the fault of a reader around the time of a change: it pauses, loses the store or is slow.
+/*
+ * Draws the fault of a reader around the time of a change: it pauses, loses the store, loses it and
+ * pauses before it notices, or is slow.
  */
 static void reader_fault_draw(struct reader &r, uint64_t change_ms, std::mt19937 &rand)
 {
 	uint64_t fault_ms = change_ms - 3000 + rand() % 3600;
 
 	r.reading_ms = rand() % 450;
-	switch (rand() % 4) {
+	switch (rand() % 5) {
 	case 0:
 		r.paused_ms = fault_ms;
 		break;
+	case 4:
+		r.lost_ms = fault_ms;
+		r.paused_ms = fault_ms + rand() % r.notice_ms;
+		break;
 	case 1:
 		r.lost_ms = fault_ms;
 		break;
@@ -213,9 +237,9 @@
 
 /*
  * Guards against a VM that neither learns of a change nor reads the store within the strictest
- * limit (3,000 ms). Each reader may have one fault shortly before or after the change: it pauses,
- * loses the store, or its changes take up to 4 s. Readers learn of a write within 450 ms; a read of
- * the store takes 150 ms.
+ * limit (3,000 ms). Each reader may have a fault shortly before or after the change: it pauses,
+ * loses the store, does both, or its changes take up to 4 s. Readers learn of a write within 450
+ * ms; a read of the store takes 150 ms.
  */
 TEST(follower, change_is_known_in_time)
 {
--- a/tests/relay_test.cc
+++ b/tests/relay_test.cc
@@ -248,16 +248,23 @@
 		kernel_message_send(k, kernel_service_find(k, "relay"), &update->message);
 	}
 
-	std::string ask(uint64_t known_revision)
+	/* Sends the query of another VM, whose answer peer.reply gets. */
+	void ask_send(uint64_t known_revision, bool wants_items, uint32_t wait_ms)
 	{
 		auto *args = static_cast<apr_feed_args *>(peer_args_create(APR_FEED));
 		struct peer_call *call = peer_call_create(APR_FEED, "", args, 0);
 
 		args->known_revision = known_revision;
-		args->wants_items = known_revision > 0;
+		args->wants_items = wants_items;
+		args->wait_ms = wait_ms;
 		peer.reply = "";
 		call->reply_to = &peer.service;
 		kernel_message_send(k, kernel_service_find(k, "relay"), &call->message);
+	}
+
+	std::string ask(uint64_t known_revision)
+	{
+		ask_send(known_revision, known_revision > 0, 0);
 		loop(1000, [&] { return !peer.reply.empty(); });
 		return peer.reply;
 	}
@@ -324,6 +331,13 @@
 			return ask(0);
 		} else if (w[0] == "asked-since") { /* asked-since REVISION: for changes */
 			return ask(std::stoull(w[1]));
+		} else if (w[0] == "asked-for-later") {
+			/* asked-for-later REVISION: for its revision, once the store has answered
+			 */
+			ask_send(std::stoull(w[1]), false, 2800);
+		} else if (w[0] == "replies") { /* replies within MS */
+			loop(std::stoull(w[2]), [&] { return !peer.reply.empty(); });
+			return peer.reply.empty() ? "no\n" : peer.reply;
 		} else if (w[0] == "vms-asked") { /* number of VMs that got a query */
 			return std::to_string(peer.asked.size()) + "\n";
 		} else if (w[0] == "reads-store") { /* reads-store [within MS] */
