Read the store by the age of its last answer alone

A VM read the store as soon as all readers were without it.

Since readers answer with the answers of the store, the loss of the readers tells nothing that the age of their last answer does not: when they notice a silence, 2.6 s after it, that age has reached the limit as well. So follower_was_left and the time for which a reader must have been one are gone; the search goes on meanwhile, and what it finds counts.

--- a/src/follower.c
+++ b/src/follower.c
@@ -32,11 +32,6 @@
  * before it counts as lost, and is asked more often meanwhile.
  */
 #define NEW_READER_MS 400
-/*
- * A VM that has been a reader for this long is one by every roster. Others, as after a start, may
- * read the store for some seconds only.
- */
-#define LASTING_READER_MS 6000
 #define NEW_READER_RETRY_MS 150
 
 struct query {
@@ -315,19 +310,6 @@
 	return has_reader;
 }
 
-bool follower_was_left(const struct follower *f, uint64_t now_ms)
-{
-	bool has_lasting = false;
-
-	for (unsigned int i = 0; i < READERS_MAX; i++) {
-		const struct slot *s = &f->slots[i];
-
-		has_lasting = has_lasting ||
-			      (s->revision > 0 && now_ms - s->added_ms >= LASTING_READER_MS);
-	}
-	return has_lasting && follower_is_lost(f, now_ms);
-}
-
 bool follower_needs_store(const struct follower *f, uint64_t now_ms)
 {
 	bool is_starting = !f->was_served || f->revision == 0;
--- a/src/follower.h
+++ b/src/follower.h
@@ -63,10 +63,6 @@
 /* True when there are readers and none of them has answered its last query as current. */
 bool follower_is_lost(const struct follower *f, uint64_t now_ms);
 
-/* True when follower_is_lost and one of these readers has been one for long and has served this VM.
- */
-bool follower_was_left(const struct follower *f, uint64_t now_ms);
-
 /* True when the last answer of a reader is too old, or this VM has been behind for too long. */
 bool follower_needs_store(const struct follower *f, uint64_t now_ms);
 
--- a/src/relay.c
+++ b/src/relay.c
@@ -248,18 +248,6 @@
 	r->is_following = is_wanted;
 }
 
-/*
- * True when this VM has to read the store itself. The VMs that a search has found read it for some
- * seconds only: when these stop, the readers are asked first.
- */
-static bool needs_store(const struct relay *r, uint64_t now_ms)
-{
-	bool asks_readers = r->search_turn % SEARCH_TURNS == 0;
-
-	return follower_needs_store(r->follower, now_ms) ||
-	       (asks_readers && follower_was_left(r->follower, now_ms));
-}
-
 static void relay_advance(struct relay *r)
 {
 	uint64_t now_ms = clock_now_ms();
@@ -278,8 +266,7 @@
 		return;
 	}
 	following_set(r, true, now_ms);
-	/* Decided before readers_ask turns to VMs of which the follower knows nothing yet. */
-	if (now_ms >= r->self_until_ms && needs_store(r, now_ms)) {
+	if (now_ms >= r->self_until_ms && follower_needs_store(r->follower, now_ms)) {
 		r->self_until_ms = now_ms + SELF_READING_MS;
 		/* Other VMs are asked only if the store does not answer this one by then. */
 		r->search_next_ms = now_ms + SEARCH_MS;
--- a/tests/follower_test.cc
+++ b/tests/follower_test.cc
@@ -153,8 +153,7 @@
 		/* Twice, since an answer without wait arrives in the step of its query. */
 		queries_advance();
 		queries_advance();
-		if ((follower_needs_store(f, now_ms) || follower_was_left(f, now_ms)) !=
-		    needs_store) {
+		if (follower_needs_store(f, now_ms) != needs_store) {
 			needs_store = !needs_store;
 			line(needs_store ? "needs store" : "store not needed");
 		}
--- a/tests/relay_test.cc
+++ b/tests/relay_test.cc
@@ -316,6 +316,8 @@
 			return peer.changes_sent <= std::stoul(w[1]) ? "yes\n" : "no\n";
 		} else if (w[0] == "readers-lose-store") { /* this VM as well */
 			readers_lose_store(true);
+		} else if (w[0] == "readers-find-store") { /* again */
+			readers_lose_store(false);
 		} else if (w[0] == "run") { /* run MS */
 			loop(std::stoull(w[1]), [] { return false; });
 		} else if (w[0] == "no-vm-reads-store") { /* none of the other VMs */
