Log changes of the store that are ignored as older

The log could not tell whether the new values do not reach a VM, are taken for older ones, or are refused for their configuration version.

store_change_ignored names a key whose revision in an answer is below the known one.

--- a/src/feed.c
+++ b/src/feed.c
@@ -259,6 +259,16 @@
 		message_destroy(&updates->message);
 }
 
+static void older_change_log(const struct feed *f, const struct store_item *item)
+{
+	uint64_t known = registry_revision(f->registry, item->key);
+
+	if (item->revision < known)
+		log_event(LOG_LEVEL_INFO, "store_change_ignored",
+			  "key=%s revision=%" G_GUINT64_FORMAT " known=%" G_GUINT64_FORMAT,
+			  item->key, item->revision, known);
+}
+
 static void items_apply(struct feed *f, const struct store_answer *answer)
 {
 	struct leaf_updates *updates = leaf_updates_create();
@@ -277,8 +287,10 @@
 						holds_removals && !evacuates, item->read_ms);
 			continue;
 		}
-		if (!registry_put(f->registry, item->key, item->revision))
+		if (!registry_put(f->registry, item->key, item->revision)) {
+			older_change_log(f, item);
 			continue;
+		}
 		if (is_routes)
 			routes_apply(f, item);
 		else if (evacuates) /* whatever the value is */
--- a/src/logevent.h
+++ b/src/logevent.h
@@ -57,6 +57,7 @@
 	X("store_back", "the store answers again; how long it did not")                            \
 	X("store_listed", "all keys of the store were read")                                       \
 	X("store_history_lost", "the store has dropped its history; all keys are read again")      \
+	X("store_change_ignored", "the store's revision of a key is below the one known")          \
 	X("store_reading", "whether this VM now reads the store or gets changes from peers; why")  \
 	X("readers_lost", "no reader answers as current any more; other VMs are asked as well")    \
 	X("second_reader_asked",                                                                   \
--- a/src/registry.c
+++ b/src/registry.c
@@ -57,6 +57,13 @@
 	return true;
 }
 
+uint64_t registry_revision(const struct registry *r, const char *key)
+{
+	const struct entry *e = g_hash_table_lookup(r->entries, key);
+
+	return e ? e->revision : 0;
+}
+
 bool registry_knows(const struct registry *r, const char *key)
 {
 	return g_hash_table_contains(r->entries, key);
--- a/src/registry.h
+++ b/src/registry.h
@@ -26,6 +26,8 @@
  * removal of the key is then dropped. Returns false when the revision or a later change is known.
  */
 bool registry_put(struct registry *r, const char *key, uint64_t revision);
+/* Revision of the key's last known value; 0: the key is unknown. */
+uint64_t registry_revision(const struct registry *r, const char *key);
 /* True for a key that was put and whose removal has not taken effect. */
 bool registry_knows(const struct registry *r, const char *key);
 /*
