--- a/fakes/routed_site.py
+++ b/fakes/routed_site.py
@@ -8,6 +8,7 @@
 import asyncio
 import base64
 import contextlib
+import copy
 import fcntl
 import json
 import os
@@ -112,13 +113,15 @@
     """The configuration store: keys with revisions, listings in pages, and watches.
 
     mode: "ok"; "silent" (does not respond, connections stay open); "reset" (aborts the connection
-    of each request); "busy" (responds 503). calls counts the requests.
+    of each request); "busy" (responds 503). calls counts the requests, listings those for a first page.
+    era_text is the value of the field Store-Era of all responses; None: they have no such field.
     """
 
     def __init__(self, page_items=50):
         super().__init__()
         self.items, self.history, self.revision = {}, [], 0
         self.page_items, self.mode, self.calls, self.compacted_revision = page_items, "ok", 0, 0
+        self.listings, self.era, self.era_text = 0, 0, None
         self.hang_count = 0  # calls of hang_waiting_requests()
         self.changed = asyncio.Event()
 
@@ -148,6 +151,19 @@
         self.compacted_revision = self.revision
         self.history = []
 
+    def era_begin(self, era):
+        self.era, self.era_text = era, str(era)
+
+    def copy_take(self):
+        """What come_back() takes to bring the store back to this moment."""
+        return copy.deepcopy((self.items, self.history, self.revision, self.compacted_revision))
+
+    async def come_back(self, taken):
+        """Starts the store again after stop(), from a copy and in the next era."""
+        self.items, self.history, self.revision, self.compacted_revision = copy.deepcopy(taken)
+        self.era_begin(self.era + 1)
+        await self.start()
+
     async def serve(self, reader, writer):
         while True:
             message = await read_message(reader)
@@ -166,8 +182,10 @@
             arguments = {name: urllib.parse.unquote(value) for name, _, value in
                          (pair.partition("=") for pair in query.split("&"))}
             status, body = await self._respond(path, arguments)
-            writer.write(response_bytes(status, json.dumps(body).encode(),
-                                        {"Content-Type": "application/json"}))
+            fields = {"Content-Type": "application/json"}
+            if self.era_text is not None:
+                fields["Store-Era"] = self.era_text
+            writer.write(response_bytes(status, json.dumps(body).encode(), fields))
             await writer.drain()
 
     def hang_waiting_requests(self):
@@ -188,6 +206,7 @@
     async def _respond_now(self, path, arguments):
         prefix = arguments.get("prefix", "")
         if path == "/kv-range":
+            self.listings += "after" not in arguments
             keys = sorted(k for k in self.items
                           if k.startswith(prefix) and k > arguments.get("after", ""))
             return 200, {"items": [self.items[k] for k in keys[:self.page_items]],
@@ -195,7 +214,7 @@
         after = int(arguments.get("after", 0))
         deadline = time.monotonic() + int(arguments.get("waitMs", 0)) / 1000
         while True:
-            if after < self.compacted_revision:
+            if after < self.compacted_revision or after > self.revision:
                 return 410, {}
             events = [{name: value for name, value in e.items() if name != "at"}
                       for e in self.history if e["at"] > after]
@@ -314,12 +333,14 @@
         self.raw, self.first_line, self.after_raw = None, "HTTP/1.1 200 X", 0
         self.framing = "length"  # of each complete response, see framed_response()
         self.payload = None  # body of each response; None: as Site.make_payload draws it
+        self.sequence = 0  # of the last entry
 
     def entry(self):
-        """The leaf's entry in the store, as JSON."""
+        """The leaf's next entry in the store, as JSON."""
+        self.sequence += 1
         return json.dumps({"service": self.service, "address": self.address, "zone": self.dc,
                            "version": "v1", "capacity": 2, "state": self.state,
-                           "warmupRemainingMs": self.warmup_ms, "sequence": 1,
+                           "warmupRemainingMs": self.warmup_ms, "sequence": self.sequence,
                            "born": self.born_ms}).encode()
 
     def has_fault(self, mode):
--- a/src/adapter.c
+++ b/src/adapter.c
@@ -1,5 +1,23 @@
 #include "adapter.h"
 
+const char *store_era_name(enum store_era era)
+{
+	static const char *const names[] = {
+#define X(symbol, name) name,
+		STORE_ERA_LIST(X)
+#undef X
+	};
+
+	return names[era];
+}
+
+void store_answer_era_set(struct store_answer *a, uint64_t era)
+{
+	a->position.era = era;
+	for (guint i = 0; i < a->items->len; i++)
+		((struct store_item *)g_ptr_array_index(a->items, i))->position.era = era;
+}
+
 void store_item_free(gpointer data)
 {
 	struct store_item *item = data;
--- a/src/adapter.h
+++ b/src/adapter.h
@@ -10,6 +10,7 @@
 
 #include "httpmsg.h"
 #include "leafset.h"
+#include "position.h"
 #include "routemap.h"
 
 #include <glib.h>
@@ -23,7 +24,7 @@
 	char *key;
 	char *value; /* NULL: the key was removed */
 	size_t n_value; /* bytes of the value */
-	uint64_t revision; /* of the store at the key's last change */
+	struct position position; /* of the store at the key's last change */
 	/* When the first VM to hear of a removal read it, on this VM's clock_now_ms(). */
 	uint64_t read_ms;
 };
@@ -39,7 +40,7 @@
 struct store_answer {
 	GPtrArray *items; /* struct store_item, in the order of the answer; owned */
 	bool has_more; /* the listing has more pages, after the last key of this one */
-	uint64_t revision; /* of the store when it answered */
+	struct position position; /* of the store when it answered */
 	char *next; /* where the listing's next page begins, for list_target; NULL: unknown */
 	unsigned int n_unreadable; /* entries left out */
 	GPtrArray *unreadable; /* struct store_unreadable of each of them; owned; NULL: none */
@@ -56,6 +57,18 @@
 	const char *not_run; /* in an answer: the leaf has not run the request and will not */
 };
 
+/* X(symbol, name): what the head of an answer of the store says of its era */
+#define STORE_ERA_LIST(X)   \
+	X(ABSENT, "absent") \
+	X(NAMED, "named")   \
+	X(MALFORMED, "malformed")
+
+enum store_era {
+#define X(symbol, name) STORE_ERA_##symbol,
+	STORE_ERA_LIST(X)
+#undef X
+};
+
 /* What a deployment can ask for. */
 enum feature {
 	FEATURE_RANKS = 1, /* when leaves are short of room, requests are served by priority */
@@ -77,9 +90,13 @@
 	 */
 	char *(*watch_target)(const struct adapter *adapter, const char *prefix, uint64_t after,
 			      unsigned int wait_ms);
+	/* Sets *era to the era that an answer of the store names, if it is STORE_ERA_NAMED. */
+	enum store_era (*era_parse)(const struct adapter *adapter, const struct http_reader *answer,
+				    uint64_t *era);
 	/*
 	 * False with an error when the text is not a valid answer of the store. Fills out, which
-	 * store_answer_clear frees. An item whose value cannot be decoded gets an empty value.
+	 * store_answer_clear frees. An item whose value cannot be decoded gets an empty value. The
+	 * era of all positions is 0.
 	 */
 	bool (*answer_parse)(const struct adapter *adapter, const char *text, size_t n,
 			     struct store_answer *out, GError **error);
@@ -124,10 +141,14 @@
 	const char *ready_path; /* of status checks */
 };
 
+const char *store_era_name(enum store_era era);
+
 /* Frees a struct store_item. */
 void store_item_free(gpointer item);
 /* Frees a struct store_unreadable. */
 void store_unreadable_free(gpointer unreadable);
+/* Sets the era of all positions of the answer. */
+void store_answer_era_set(struct store_answer *a, uint64_t era);
 /* Frees the items and sets all members to zero. */
 void store_answer_clear(struct store_answer *a);
 
--- a/src/counter.h
+++ b/src/counter.h
@@ -51,6 +51,8 @@
 	X(CONFIG_APPLIED, "config_applied", "configuration versions put in force")                \
 	X(CONFIG_REFUSED, "config_refused", "configuration versions refused")                     \
 	X(STORE_ENTRIES_REFUSED, "store_entries_refused", "malformed entries of the platform")    \
+	X(STORE_RETURNS, "store_returns", "later eras of the platform's store")                   \
+	X(STORE_ERA_FAULTS, "store_era_faults", "answers of the store with an unusable era")      \
 	X(LISTS_WIDENED, "lists_widened", "address lists with VMs elsewhere for short ones")      \
 	X(MEMBER_CHANGES, "member_changes", "changes of state of member VMs")                     \
 	X(PAUSES, "pauses", "gaps of the event loop longer than the lease")
--- a/src/feed.c
+++ b/src/feed.c
@@ -64,8 +64,9 @@
 	GHashTable *told; /* keys, as shown, of the listing's unreadable entries so far */
 	GPtrArray *listed; /* items of the listing's pages so far, for the relay; NULL: none yet */
 	char *next_page; /* where the listing goes on; "" before the first page */
-	uint64_t revision; /* of the store; all changes up to it are known */
-	uint64_t listing_revision; /* of the listing's first page */
+	struct position position; /* of the store; all changes up to it are known */
+	struct position listing_position; /* of the listing's first page */
+	bool era_fault_is_logged; /* on this connection */
 	uint64_t answered_ms; /* the store's last answer */
 	uint64_t next_call_ms; /* earliest time of the next call */
 	uint64_t answer_by_ms; /* when the connection attempt or the call in progress times out */
@@ -92,6 +93,7 @@
 	f->client = NULL;
 	f->has_call = false;
 	f->is_open = false;
+	f->era_fault_is_logged = false;
 }
 
 static void store_lost(struct feed *f, const char *why)
@@ -104,7 +106,7 @@
 	f->lost_since_ms = clock_now_ms();
 	relay_send(f, &nothing, false);
 	log_event(LOG_LEVEL_WARNING, "store_lost", "why=\"%s\" revision=%" G_GUINT64_FORMAT, why,
-		  f->revision);
+		  f->position.revision);
 }
 
 static void feed_fail(struct feed *f, const char *why)
@@ -134,7 +136,7 @@
 		registry_store_returned(f->registry, now_ms);
 	log_event(LOG_LEVEL_INFO, "store_back",
 		  "after_ms=%" G_GUINT64_FORMAT " revision=%" G_GUINT64_FORMAT,
-		  now_ms - f->lost_since_ms, f->revision);
+		  now_ms - f->lost_since_ms, f->position.revision);
 }
 
 /*
@@ -161,7 +163,7 @@
 	if (!map) {
 		counter_increment(kernel_counters(k), COUNTER_CONFIG_REFUSED);
 		log_event(LOG_LEVEL_WARNING, "config_refused",
-			  "revision=%" G_GUINT64_FORMAT " reason=\"%s\"", item->revision,
+			  "revision=%" G_GUINT64_FORMAT " reason=\"%s\"", item->position.revision,
 			  error->message);
 		g_error_free(error);
 		value_clear(item);
@@ -193,14 +195,16 @@
 	else if (item->n_value > LEAF_ENTRY_BYTES_MAX)
 		g_set_error(&error, RESULT_ERROR, RESULT_BAD_MANIFEST, "leaf entry has %zu bytes",
 			    item->n_value);
-	else if (f->adapter->ops->leaf_parse(f->adapter, item->value, item->n_value, &report,
-					     &error))
-		leaf_updates_add(updates, id, item->revision)->report = report;
-	if (!error)
+	else
+		f->adapter->ops->leaf_parse(f->adapter, item->value, item->n_value, &report,
+					    &error);
+	if (error) {
+		entry_refuse(f, item->key, item->position.revision, error->message);
+		g_error_free(error);
+		value_clear(item);
 		return;
-	entry_refuse(f, item->key, item->revision, error->message);
-	g_error_free(error);
-	value_clear(item);
+	}
+	leaf_updates_add(updates, id, item->position.revision)->report = report;
 }
 
 static bool is_leaf(const struct feed *f, const struct store_item *item)
@@ -241,16 +245,16 @@
 static void leaf_updates_send(struct feed *f, struct leaf_updates *updates)
 {
 	struct kernel *k = f->service.kernel;
-	uint64_t revision = 0;
+	struct position position = {0};
 	char *key;
 
-	while ((key = registry_due_removal_take(f->registry, clock_now_ms(), &revision))) {
+	while ((key = registry_due_removal_take(f->registry, clock_now_ms(), &position))) {
 		const char *id = key + strlen(f->adapter->leaf_prefix);
 
 		if (is_evacuation(f, key))
-			evacuation_send(f, key, false, revision);
+			evacuation_send(f, key, false, position.revision);
 		else
-			leaf_updates_add(updates, id, revision)->is_removed = true;
+			leaf_updates_add(updates, id, position.revision)->is_removed = true;
 		g_free(key);
 	}
 	if (updates->items->len > 0)
@@ -261,12 +265,14 @@
 
 static void older_change_log(const struct feed *f, const struct store_item *item)
 {
-	uint64_t known = registry_revision(f->registry, item->key);
+	struct position known = registry_position(f->registry, item->key);
 
-	if (item->revision < known)
+	if (position_compare(item->position, known) != 0)
 		log_event(LOG_LEVEL_INFO, "store_change_ignored",
-			  "key=%s revision=%" G_GUINT64_FORMAT " known=%" G_GUINT64_FORMAT,
-			  item->key, item->revision, known);
+			  "key=%.200s revision=%" G_GUINT64_FORMAT " known=%" G_GUINT64_FORMAT
+			  " era=%" G_GUINT64_FORMAT " known_era=%" G_GUINT64_FORMAT,
+			  item->key, item->position.revision, known.revision, item->position.era,
+			  known.era);
 }
 
 static void items_apply(struct feed *f, const struct store_answer *answer)
@@ -283,18 +289,18 @@
 			continue;
 		if (!item->value) {
 			if (!is_routes)
-				registry_remove(f->registry, item->key, item->revision,
+				registry_remove(f->registry, item->key, item->position,
 						holds_removals && !evacuates, item->read_ms);
 			continue;
 		}
-		if (!registry_put(f->registry, item->key, item->revision)) {
+		if (!registry_put(f->registry, item->key, item->position)) {
 			older_change_log(f, item);
 			continue;
 		}
 		if (is_routes)
 			routes_apply(f, item);
 		else if (evacuates) /* whatever the value is */
-			evacuation_send(f, item->key, true, item->revision);
+			evacuation_send(f, item->key, true, item->position.revision);
 		else
 			leaf_apply(f, updates, item);
 	}
@@ -331,7 +337,7 @@
 		if (item->value) {
 			g_autofree char *shown = g_uri_escape_string(item->key, "/", FALSE);
 
-			entry_unreadable(f, "key", shown, item->revision);
+			entry_unreadable(f, "key", shown, item->position.revision);
 		}
 		g_ptr_array_remove_index(answer->items, i - 1);
 	}
@@ -348,9 +354,9 @@
 		g_autofree char *position = g_strdup_printf("%u", u->position);
 
 		if (!u->shown)
-			entry_unreadable(f, "position", position, answer->revision);
+			entry_unreadable(f, "position", position, answer->position.revision);
 		else if (f->state != FEED_LISTING || g_hash_table_add(f->told, g_strdup(u->shown)))
-			entry_unreadable(f, "key", u->shown, answer->revision);
+			entry_unreadable(f, "key", u->shown, answer->position.revision);
 	}
 }
 
@@ -373,8 +379,8 @@
 		item = g_new0(struct store_item, 1);
 		item->key = g_strdup(u->key);
 		item->value = g_strdup("");
-		item->revision = f->listing_revision;
-		registry_put(f->registry, item->key, item->revision);
+		item->position = f->listing_position;
+		registry_put(f->registry, item->key, item->position);
 		g_ptr_array_add(answer->items, item);
 	}
 }
@@ -394,7 +400,7 @@
 
 	if (!*f->next_page) {
 		registry_listing_begin(f->registry);
-		f->listing_revision = answer->revision;
+		f->listing_position = answer->position;
 	}
 	items_apply(f, answer);
 	items_trim(f, answer);
@@ -410,14 +416,15 @@
 	 * The pages are read at different revisions, so the watch starts at the first page's
 	 * revision. Later pages may hold some of the changes that it then returns.
 	 */
-	registry_listing_end(f->registry, f->listing_revision, clock_now_ms());
-	f->revision = f->listing_revision;
+	registry_listing_end(f->registry, f->listing_position, clock_now_ms());
+	f->position = f->listing_position;
 	f->state = FEED_WATCHING;
 	whole.items = g_steal_pointer(&f->listed);
-	whole.revision = f->revision;
+	whole.position = f->position;
 	relay_send(f, &whole, true);
-	log_event(LOG_LEVEL_INFO, "store_listed", "revision=%" G_GUINT64_FORMAT " keys=%u",
-		  f->revision, registry_count(f->registry));
+	log_event(LOG_LEVEL_INFO, "store_listed",
+		  "era=%" G_GUINT64_FORMAT " revision=%" G_GUINT64_FORMAT " keys=%u",
+		  f->position.era, f->position.revision, registry_count(f->registry));
 }
 
 static void listing_start(struct feed *f)
@@ -498,6 +505,7 @@
 		store_answer_clear(&answer);
 		return;
 	}
+	store_answer_era_set(&answer, f->position.era);
 	items_read_time_set(&answer, answer_read_ms(f));
 	store_answered(f);
 	if (answer.items->len > 0)
@@ -509,7 +517,7 @@
 	} else {
 		items_apply(f, &answer);
 		items_trim(f, &answer);
-		f->revision = MAX(f->revision, answer.revision);
+		f->position = position_max(f->position, answer.position);
 		if (answer.items->len > 0)
 			f->next_call_ms = clock_now_ms() + WATCH_PAUSE_MS;
 		relay_send(f, &answer, false);
@@ -543,7 +551,8 @@
 	} else {
 		unsigned int wait_ms = watch_wait_ms(f, now_ms);
 
-		target = f->adapter->ops->watch_target(f->adapter, ALL_KEYS, f->revision, wait_ms);
+		target = f->adapter->ops->watch_target(f->adapter, ALL_KEYS, f->position.revision,
+						       wait_ms);
 		f->answer_by_ms = now_ms + wait_ms + ANSWER_TIMEOUT_MS;
 	}
 	f->transfer_by_ms = now_ms + TRANSFER_MAX_MS;
@@ -556,18 +565,77 @@
 	http_conn_send(f->client, request, strlen(request));
 }
 
+/*
+ * The era of an answer of the store. One that names none, or in a form that cannot be used, counts
+ * as of the era known.
+ */
+static uint64_t answer_era(struct feed *f, const struct http_reader *answer)
+{
+	uint64_t era = 0;
+	enum store_era named = f->adapter->ops->era_parse(f->adapter, answer, &era);
+
+	if (named == STORE_ERA_NAMED)
+		return era;
+	if (named == STORE_ERA_ABSENT && f->position.era == 0)
+		return 0;
+	counter_increment(kernel_counters(f->service.kernel), COUNTER_STORE_ERA_FAULTS);
+	if (!f->era_fault_is_logged)
+		log_event(LOG_LEVEL_WARNING, "store_era_unusable",
+			  "field=%s known=%" G_GUINT64_FORMAT, store_era_name(named),
+			  f->position.era);
+	f->era_fault_is_logged = true;
+	return f->position.era;
+}
+
+static void earlier_era_refuse(struct feed *f, uint64_t era)
+{
+	counter_increment(kernel_counters(f->service.kernel), COUNTER_STORE_ERA_FAULTS);
+	log_event(LOG_LEVEL_WARNING, "store_era_refused",
+		  "era=%" G_GUINT64_FORMAT " known=%" G_GUINT64_FORMAT, era, f->position.era);
+	feed_fail(f, "earlier era");
+}
+
+/*
+ * Notes that the store is in a later era: it has come back from an older copy of itself, and gives
+ * revisions out again. All keys are listed anew; until then the content stays in use. Returns
+ * false when nothing of an earlier era is known.
+ */
+static bool era_begin(struct feed *f, uint64_t era)
+{
+	struct position before = f->position;
+
+	f->position = (struct position){.era = era};
+	if (before.revision == 0 && registry_count(f->registry) == 0)
+		return false;
+	counter_increment(kernel_counters(f->service.kernel), COUNTER_STORE_RETURNS);
+	log_event(LOG_LEVEL_WARNING, "store_era_begun",
+		  "era=%" G_GUINT64_FORMAT " before=%" G_GUINT64_FORMAT
+		  " revision_before=%" G_GUINT64_FORMAT " keys=%u",
+		  era, before.era, before.revision, registry_count(f->registry));
+	listing_start(f);
+	return true;
+}
+
 static bool client_answered(struct http_conn *client, void *arg, const struct http_reader *answer,
 			    bool reusable)
 {
 	struct feed *f = arg;
 	unsigned int status = http_reader_status(answer);
+	bool begins_listing = f->state == FEED_LISTING && !*f->next_page;
+	uint64_t era = answer_era(f, answer);
 
 	f->has_call = false;
-	if (status == 200) {
+	if (era < f->position.era) {
+		earlier_era_refuse(f, era);
+		return true;
+	}
+	if (era > f->position.era && era_begin(f, era) && !begins_listing && status == 200) {
+		store_answered(f); /* what it says is not complete in the new era */
+	} else if (status == 200) {
 		answer_apply(f, answer);
 	} else if (status == 410) {
 		log_event(LOG_LEVEL_INFO, "store_history_lost", "revision=%" G_GUINT64_FORMAT,
-			  f->revision);
+			  f->position.revision);
 		listing_start(f);
 	} else {
 		g_autofree char *why = g_strdup_printf("status %u", status);
@@ -678,20 +746,30 @@
 }
 
 /* Applies what another VM has read from the store. */
-static void peer_update_apply(struct feed *f, const struct store_update *update)
+static void peer_update_apply(struct feed *f, struct store_update *update)
 {
+	struct position position = update->answer.position;
+
+	/* The store has told this VM of a later era than the peer knows. */
+	if (position.era < f->position.era)
+		return;
+	if (position.era > f->position.era && era_begin(f, position.era)) {
+		/* The answer to a call in progress is none to the listing that begins. */
+		client_close(f);
+		f->next_call_ms = 0;
+	}
 	if (update->is_listing)
 		registry_listing_begin(f->registry);
 	items_apply(f, &update->answer);
 	f->changed_ms = MAX(f->changed_ms, update->asked_ms);
 	if (update->is_listing)
-		registry_listing_end(f->registry, update->answer.revision, clock_now_ms());
-	f->revision = MAX(f->revision, update->answer.revision);
+		registry_listing_end(f->registry, position, clock_now_ms());
+	f->position = position_max(f->position, position);
 	/*
 	 * What the peer has read makes a listing by this VM unnecessary. While there is a
 	 * connection to the store, a listing may be in progress and the state stays.
 	 */
-	if (f->revision > 0 && !f->client)
+	if (f->position.revision > 0 && !f->client)
 		f->state = FEED_WATCHING;
 }
 
@@ -749,7 +827,7 @@
 	f->adapter = adapter;
 	f->settings = *settings;
 	f->settings.store_address = g_strdup(settings->store_address);
-	f->registry = registry_create();
+	f->registry = registry_create(settings->report_ms);
 	f->told = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
 	f->tick = event_new(kernel_base(k), -1, EV_PERSIST, tick_handle, f);
 	if (!address_parse(settings->store_address, &f->store)) {
--- a/src/feed.h
+++ b/src/feed.h
@@ -15,6 +15,7 @@
 struct feed_settings {
 	const char *store_address; /* IP:PORT; copied */
 	unsigned int wait_ms; /* longest time that the store holds one watch call open */
+	unsigned int report_ms; /* period in which leaves write their entries; 0: unknown */
 };
 
 /* NULL with RESULT_BAD_SETTING when the store's address is malformed. adapter is borrowed. */
--- a/src/follower.c
+++ b/src/follower.c
@@ -5,7 +5,7 @@
 #include <string.h>
 
 /*
- * A reader that has not answered a query for its revision for this long counts as lost, and what
+ * A reader that has not answered a query for its position for this long counts as lost, and what
  * this VM knows counts as current for as long after an answer. Readers hold such a query until the
  * store answers them, at most 2,400 ms with a slow store; the strictest limit for a change to be in
  * force is 3,000 ms, of which the read of the store takes a part.
@@ -20,10 +20,9 @@
  */
 #define REPEAT_MIN_MS 250
 #define REPEAT_MAX_MS 1000
-/* A VM that has lacked a revision for this long after a reader told of it reads the store itself.
- */
+/* A VM that has lacked a change for this long after a reader told of it reads the store itself. */
 #define BEHIND_MAX_MS 1500
-/* Revisions remembered of which readers have told; the last one stands for all further ones. */
+/* Positions remembered of which readers have told; the last one stands for all further ones. */
 #define REPORTS_MAX 16
 /* Pause after an answer that is not current or brings no progress, before the next such query. */
 #define RETRY_MS 500
@@ -44,24 +43,24 @@
 
 struct slot {
 	char *address; /* NULL: no reader */
-	struct query revision_query;
+	struct query position_query;
 	struct query changes_query;
 	uint64_t added_ms;
 	bool is_stale; /* the last query got no answer, or one that is not current */
-	uint64_t revision; /* highest one reported */
+	struct position position; /* latest one reported; revision 0: none */
 };
 
-/* A revision that this VM does not have yet, and when a reader first told of it. */
+/* A position that this VM has not reached yet, and when a reader first told of it. */
 struct report {
-	uint64_t revision;
+	struct position position;
 	uint64_t at_ms;
 };
 
 struct follower {
 	struct slot slots[READERS_MAX]; /* in order of preference */
 	uint64_t last_tag;
-	uint64_t revision; /* of this VM */
-	struct report reports[REPORTS_MAX]; /* in order of revision and time */
+	struct position position; /* of this VM */
+	struct report reports[REPORTS_MAX]; /* in order of position and time */
 	unsigned int n_reports;
 	bool was_served; /* since the restart */
 	uint64_t served_ms; /* last time as of which a reader was current, or the restart */
@@ -130,14 +129,14 @@
 	memcpy(f->slots, slots, sizeof(slots));
 }
 
-void follower_revision_set(struct follower *f, uint64_t revision, uint64_t now_ms)
+void follower_position_set(struct follower *f, struct position position, uint64_t now_ms)
 {
 	unsigned int n = 0;
 
-	if (revision <= f->revision)
+	if (!position_is_after(position, f->position))
 		return;
-	f->revision = revision;
-	while (n < f->n_reports && f->reports[n].revision <= revision)
+	f->position = position;
+	while (n < f->n_reports && !position_is_after(f->reports[n].position, position))
 		n++;
 	f->n_reports -= n;
 	memmove(f->reports, f->reports + n, f->n_reports * sizeof(f->reports[0]));
@@ -145,37 +144,38 @@
 		f->slots[i].changes_query.next_ms = now_ms;
 }
 
-/* Notes that a reader has told of the revision. */
-static void report_add(struct follower *f, uint64_t revision, uint64_t now_ms)
+/* Notes that a reader has told of the position. */
+static void report_add(struct follower *f, struct position position, uint64_t now_ms)
 {
-	uint64_t newest = f->n_reports > 0 ? f->reports[f->n_reports - 1].revision : f->revision;
+	struct position newest =
+		f->n_reports > 0 ? f->reports[f->n_reports - 1].position : f->position;
 
-	if (revision <= newest)
+	if (!position_is_after(position, newest))
 		return;
 	if (f->n_reports == REPORTS_MAX)
-		f->reports[f->n_reports - 1].revision = revision;
+		f->reports[f->n_reports - 1].position = position;
 	else
-		f->reports[f->n_reports++] = (struct report){revision, now_ms};
+		f->reports[f->n_reports++] = (struct report){position, now_ms};
 }
 
 /* True while the reader has never answered as current and may still begin to. */
 static bool slot_is_new(const struct slot *s, uint64_t now_ms)
 {
-	return s->revision == 0 && now_ms - s->added_ms < NEW_READER_MS;
+	return s->position.revision == 0 && now_ms - s->added_ms < NEW_READER_MS;
 }
 
 static bool slot_is_lost(const struct slot *s, uint64_t now_ms)
 {
 	return (s->is_stale && !slot_is_new(s, now_ms)) ||
-	       (s->revision_query.is_open && now_ms - s->revision_query.asked_ms > CURRENT_MS);
+	       (s->position_query.is_open && now_ms - s->position_query.asked_ms > CURRENT_MS);
 }
 
 static bool slot_is_ahead(const struct follower *f, const struct slot *s)
 {
-	return s->address && s->revision > f->revision;
+	return s->address && position_is_after(s->position, f->position);
 }
 
-/* For how long this VM has lacked a revision of which a reader has told; 0: it lacks none. */
+/* For how long this VM has lacked a change of which a reader has told; 0: it lacks none. */
 static uint64_t behind_ms(const struct follower *f, uint64_t now_ms)
 {
 	return f->n_reports > 0 ? now_ms - f->reports[0].at_ms : 0;
@@ -188,20 +188,20 @@
 	q->tag = ++f->last_tag;
 }
 
-static bool revision_query_write(struct follower *f, struct slot *s, uint64_t now_ms,
+static bool position_query_write(struct follower *f, struct slot *s, uint64_t now_ms,
 				 struct follower_query *out)
 {
-	struct query *q = &s->revision_query;
+	struct query *q = &s->position_query;
 
 	if (q->is_open || now_ms < q->next_ms)
 		return false;
 	query_open(f, q, now_ms);
 	/* A reader that has not answered as current yet is to answer at once. */
-	q->is_held = s->revision && !s->is_stale;
+	q->is_held = s->position.revision && !s->is_stale;
 	*out = (struct follower_query){
 		.address = s->address,
 		.tag = q->tag,
-		.known_revision = q->is_held ? MAX(f->revision, s->revision) : 0,
+		.known = q->is_held ? position_max(f->position, s->position) : (struct position){0},
 	};
 	return true;
 }
@@ -222,7 +222,8 @@
 	*out = (struct follower_query){
 		.address = s->address,
 		.tag = q->tag,
-		.known_revision = f->revision,
+		/* Differences are told within one era only. */
+		.known = s->position.era == f->position.era ? f->position : (struct position){0},
 		.wants_changes = true,
 		.is_repeat = !is_first,
 	};
@@ -238,7 +239,7 @@
 
 		if (!s->address)
 			continue;
-		if (revision_query_write(f, s, now_ms, out) ||
+		if (position_query_write(f, s, now_ms, out) ||
 		    changes_query_write(f, s, is_first, now_ms, out))
 			return true;
 		is_first = is_first && slot_is_lost(s, now_ms);
@@ -246,12 +247,13 @@
 	return false;
 }
 
-static void changes_answered(struct follower *f, struct slot *s, uint64_t revision, uint64_t now_ms)
+static void changes_answered(struct follower *f, struct slot *s, struct position position,
+			     uint64_t now_ms)
 {
 	uint64_t answer_ms = now_ms - s->changes_query.asked_ms;
 
 	s->changes_query.next_ms = now_ms + RETRY_MS;
-	if (revision > f->revision)
+	if (position_is_after(position, f->position))
 		f->repeat_ms = CLAMP(2 * answer_ms, REPEAT_MIN_MS, REPEAT_MAX_MS);
 }
 
@@ -267,13 +269,13 @@
 	f->was_served = true;
 }
 
-bool follower_answered(struct follower *f, uint64_t tag, bool is_current, uint64_t revision,
+bool follower_answered(struct follower *f, uint64_t tag, bool is_current, struct position position,
 		       uint64_t now_ms, uint64_t *asked_ms)
 {
 	for (unsigned int i = 0; i < READERS_MAX; i++) {
 		struct slot *s = &f->slots[i];
 		bool is_changes = s->changes_query.is_open && s->changes_query.tag == tag;
-		struct query *q = is_changes ? &s->changes_query : &s->revision_query;
+		struct query *q = is_changes ? &s->changes_query : &s->position_query;
 
 		if (!q->is_open || q->tag != tag)
 			continue;
@@ -286,11 +288,11 @@
 				now_ms + (slot_is_new(s, now_ms) ? NEW_READER_RETRY_MS : RETRY_MS);
 			return is_changes;
 		}
-		served_note(f, !is_changes && q->is_held, s->revision == 0, now_ms);
+		served_note(f, !is_changes && q->is_held, s->position.revision == 0, now_ms);
 		if (is_changes)
-			changes_answered(f, s, revision, now_ms);
-		s->revision = MAX(s->revision, revision);
-		report_add(f, revision, now_ms);
+			changes_answered(f, s, position, now_ms);
+		s->position = position_max(s->position, position);
+		report_add(f, position, now_ms);
 		return is_changes;
 	}
 	return false;
@@ -312,7 +314,7 @@
 
 bool follower_needs_store(const struct follower *f, uint64_t now_ms)
 {
-	bool is_starting = !f->was_served || f->revision == 0;
+	bool is_starting = !f->was_served || f->position.revision == 0;
 
 	return now_ms - f->served_ms >= (is_starting ? FIRST_ANSWER_MS : CURRENT_MS) ||
 	       behind_ms(f, now_ms) >= BEHIND_MAX_MS;
--- a/src/follower.h
+++ b/src/follower.h
@@ -6,16 +6,15 @@
  * slow links, so that changes take longer to arrive than a reader may be behind otherwise; readers
  * that are paused, cut off or have lost the store without knowing it yet.
  *
- * Each reader is asked for its revision, and holds the query until the store answers it. The first
- * reader that answers as current is then asked for its changes, another one only when these have
- * not arrived after a delay. No query for changes is given up. Times are in milliseconds.
+ * Each reader is asked for its position in the store's history, and holds the query until the store
+ * answers it. The first reader that answers as current is then asked for its changes, another one
+ * only when these have not arrived after a delay. No query for changes is given up. Times are in
+ * milliseconds.
  */
 #ifndef APRICOT_FOLLOWER_H
 #define APRICOT_FOLLOWER_H
 
-#include <glib.h>
-#include <stdbool.h>
-#include <stdint.h>
+#include "position.h"
 
 G_BEGIN_DECLS
 
@@ -26,8 +25,8 @@
 	const char
 		*address; /* of the reader; borrowed until the next call of follower_readers_set */
 	uint64_t tag; /* identifies the answer */
-	uint64_t known_revision; /* the answer has what is later */
-	bool wants_changes; /* false: only the reader's revision, once it is later */
+	struct position known; /* the answer has what is later; revision 0: everything */
+	bool wants_changes; /* false: only the reader's position, once it is later */
 	bool is_repeat; /* these changes were asked of another reader and have not arrived yet */
 };
 
@@ -45,19 +44,19 @@
 void follower_readers_set(struct follower *f, const char *const *addresses, unsigned int n,
 			  uint64_t now_ms);
 
-/* Notes the revision of this VM's content. */
-void follower_revision_set(struct follower *f, uint64_t revision, uint64_t now_ms);
+/* Notes the position of this VM's content. */
+void follower_position_set(struct follower *f, struct position position, uint64_t now_ms);
 
 /* Writes the next query that is due now, which then counts as open; false when there is none. */
 bool follower_query_next(struct follower *f, uint64_t now_ms, struct follower_query *out);
 
 /*
- * Notes the end of a query, before follower_revision_set for the changes in the answer. is_current:
- * the reader answered and vouches for the revision. Returns true when the query asked for changes,
+ * Notes the end of a query, before follower_position_set for the changes in the answer. is_current:
+ * the reader answered and vouches for the position. Returns true when the query asked for changes,
  * with *asked_ms set to the time of the query, and false when it did not or its reader is not asked
  * any more.
  */
-bool follower_answered(struct follower *f, uint64_t tag, bool is_current, uint64_t revision,
+bool follower_answered(struct follower *f, uint64_t tag, bool is_current, struct position position,
 		       uint64_t now_ms, uint64_t *asked_ms);
 
 /* True when there are readers and none of them has answered its last query as current. */
--- a/src/logevent.h
+++ b/src/logevent.h
@@ -58,6 +58,10 @@
 	X("store_listed", "all keys of the store were read")                                       \
 	X("store_history_lost", "the store has dropped its history; all keys are read again")      \
 	X("store_change_ignored", "the store's revision of a key is below the one known")          \
+	X("store_era_begun", "the store is back from an older copy; all keys are read again")      \
+	X("store_era_refused",                                                                     \
+	  "the store names an era before the one known; its answer is unused")                     \
+	X("store_era_unusable", "the store names no era, or one that cannot be read")              \
 	X("store_reading", "whether this VM now reads the store or gets changes from peers; why")  \
 	X("readers_lost", "no reader answers as current any more; other VMs are asked as well")    \
 	X("second_reader_asked",                                                                   \
--- a/src/main.c
+++ b/src/main.c
@@ -118,6 +118,7 @@
 	struct feed_settings feed = {
 		.store_address = settings->platform,
 		.wait_ms = (unsigned int)settings->watch_ms,
+		.report_ms = (unsigned int)settings->report_ms,
 	};
 	uint64_t lists_expire_ms =
 		settings->entry_ttl_ms * ROUTED_TTL_FACTOR + ROUTED_STOP_SPREAD_MS;
--- a/src/mirror.c
+++ b/src/mirror.c
@@ -2,14 +2,14 @@
 
 #include <string.h>
 
-/* Removals kept; the oldest are dropped, and VMs that ask about an older revision get every key. */
+/* Removals kept; the oldest are dropped, and VMs that ask about an older position get every key. */
 #define REMOVALS_MAX 4096
 
 struct mirror {
 	GHashTable *items; /* key -> struct store_item, with value NULL once removed */
 	GQueue removals; /* keys, owned, in the order of removal */
-	uint64_t revision;
-	uint64_t dropped_revision; /* removals up to this revision may be missing */
+	struct position position;
+	struct position dropped; /* removals up to this position may be missing */
 };
 
 static struct store_item *item_copy(const struct store_item *item)
@@ -17,7 +17,7 @@
 	struct store_item *copy = g_new0(struct store_item, 1);
 
 	copy->key = g_strdup(item->key);
-	copy->revision = item->revision;
+	copy->position = item->position;
 	copy->n_value = item->n_value;
 	copy->read_ms = item->read_ms;
 	if (item->value) { /* an empty value is not a removal */
@@ -54,7 +54,7 @@
 		const struct store_item *item = g_hash_table_lookup(m->items, oldest);
 
 		if (item && !item->value) {
-			m->dropped_revision = MAX(m->dropped_revision, item->revision);
+			m->dropped = position_max(m->dropped, item->position);
 			g_hash_table_remove(m->items, oldest);
 		}
 		g_free(oldest);
@@ -66,7 +66,7 @@
 	const struct store_item *known = g_hash_table_lookup(m->items, item->key);
 	struct store_item *copy;
 
-	if (known && known->revision >= item->revision)
+	if (known && !position_is_after(item->position, known->position))
 		return;
 	copy = item_copy(item);
 	/* The feed empties a malformed value. It must not remove what others know of the key. */
@@ -85,7 +85,7 @@
 {
 	for (guint i = 0; i < answer->items->len; i++)
 		item_apply(m, g_ptr_array_index(answer->items, i));
-	m->revision = MAX(m->revision, answer->revision);
+	m->position = position_max(m->position, answer->position);
 }
 
 void mirror_apply_listing(struct mirror *m, const struct store_answer *answer)
@@ -101,38 +101,39 @@
 	while (g_hash_table_iter_next(&iter, NULL, &value)) {
 		const struct store_item *item = value;
 
-		if (item->revision <= answer->revision && !g_hash_table_contains(listed, item->key))
+		if (!position_is_after(item->position, answer->position) &&
+		    !g_hash_table_contains(listed, item->key))
 			g_hash_table_iter_remove(&iter);
 	}
 	/*
-	 * The revisions of these removals are unknown, so VMs that ask about an older revision must
-	 * get every key.
+	 * The positions of these removals are unknown, so VMs that ask about an older one must get
+	 * every key.
 	 */
-	m->dropped_revision = MAX(m->dropped_revision, answer->revision);
+	m->dropped = position_max(m->dropped, answer->position);
 	g_hash_table_destroy(listed);
 	mirror_apply(m, answer);
 }
 
-uint64_t mirror_revision(const struct mirror *m)
+struct position mirror_position(const struct mirror *m)
 {
-	return m->revision;
+	return m->position;
 }
 
-void mirror_changes_since(const struct mirror *m, uint64_t revision, struct store_answer *out,
+void mirror_changes_since(const struct mirror *m, struct position after, struct store_answer *out,
 			  bool *is_full)
 {
 	GHashTableIter iter;
 	gpointer value;
 
-	*is_full = revision < m->dropped_revision || revision == 0;
+	*is_full = position_is_after(m->dropped, after) || after.revision == 0;
 	out->items = g_ptr_array_new_with_free_func(store_item_free);
-	out->revision = m->revision;
+	out->position = m->position;
 	out->has_more = false;
 	g_hash_table_iter_init(&iter, m->items);
 	while (g_hash_table_iter_next(&iter, NULL, &value)) {
 		const struct store_item *item = value;
 
-		if (*is_full ? item->value != NULL : item->revision > revision)
+		if (*is_full ? item->value != NULL : position_is_after(item->position, after))
 			g_ptr_array_add(out->items, item_copy(item));
 	}
 }
--- a/src/mirror.h
+++ b/src/mirror.h
@@ -20,20 +20,20 @@
  */
 void mirror_apply(struct mirror *m, const struct store_answer *answer);
 /*
- * Applies a complete listing of the store. Keys that it lacks are removed, unless their revision is
- * above that of the answer.
+ * Applies a complete listing of the store. Keys that it lacks are removed, unless their position is
+ * after that of the answer.
  */
 void mirror_apply_listing(struct mirror *m, const struct store_answer *answer);
 
-/* Revision up to which the mirror has all changes; 0: nothing was read yet. */
-uint64_t mirror_revision(const struct mirror *m);
+/* Position up to which the mirror has all changes; revision 0: nothing was read yet. */
+struct position mirror_position(const struct mirror *m);
 
 /*
- * Writes the changes after the revision, in no particular order, as an answer that the caller
- * clears. When the revision is 0 or removals after it may have been dropped, *is_full is set to
+ * Writes the changes after the position, in no particular order, as an answer that the caller
+ * clears. When its revision is 0 or removals after it may have been dropped, *is_full is set to
  * true and the answer has every key instead.
  */
-void mirror_changes_since(const struct mirror *m, uint64_t revision, struct store_answer *out,
+void mirror_changes_since(const struct mirror *m, struct position after, struct store_answer *out,
 			  bool *is_full);
 
 G_END_DECLS
--- a/src/proto/apricot.h
+++ b/src/proto/apricot.h
@@ -206,11 +206,14 @@
 	char *rpc;
 };
 typedef struct apr_notice apr_notice;
+typedef u_quad_t apr_last_hyper;
+extern bool_t xdr_apr_last_hyper(XDR *, apr_last_hyper *);
 
 struct apr_feed_args {
 	u_quad_t known_revision;
 	u_int wait_ms;
 	bool_t wants_items;
+	apr_last_hyper known_era;
 };
 typedef struct apr_feed_args apr_feed_args;
 
@@ -234,6 +237,7 @@
 		u_int items_len;
 		apr_feed_item *items_val;
 	} items;
+	apr_last_hyper era;
 };
 typedef struct apr_feed_reply apr_feed_reply;
 
--- a/src/proto/apricot.x
+++ b/src/proto/apricot.x
@@ -145,10 +145,17 @@
 	string rpc<APR_ADDR_MAX>;
 };
 
+/* The last member of a struct; 0 if the sender, an earlier version, does not have it. */
+#ifdef RPC_HDR
+%typedef u_quad_t apr_last_hyper;
+%extern bool_t xdr_apr_last_hyper(XDR *, apr_last_hyper *);
+#endif
+
 struct apr_feed_args {
 	unsigned hyper known_revision;
 	unsigned int wait_ms;
 	bool wants_items;
+	apr_last_hyper known_era;
 };
 
 struct apr_feed_item {
@@ -164,6 +171,7 @@
 	bool is_full;
 	unsigned hyper revision;
 	apr_feed_item items<APR_FEED_ITEMS_MAX>;
+	apr_last_hyper era;
 };
 
 program APRICOT_PROGRAM {
--- a/src/proto/apricot_xdr.c
+++ b/src/proto/apricot_xdr.c
@@ -326,6 +326,8 @@
 		 return FALSE;
 	 if (!xdr_bool (xdrs, &objp->wants_items))
 		 return FALSE;
+	 if (!xdr_apr_last_hyper (xdrs, &objp->known_era))
+		 return FALSE;
 	return TRUE;
 }
 
@@ -361,5 +363,7 @@
 	 if (!xdr_array (xdrs, (char **)&objp->items.items_val, (u_int *) &objp->items.items_len, APR_FEED_ITEMS_MAX,
 		sizeof (apr_feed_item), (xdrproc_t) xdr_apr_feed_item))
 		 return FALSE;
+	 if (!xdr_apr_last_hyper (xdrs, &objp->era))
+		 return FALSE;
 	return TRUE;
 }
--- a/src/registry.c
+++ b/src/registry.c
@@ -7,10 +7,18 @@
  * it is not added: a leaving leaf may be called for three seconds only.
  */
 #define HOLD_MS 2100
+/*
+ * Periods for which a leaf may fail to write its entry before the entry expires. For as long it may
+ * be missing in a new era, in addition to HOLD_MS.
+ */
+#define REPORTS_MISSED_MAX 3
+/* Assumed when the deployment does not name the period. */
+#define REPORT_DEFAULT_MS 1200
 
 struct entry {
-	uint64_t revision;
-	uint64_t removal_revision; /* 0: not removed */
+	struct position position;
+	struct position removal; /* valid if is_removed */
+	bool is_removed; /* the removal has not taken effect yet */
 	uint64_t due_ms; /* when the removal takes effect */
 	unsigned int listing; /* value of registry.listing when the key was last put */
 };
@@ -20,15 +28,17 @@
 	GQueue removals; /* keys, owned; those not due yet are moved to the tail */
 	unsigned int listing; /* number of the current or last listing */
 	bool is_listing;
+	unsigned int report_ms;
 	uint64_t hold_until_ms; /* a removal is not due before this time */
 };
 
-struct registry *registry_create(void)
+struct registry *registry_create(unsigned int report_ms)
 {
 	struct registry *r = g_new0(struct registry, 1);
 
 	r->entries = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
 	g_queue_init(&r->removals);
+	r->report_ms = report_ms ? report_ms : REPORT_DEFAULT_MS;
 	return r;
 }
 
@@ -41,7 +51,7 @@
 	g_free(r);
 }
 
-bool registry_put(struct registry *r, const char *key, uint64_t revision)
+bool registry_put(struct registry *r, const char *key, struct position position)
 {
 	struct entry *e = g_hash_table_lookup(r->entries, key);
 
@@ -50,18 +60,19 @@
 		g_hash_table_insert(r->entries, g_strdup(key), e);
 	}
 	e->listing = r->listing;
-	if (e->revision >= revision || e->removal_revision > revision)
+	if (!position_is_after(position, e->position) ||
+	    (e->is_removed && position_is_after(e->removal, position)))
 		return false;
-	e->revision = revision;
-	e->removal_revision = 0;
+	e->position = position;
+	e->is_removed = false;
 	return true;
 }
 
-uint64_t registry_revision(const struct registry *r, const char *key)
+struct position registry_position(const struct registry *r, const char *key)
 {
 	const struct entry *e = g_hash_table_lookup(r->entries, key);
 
-	return e ? e->revision : 0;
+	return e ? e->position : (struct position){0};
 }
 
 bool registry_knows(const struct registry *r, const char *key)
@@ -69,16 +80,23 @@
 	return g_hash_table_contains(r->entries, key);
 }
 
-bool registry_remove(struct registry *r, const char *key, uint64_t revision, bool is_held,
+static void removal_note(struct registry *r, const char *key, struct entry *e,
+			 struct position position, uint64_t due_ms)
+{
+	e->is_removed = true;
+	e->removal = position;
+	e->due_ms = MAX(due_ms, r->hold_until_ms);
+	g_queue_push_tail(&r->removals, g_strdup(key));
+}
+
+bool registry_remove(struct registry *r, const char *key, struct position position, bool is_held,
 		     uint64_t read_ms)
 {
 	struct entry *e = g_hash_table_lookup(r->entries, key);
 
-	if (!e || e->revision > revision || e->removal_revision)
+	if (!e || e->is_removed || position_is_after(e->position, position))
 		return false;
-	e->removal_revision = MAX(1, revision);
-	e->due_ms = MAX(is_held ? read_ms + HOLD_MS : read_ms, r->hold_until_ms);
-	g_queue_push_tail(&r->removals, g_strdup(key));
+	removal_note(r, key, e, position, is_held ? read_ms + HOLD_MS : read_ms);
 	return true;
 }
 
@@ -88,7 +106,7 @@
 	r->is_listing = true;
 }
 
-void registry_listing_end(struct registry *r, uint64_t revision, uint64_t now_ms)
+void registry_listing_end(struct registry *r, struct position position, uint64_t now_ms)
 {
 	GHashTableIter iter;
 	gpointer key;
@@ -101,8 +119,14 @@
 	while (g_hash_table_iter_next(&iter, &key, &value)) {
 		struct entry *e = value;
 
-		if (e->listing != r->listing && !e->removal_revision && e->revision <= revision)
-			registry_remove(r, key, revision, false, now_ms);
+		if (e->listing == r->listing || e->is_removed ||
+		    position_is_after(e->position, position))
+			continue;
+		if (e->position.era < position.era)
+			removal_note(r, key, e, position,
+				     now_ms + HOLD_MS + REPORTS_MISSED_MAX * r->report_ms);
+		else
+			removal_note(r, key, e, position, now_ms);
 	}
 }
 
@@ -111,7 +135,7 @@
 	r->hold_until_ms = now_ms + HOLD_MS;
 }
 
-char *registry_due_removal_take(struct registry *r, uint64_t now_ms, uint64_t *revision)
+char *registry_due_removal_take(struct registry *r, uint64_t now_ms, struct position *position)
 {
 	unsigned int n = g_queue_get_length(&r->removals);
 
@@ -119,10 +143,10 @@
 		char *key = g_queue_pop_head(&r->removals);
 		struct entry *e = g_hash_table_lookup(r->entries, key);
 
-		if (!e || !e->removal_revision) {
+		if (!e || !e->is_removed) {
 			g_free(key); /* the key was put again */
 		} else if (now_ms >= e->due_ms) {
-			*revision = e->removal_revision;
+			*position = e->removal;
 			g_hash_table_remove(r->entries, key);
 			return key;
 		} else {
--- a/src/relay.c
+++ b/src/relay.c
@@ -62,6 +62,24 @@
 	bool is_current; /* as in the last store_update of the feed since it began to read */
 };
 
+/*
+ * The position that the asking VM knows. One with an earlier version of the program names no era;
+ * its revision counts as one of this VM's era.
+ */
+static struct position known_position(const struct relay *r, const struct peer_call *call)
+{
+	const apr_feed_args *args = call->args;
+	uint64_t era = args->known_era ? args->known_era : mirror_position(r->mirror).era;
+
+	return (struct position){era, args->known_revision};
+}
+
+/* True when this VM has changes that the asking VM lacks. */
+static bool query_lacks_changes(const struct relay *r, const struct peer_call *call)
+{
+	return position_is_after(mirror_position(r->mirror), known_position(r, call));
+}
+
 static bool reads_itself(const struct relay *r)
 {
 	return r->is_reading && r->is_current;
@@ -76,7 +94,7 @@
 		apr_feed_item *to = &out->items.items_val[i];
 
 		to->key = g_strdup(item->key);
-		to->revision = item->revision;
+		to->revision = item->position.revision;
 		to->is_removed = !item->value;
 		to->age_ms = item->value ? 0 : (u_int)MIN(now_ms - item->read_ms, G_MAXUINT32);
 		to->value.value_len = item->value ? (u_int)item->n_value : 0;
@@ -100,9 +118,10 @@
 	 * outdated content around among each other.
 	 */
 	result->is_current = reads_itself(r);
-	result->revision = mirror_revision(r->mirror);
-	if (args->wants_items && result->is_current && args->known_revision < result->revision) {
-		mirror_changes_since(r->mirror, args->known_revision, &answer, &is_full);
+	result->era = mirror_position(r->mirror).era;
+	result->revision = mirror_position(r->mirror).revision;
+	if (args->wants_items && result->is_current && query_lacks_changes(r, call)) {
+		mirror_changes_since(r->mirror, known_position(r, call), &answer, &is_full);
 		items_encode(result, &answer, clock_now_ms());
 		store_answer_clear(&answer);
 	} else {
@@ -119,10 +138,7 @@
 
 static bool waiter_is_due(const struct relay *r, const struct waiter *w, uint64_t now_ms)
 {
-	const apr_feed_args *args = w->call->args;
-
-	return !reads_itself(r) || args->known_revision < mirror_revision(r->mirror) ||
-	       now_ms >= w->until_ms;
+	return !reads_itself(r) || query_lacks_changes(r, w->call) || now_ms >= w->until_ms;
 }
 
 /* is_confirmed: the store has answered now, so all waiting queries are due. */
@@ -152,7 +168,7 @@
 	const apr_feed_args *args = call->args;
 	struct waiter *w;
 
-	if (!reads_itself(r) || args->known_revision < mirror_revision(r->mirror)) {
+	if (!reads_itself(r) || query_lacks_changes(r, call)) {
 		peer_query_answer(r, call);
 		return;
 	}
@@ -167,7 +183,8 @@
 	apr_feed_args *args = peer_args_create(APR_FEED);
 	struct peer_call *call;
 
-	args->known_revision = query->known_revision;
+	args->known_era = query->known.era;
+	args->known_revision = query->known.revision;
 	args->wait_ms = ASK_WAIT_MS;
 	args->wants_items = query->wants_changes;
 	call = peer_call_create(APR_FEED, query->address, args,
@@ -177,7 +194,7 @@
 	if (query->is_repeat)
 		log_event(LOG_LEVEL_INFO, "second_reader_asked",
 			  "reader=%s revision=%" G_GUINT64_FORMAT, query->address,
-			  query->known_revision);
+			  query->known.revision);
 	kernel_message_send(r->service.kernel, r->peer, &call->message);
 }
 
@@ -190,7 +207,7 @@
 		r->is_current = false;
 	log_event(LOG_LEVEL_INFO, "store_reading",
 		  "reads=%s why=\"%s\" revision=%" G_GUINT64_FORMAT, is_wanted ? "self" : "peers",
-		  why, mirror_revision(r->mirror));
+		  why, mirror_position(r->mirror).revision);
 	kernel_message_send(r->service.kernel, kernel_service_find(r->service.kernel, "feed"),
 			    &store_reading_create(is_wanted)->message);
 }
@@ -218,7 +235,7 @@
 		return;
 	if (!r->is_searching)
 		log_event(LOG_LEVEL_INFO, "readers_lost", "revision=%" G_GUINT64_FORMAT,
-			  mirror_revision(r->mirror));
+			  mirror_position(r->mirror).revision);
 	r->is_searching = true;
 	r->search_turn++;
 	r->search_next_ms = now_ms + SEARCH_MS;
@@ -282,16 +299,17 @@
 }
 
 /* asked_ms: a removal's age in the reply is taken as its age at that time. */
-static void items_decode(struct store_answer *out, apr_feed_reply *reply, uint64_t asked_ms)
+static void items_decode(struct store_answer *out, apr_feed_reply *reply, struct position position,
+			 uint64_t asked_ms)
 {
 	out->items = g_ptr_array_new_with_free_func(store_item_free);
-	out->revision = reply->revision;
+	out->position = position;
 	for (u_int i = 0; i < reply->items.items_len; i++) {
 		const apr_feed_item *from = &reply->items.items_val[i];
 		struct store_item *item = g_new0(struct store_item, 1);
 
 		item->key = g_strdup(from->key);
-		item->revision = from->revision;
+		item->position = (struct position){position.era, from->revision};
 		item->read_ms = asked_ms - MIN(from->age_ms, asked_ms);
 		if (!from->is_removed) {
 			item->n_value = from->value.value_len;
@@ -310,18 +328,22 @@
 		mirror_apply_listing(r->mirror, answer);
 	else
 		mirror_apply(r->mirror, answer);
-	follower_revision_set(r->follower, mirror_revision(r->mirror), clock_now_ms());
+	follower_position_set(r->follower, mirror_position(r->mirror), clock_now_ms());
 }
 
-static void changes_receive(struct relay *r, apr_feed_reply *reply, uint64_t asked_ms)
+static void changes_receive(struct relay *r, apr_feed_reply *reply, struct position position,
+			    uint64_t asked_ms)
 {
 	struct kernel *k = r->service.kernel;
 	struct store_answer answer = {0};
 	struct store_update *update;
 
-	if (reply->revision <= mirror_revision(r->mirror))
+	if (!position_is_after(position, mirror_position(r->mirror)))
+		return;
+	/* Changes since a position of another era are no complete content. */
+	if (position.era != mirror_position(r->mirror).era && !reply->is_full)
 		return;
-	items_decode(&answer, reply, asked_ms);
+	items_decode(&answer, reply, position, asked_ms);
 	mirror_update(r, &answer, reply->is_full);
 	update = store_update_create(&answer, reply->is_full);
 	update->asked_ms = asked_ms;
@@ -331,17 +353,20 @@
 static void reply_receive(struct relay *r, const struct peer_reply *message)
 {
 	apr_feed_reply *reply = message->result;
-	bool is_current = reply && reply->is_current;
+	bool is_current =
+		reply && reply->is_current && reply->era >= mirror_position(r->mirror).era;
+	struct position position =
+		is_current ? (struct position){reply->era, reply->revision} : (struct position){0};
 	uint64_t now_ms = clock_now_ms();
 	uint64_t asked_ms = now_ms;
-	bool asked_changes = follower_answered(r->follower, message->tag, is_current,
-					       is_current ? reply->revision : 0, now_ms, &asked_ms);
+	bool asked_changes = follower_answered(r->follower, message->tag, is_current, position,
+					       now_ms, &asked_ms);
 
 	if (is_current)
 		r->is_searching = false;
 	/* The revision of the store can rise without a change of a key. */
 	if (is_current && (asked_changes || reply->items.items_len > 0))
-		changes_receive(r, reply, asked_ms);
+		changes_receive(r, reply, position, asked_ms);
 }
 
 /* Takes in what the feed of this VM has read from the store. */
--- a/src/settings.h
+++ b/src/settings.h
@@ -59,6 +59,8 @@
 	  "longest duration of a planned stop, ms")                                             \
 	X(watch_ms, "watch-ms", "APRICOT_WATCH_MS", 5000, 100, 60000,                           \
 	  "longest wait of a watch of the platform, ms")                                        \
+	X(report_ms, "leaf-report-ms", "APRICOT_LEAF_REPORT_MS", 0, 0, 60000,                   \
+	  "period in which leaves write their entries to the store, ms (0 or empty: unknown)")  \
 	X(entry_ttl_ms, "entry-ttl-ms", "APRICOT_ENTRY_TTL_MS", 1500, 100, 60000,               \
 	  "how long callers of a routed deployment keep addresses, ms")                         \
 	X(repeat_pct, "repeat-pct", "APRICOT_REPEAT_PCT", 20, 0, 100,                           \
--- a/tests/adapter_test.cc
+++ b/tests/adapter_test.cc
@@ -9,6 +9,23 @@
 
 namespace
 {
+/* What the head of an answer of the store with these fields says of the era, and the era. */
+std::string era_of(const std::string &fields)
+{
+	const struct adapter *adapter = adapter_platform();
+	const struct http_limits limits = {65536, 65536};
+	struct http_reader *r = http_reader_create(HTTP_MESSAGE_ANSWER, &limits);
+	std::string text = "HTTP/1.1 200 X\r\n" + fields + "Content-Length: 0\r\n\r\n";
+	uint64_t era = 0;
+	std::string out;
+	size_t used;
+
+	EXPECT_EQ(http_reader_feed(r, text.data(), text.size(), &used), HTTP_COMPLETE) << fields;
+	out = store_era_name(adapter->ops->era_parse(adapter, r, &era));
+	http_reader_destroy(r);
+	return era ? out + " " + std::to_string(era) : out;
+}
+
 struct leaf_signals signals_of(const std::string &fields, unsigned int status = 200)
 {
 	const struct adapter *adapter = adapter_platform();
@@ -349,7 +366,7 @@
 				ASSERT_TRUE(a.is_read) << text.substr(0, 600);
 				ASSERT_EQ(a.answer.items->len, 3u) << text.substr(0, 600);
 				EXPECT_EQ(a.answer.n_unreadable, 1u);
-				EXPECT_EQ(a.answer.revision, 12u);
+				EXPECT_EQ(a.answer.position.revision, 12u);
 				for (guint i = 0; i < 3; i++)
 					EXPECT_EQ(a.item(i)->key,
 						  "servers/" +
@@ -423,3 +440,21 @@
 			     .is_read);
 	EXPECT_FALSE(answer_ref("{\"items\": [" + entry + "],\"storeRevision\":1e400}").is_read);
 }
+
+/* Guards against an era read from a field that is cut, doubled or no whole number in its range. */
+TEST(adapter, era_is_a_whole_number)
+{
+	const std::string largest = std::to_string(INT64_MAX);
+
+	EXPECT_EQ(era_of(""), "absent");
+	EXPECT_EQ(era_of("X-Store-Era: 7\r\n"), "absent");
+	EXPECT_EQ(era_of("Store-Era: 7\r\n"), "named 7");
+	EXPECT_EQ(era_of("store-era: 007\r\n"), "named 7");
+	EXPECT_EQ(era_of("Store-Era: 0\r\n"), "named");
+	EXPECT_EQ(era_of("Store-Era: " + largest + "\r\n"), "named " + largest);
+	EXPECT_EQ(era_of("Store-Era: 7\r\nStore-Era: 7\r\n"), "malformed");
+	for (const char *value : {"", "-1", "+1", "1.0", "0x1", "1 1", "1,1", "one",
+				  "9223372036854775808", "99999999999999999999"})
+		EXPECT_EQ(era_of(std::string("Store-Era: ") + value + "\r\n"), "malformed")
+			<< value;
+}
--- a/tests/follower_test.cc
+++ b/tests/follower_test.cc
@@ -1,4 +1,5 @@
 #include "follower.h"
+#include "position_text.h"
 #include "registry.h"
 #include "script.h"
 
@@ -30,18 +31,18 @@
 	uint64_t asked_ms;
 	uint64_t timeout_ms; /* counts as lost then */
 	uint64_t due_ms; /* of the answer; 0: not known yet */
-	uint64_t revision; /* in the answer */
+	struct position position; /* in the answer */
 };
 
-/* A follower, its readers and a store whose writes have revisions and times. */
+/* A follower, its readers and a store whose writes have positions and times. */
 struct world {
 	struct follower *f = follower_create(0);
 	std::vector<reader> readers = std::vector<reader>(N_READERS);
 	std::vector<open_query> queries;
-	std::vector<std::pair<uint64_t, uint64_t>> writes; /* time and revision */
+	std::vector<std::pair<uint64_t, struct position>> writes; /* time and position */
 	uint64_t now_ms = 0;
 	uint64_t begun_ms = 0; /* time 0 of the script */
-	uint64_t known = 0;
+	struct position known = {};
 	bool needs_store = false;
 	uint64_t changed_ms = 0; /* when the changes that raised it last were asked for */
 	uint64_t read_ms = 0; /* when the reader that told of it had read the newest write */
@@ -57,14 +58,14 @@
 		log += std::to_string(now_ms - begun_ms) + " " + text + "\n";
 	}
 
-	uint64_t revision_of(const reader &r) const
+	struct position position_at(const reader &r) const
 	{
-		uint64_t revision = 0;
+		struct position position = {};
 
 		for (const auto &w : writes)
 			if (w.first + r.reading_ms <= now_ms && w.first < r.lost_ms)
-				revision = std::max(revision, w.second);
-		return revision;
+				position = position_max(position, w.second);
+		return position;
 	}
 
 	/* When the store has last answered the reader. */
@@ -90,43 +91,44 @@
 		       (r.lost_ms == NEVER || now_ms < r.lost_ms + r.notice_ms);
 	}
 
-	void learn(uint64_t revision)
+	void learn(struct position position)
 	{
-		known = std::max(known, revision);
-		follower_revision_set(f, known, now_ms);
+		known = position_max(known, position);
+		follower_position_set(f, known, now_ms);
 	}
 
 	/* Handles the query; true when it has ended. */
 	bool query_advance(open_query &q)
 	{
 		const reader &r = readers[q.reader];
-		uint64_t revision = revision_of(r);
+		struct position position = position_at(r);
 		uint64_t asked_ms = 0;
 
 		if (now_ms < q.timeout_ms && r.paused_ms <= now_ms)
 			return false;
 		if (now_ms >= q.timeout_ms || !is_current(r)) {
-			follower_answered(f, q.query.tag, false, 0, now_ms, &asked_ms);
+			follower_answered(f, q.query.tag, false, {}, now_ms, &asked_ms);
 			return true;
 		}
-		if (!q.due_ms && revision > q.query.known_revision) {
-			q.revision = revision;
+		if (!q.due_ms && position_is_after(position, q.query.known)) {
+			q.position = position;
 			q.due_ms = now_ms + (q.query.wants_changes ? r.changes_ms : 0);
 			if (q.query.wants_changes)
 				line("r" + std::to_string(q.reader) + " changes since " +
-				     std::to_string(q.query.known_revision));
+				     position_text(q.query.known));
 		} else if (!q.due_ms && confirmed_ms(r) > q.asked_ms) {
-			q.revision = revision;
+			q.position = position;
 			q.due_ms = now_ms;
 		}
 		if (!q.due_ms || now_ms < q.due_ms)
 			return false;
-		follower_answered(f, q.query.tag, true, q.revision, now_ms, &asked_ms);
-		if (q.query.wants_changes && r.has_changes && q.revision > known) {
-			learn(q.revision);
+		follower_answered(f, q.query.tag, true, q.position, now_ms, &asked_ms);
+		if (q.query.wants_changes && r.has_changes &&
+		    position_is_after(q.position, known)) {
+			learn(q.position);
 			changed_ms = asked_ms;
 			read_ms = writes.back().first + r.reading_ms;
-			line("known " + std::to_string(known));
+			line("known " + position_text(known));
 		}
 		return true;
 	}
@@ -141,8 +143,12 @@
 				open.push_back(q);
 		queries = open;
 		while (follower_query_next(f, now_ms, &query))
-			queries.push_back({(size_t)(query.address[1] - '0'), query, now_ms,
-					   now_ms + (query.wants_changes ? 8000 : 3600), 0, 0});
+			queries.push_back({(size_t)(query.address[1] - '0'),
+					   query,
+					   now_ms,
+					   now_ms + (query.wants_changes ? 8000 : 3600),
+					   0,
+					   {}});
 	}
 
 	void step()
@@ -159,12 +165,12 @@
 		}
 	}
 
-	/* The VM has this revision, and the readers have served it until now. */
-	void begin(uint64_t revision)
+	/* The VM has this position, and the readers have served it until now. */
+	void begin(struct position position)
 	{
-		writes.emplace_back(0, revision);
+		writes.emplace_back(0, position);
 		follower_restart(f, true, now_ms);
-		learn(revision);
+		learn(position);
 	}
 };
 
@@ -192,11 +198,11 @@
 		uint64_t at_ms = world.begun_ms + (w.size() > 3 ? std::stoull(w[3]) : 0);
 
 		world.log.clear();
-		if (w[0] == "known") { /* known REVISION: by all */
-			world.begin(std::stoull(w[1]));
+		if (w[0] == "known") { /* known POSITION: by all */
+			world.begin(position_of(w[1]));
 			served_run();
-		} else if (w[0] == "write") { /* write REVISION at MS */
-			world.writes.emplace_back(at_ms, std::stoull(w[1]));
+		} else if (w[0] == "write") { /* write POSITION at MS */
+			world.writes.emplace_back(at_ms, position_of(w[1]));
 		} else if (w[0] == "changes-take") { /* changes-take MS: from any reader */
 			for (auto &r : world.readers)
 				r.changes_ms = std::stoull(w[1]);
@@ -264,11 +270,11 @@
 		uint64_t change_ms = (seed % 4 ? 4000 : 8000) + rand() % 2000;
 		uint64_t store_ms = 0; /* time for which the store has been needed */
 
-		w.begin(1);
+		w.begin({0, 1});
 		for (auto &r : w.readers)
 			reader_fault_draw(r, change_ms, rand);
-		w.writes.emplace_back(change_ms, 2);
-		while (w.known < 2 && w.now_ms < change_ms + 10000) {
+		w.writes.emplace_back(change_ms, position{0, 2});
+		while (w.known.revision < 2 && w.now_ms < change_ms + 10000) {
 			w.step();
 			w.now_ms += STEP_MS;
 			store_ms = w.needs_store ? store_ms + STEP_MS : 0;
@@ -290,29 +296,29 @@
 	for (unsigned seed = 0; seed < 20000; seed++) {
 		std::mt19937 rand(seed);
 		struct world w;
-		struct registry *registry = registry_create();
+		struct registry *registry = registry_create(0);
 		uint64_t change_ms = (seed % 4 ? 4000 : 8000) + rand() % 2000;
 		uint64_t store_ms = NEVER; /* when this VM reads the store */
-		uint64_t revision = 0;
+		struct position removal = {};
 		char *key = nullptr;
 
-		w.begin(1);
+		w.begin({0, 1});
 		for (auto &r : w.readers)
 			reader_fault_draw(r, change_ms, rand);
 		for (unsigned i = 0; i < 5; i++)
-			w.writes.emplace_back(change_ms - 330 * (5 - i), 2 + i);
-		w.writes.emplace_back(change_ms, 7);
-		while (w.known < 7 && w.now_ms < MAX(store_ms, change_ms)) {
+			w.writes.emplace_back(change_ms - 330 * (5 - i), position{0, 2u + i});
+		w.writes.emplace_back(change_ms, position{0, 7});
+		while (w.known.revision < 7 && w.now_ms < MAX(store_ms, change_ms)) {
 			w.step();
 			if (w.needs_store)
 				store_ms = MIN(store_ms, w.now_ms + 150);
 			w.now_ms += STEP_MS;
 		}
-		if (w.known < 7)
+		if (w.known.revision < 7)
 			w.read_ms = store_ms <= change_ms ? change_ms : w.changed_ms;
-		registry_put(registry, "leaf", 1);
-		registry_remove(registry, "leaf", 7, true, w.read_ms);
-		while (!(key = registry_due_removal_take(registry, w.now_ms, &revision)))
+		registry_put(registry, "leaf", {0, 1});
+		registry_remove(registry, "leaf", {0, 7}, true, w.read_ms);
+		while (!(key = registry_due_removal_take(registry, w.now_ms, &removal)))
 			w.now_ms += STEP_MS;
 		g_free(key);
 		registry_destroy(registry);
--- a/tests/fuzz/adapter.c
+++ b/tests/fuzz/adapter.c
@@ -85,18 +85,18 @@
 	}
 	g_string_append(text, "],\"hasMore\":true,\"storeRevision\":99}");
 	FUZZ_CHECK(adapter->ops->answer_parse(adapter, text->str, text->len, &answer, NULL));
-	FUZZ_CHECK(answer.revision == 99 && answer.has_more);
+	FUZZ_CHECK(answer.position.revision == 99 && answer.has_more);
 	FUZZ_CHECK(answer.n_unreadable <= 1 && answer.items->len + answer.n_unreadable == n);
 	for (unsigned int i = 0; i < answer.items->len; i++) {
 		const struct store_item *item = g_ptr_array_index(answer.items, i);
 		unsigned int number = i + (answer.n_unreadable && i >= place);
 		char key[32];
 
-		FUZZ_CHECK(g_utf8_validate(item->key, -1, NULL) && item->revision > 0);
+		FUZZ_CHECK(g_utf8_validate(item->key, -1, NULL) && item->position.revision > 0);
 		if (number == place)
 			continue;
 		g_snprintf(key, sizeof(key), "servers/%u", number);
-		FUZZ_CHECK(strcmp(item->key, key) == 0 && item->revision == number + 1);
+		FUZZ_CHECK(strcmp(item->key, key) == 0 && item->position.revision == number + 1);
 		FUZZ_CHECK(item->n_value == 2 && memcmp(item->value, "{}", 2) == 0);
 	}
 	if (answer.n_unreadable) {
--- a/tests/mirror_test.cc
+++ b/tests/mirror_test.cc
@@ -1,4 +1,5 @@
 #include "mirror.h"
+#include "position_text.h"
 
 #include <algorithm>
 #include <gtest/gtest.h>
@@ -9,11 +10,12 @@
 {
 struct store_answer answer(uint64_t revision,
 			   const std::vector<std::pair<std::string, uint64_t>> &puts,
-			   const std::vector<std::pair<std::string, uint64_t>> &removals = {})
+			   const std::vector<std::pair<std::string, uint64_t>> &removals = {},
+			   uint64_t era = 0)
 {
 	struct store_answer a = {g_ptr_array_new_with_free_func(store_item_free),
 				 false,
-				 revision,
+				 {era, revision},
 				 nullptr,
 				 0,
 				 nullptr};
@@ -23,7 +25,7 @@
 			struct store_item *item = g_new0(struct store_item, 1);
 
 			item->key = g_strdup(entry.first.c_str());
-			item->revision = entry.second;
+			item->position = {era, entry.second};
 			item->value = list == &puts ? g_strdup("v") : nullptr;
 			item->n_value = item->value ? 1 : 0;
 			g_ptr_array_add(a.items, item);
@@ -34,14 +36,14 @@
 /*
  * Keys changed after the revision, sorted; "-" precedes a removed key, "full" a list of all keys.
  */
-std::string changes_since(const struct mirror *m, uint64_t revision)
+std::string changes_since(const struct mirror *m, uint64_t revision, uint64_t era = 0)
 {
 	struct store_answer a = {};
 	std::vector<std::string> keys;
 	std::string out;
 	bool is_full;
 
-	mirror_changes_since(m, revision, &a, &is_full);
+	mirror_changes_since(m, {era, revision}, &a, &is_full);
 	for (guint i = 0; i < a.items->len; i++) {
 		auto *item = static_cast<struct store_item *>(g_ptr_array_index(a.items, i));
 
@@ -78,7 +80,7 @@
 	EXPECT_EQ(changes_since(m, 0), "full b c ");
 	apply(m, answer(8, {{"a", 6}}));
 	EXPECT_EQ(changes_since(m, 7), "-a ");
-	EXPECT_EQ(mirror_revision(m), 8u);
+	EXPECT_EQ(position_text(mirror_position(m)), "8");
 	mirror_destroy(m);
 }
 
@@ -92,7 +94,7 @@
 	static_cast<struct store_item *>(g_ptr_array_index(a.items, 0))->read_ms = 1234;
 	apply(m, answer(5, {{"a", 3}}), true);
 	apply(m, a);
-	mirror_changes_since(m, 5, &a, &is_full);
+	mirror_changes_since(m, {0, 5}, &a, &is_full);
 	ASSERT_EQ(a.items->len, 1u);
 	EXPECT_EQ(static_cast<struct store_item *>(g_ptr_array_index(a.items, 0))->read_ms, 1234u);
 	store_answer_clear(&a);
@@ -128,7 +130,7 @@
 			0;
 	apply(m, malformed);
 	EXPECT_EQ(changes_since(m, 5), "a b ");
-	mirror_changes_since(m, 5, &out, &is_full);
+	mirror_changes_since(m, {0, 5}, &out, &is_full);
 	for (guint i = 0; i < out.items->len; i++) {
 		auto *item = static_cast<struct store_item *>(g_ptr_array_index(out.items, i));
 
@@ -141,3 +143,22 @@
 	EXPECT_EQ(changes_since(m, 7), "-a -b ");
 	mirror_destroy(m);
 }
+
+/*
+ * Guards against a mirror that keeps what a store has lost which came back from an older copy, or
+ * that tells differences to a VM which knows an earlier era.
+ */
+TEST(mirror, listing_of_a_later_era_replaces_all)
+{
+	struct mirror *m = mirror_create();
+
+	apply(m, answer(9, {{"a", 3}, {"b", 9}}, {}, 1), true);
+	apply(m, answer(6, {{"a", 3}, {"c", 6}}, {}, 2), true);
+	EXPECT_EQ(position_text(mirror_position(m)), "2:6");
+	EXPECT_EQ(changes_since(m, 9, 1), "full a c ");
+	apply(m, answer(10, {{"b", 10}}, {}, 1));
+	EXPECT_EQ(changes_since(m, 6, 2), "");
+	apply(m, answer(7, {{"a", 7}}, {}, 2));
+	EXPECT_EQ(changes_since(m, 6, 2), "a ");
+	mirror_destroy(m);
+}
--- a/tests/registry_test.cc
+++ b/tests/registry_test.cc
@@ -1,11 +1,15 @@
+#include "position_text.h"
 #include "registry.h"
 #include "script.h"
 
 namespace
 {
-/* Steps call the function of the same name; "@N" sets the time to N milliseconds. */
+/*
+ * Steps call the function of the same name; "@N" sets the time to N milliseconds. Leaves write
+ * their entries every 1,200 ms.
+ */
 struct registry_script : script_interpreter {
-	struct registry *r = registry_create();
+	struct registry *r = registry_create(1200);
 	uint64_t now_ms = 0;
 
 	~registry_script() override
@@ -18,24 +22,24 @@
 		if (w[0][0] == '@')
 			now_ms = std::stoull(w[0].substr(1));
 		if (w[0] == "put")
-			return registry_put(r, w[1].c_str(), std::stoull(w[2])) ? "new\n" : "old\n";
+			return registry_put(r, w[1].c_str(), position_of(w[2])) ? "new\n" : "old\n";
 		if (w[0] == "remove")
-			/* remove KEY REVISION [held [READ_MS]] */
-			return registry_remove(r, w[1].c_str(), std::stoull(w[2]), w.size() > 3,
+			/* remove KEY POSITION [held [READ_MS]] */
+			return registry_remove(r, w[1].c_str(), position_of(w[2]), w.size() > 3,
 					       w.size() > 4 ? std::stoull(w[4]) : now_ms)
 				       ? "noted\n"
 				       : "ignored\n";
 		if (w[0] == "listing_begin")
 			registry_listing_begin(r);
 		if (w[0] == "listing_end")
-			registry_listing_end(r, std::stoull(w[1]), now_ms);
+			registry_listing_end(r, position_of(w[1]), now_ms);
 		if (w[0] == "store_returned")
 			registry_store_returned(r, now_ms);
 		if (w[0] == "due") {
 			std::string out;
-			uint64_t revision = 0;
+			struct position position = {};
 
-			while (char *key = registry_due_removal_take(r, now_ms, &revision)) {
+			while (char *key = registry_due_removal_take(r, now_ms, &position)) {
 				out += std::string(key) + "\n";
 				g_free(key);
 			}
--- a/tests/relay_test.cc
+++ b/tests/relay_test.cc
@@ -1,5 +1,6 @@
 #include "clock.h"
 #include "message.h"
+#include "position_text.h"
 #include "procedure.h"
 #include "readers.h"
 #include "relay.h"
@@ -22,6 +23,7 @@
 	uint64_t key_revision; /* of the last change of a key; that of the store may be later */
 	bool is_removed; /* the last change has removed the key */
 	uint64_t age_ms; /* of the removal */
+	uint64_t era; /* 0: it names none, as VMs of an earlier version */
 };
 
 /* Stands for the other VMs: answers queries as readers do, each after its time. */
@@ -32,7 +34,7 @@
 		struct service *reply_to;
 		uint64_t tag;
 		size_t reader;
-		uint64_t known;
+		struct position known;
 		bool wants_items;
 		uint64_t until_ms;
 		uint64_t due_ms; /* when the answer arrives; 0: not known yet */
@@ -53,7 +55,8 @@
 			reinterpret_cast<struct peer_reply *>(m)->result);
 
 		p->reply = (reply->is_current ? "current " : "not current ") +
-			   std::to_string(reply->revision) + "\n";
+			   position_text({reply->era, reply->revision}) +
+			   (reply->is_full ? " full\n" : "\n");
 		if (reply->items.items_len > 0)
 			p->reply_age_ms = reply->items.items_val[reply->items.items_len - 1].age_ms;
 		message_destroy(m);
@@ -63,9 +66,13 @@
 	auto *args = static_cast<apr_feed_args *>(call->args);
 
 	p->asked.insert((size_t)(call->address[1] - '0'));
-	p->queries.push_back({call->reply_to, call->tag, (size_t)(call->address[1] - '0'),
-			      args->known_revision, (bool)args->wants_items,
-			      clock_now_ms() + args->wait_ms, 0});
+	p->queries.push_back({call->reply_to,
+			      call->tag,
+			      (size_t)(call->address[1] - '0'),
+			      {args->known_era, args->known_revision},
+			      (bool)args->wants_items,
+			      clock_now_ms() + args->wait_ms,
+			      0});
 	message_destroy(m);
 }
 
@@ -73,11 +80,14 @@
 {
 	uint64_t revision = (*p->readers)[q.reader].revision;
 	auto *result = static_cast<apr_feed_reply *>(peer_result_create(APR_FEED));
-	bool has_items = q.wants_items && (*p->readers)[q.reader].key_revision > q.known &&
-			 !(*p->readers)[q.reader].has_lost_store;
+	uint64_t era = (*p->readers)[q.reader].era;
+	bool has_items = q.wants_items && !(*p->readers)[q.reader].has_lost_store &&
+			 position_is_after({era, (*p->readers)[q.reader].key_revision}, q.known);
 
 	result->is_current = !(*p->readers)[q.reader].has_lost_store;
+	result->era = era;
 	result->revision = revision;
+	result->is_full = has_items && q.known.revision == 0;
 	result->items.items_val = g_new0(apr_feed_item, 1);
 	result->items.items_len = has_items;
 	if (has_items) {
@@ -104,7 +114,7 @@
 	for (auto &q : p->queries) {
 		const struct reader &r = (*p->readers)[q.reader];
 
-		if (!q.due_ms && r.revision > q.known)
+		if (!q.due_ms && position_is_after({r.era, r.revision}, q.known))
 			q.due_ms = now_ms + (q.wants_items ? r.changes_ms : 0);
 		if (r.has_lost_store || (q.due_ms && now_ms >= q.due_ms) ||
 		    (!q.due_ms && now_ms >= q.until_ms))
@@ -118,7 +128,7 @@
 /* Stands for the service that applies what the relay passes on. */
 struct fake_feed {
 	struct service service;
-	uint64_t revision;
+	struct position position;
 	uint64_t removal_age_ms; /* of the last removal, when it was passed on to the feed */
 	bool reads_store;
 };
@@ -131,7 +141,7 @@
 		const struct store_answer *answer =
 			&reinterpret_cast<struct store_update *>(m)->answer;
 
-		f->revision = answer->revision;
+		f->position = answer->position;
 		for (guint i = 0; i < answer->items->len; i++) {
 			auto *item = static_cast<struct store_item *>(
 				g_ptr_array_index(answer->items, i));
@@ -225,11 +235,12 @@
 	}
 
 	/* removal_age_ms: time since the feed read the removal in the answer; -1: it has none */
-	void store_answer_send(uint64_t revision, int64_t removal_age_ms)
+	void store_answer_send(struct position position, int64_t removal_age_ms,
+			       bool is_listing = false)
 	{
 		struct store_answer answer = {g_ptr_array_new_with_free_func(store_item_free),
 					      false,
-					      revision,
+					      position,
 					      nullptr,
 					      0,
 					      nullptr};
@@ -239,22 +250,23 @@
 			struct store_item *item = g_new0(struct store_item, 1);
 
 			item->key = g_strdup("key");
-			item->revision = revision;
+			item->position = position;
 			item->read_ms = clock_now_ms() - (uint64_t)removal_age_ms;
 			g_ptr_array_add(answer.items, item);
 		}
-		update = store_update_create(&answer, false);
+		update = store_update_create(&answer, is_listing);
 		update->is_current = true;
 		kernel_message_send(k, kernel_service_find(k, "relay"), &update->message);
 	}
 
 	/* Sends the query of another VM, whose answer peer.reply gets. */
-	void ask_send(uint64_t known_revision, bool wants_items, uint32_t wait_ms)
+	void ask_send(struct position known, bool wants_items, uint32_t wait_ms)
 	{
 		auto *args = static_cast<apr_feed_args *>(peer_args_create(APR_FEED));
 		struct peer_call *call = peer_call_create(APR_FEED, "", args, 0);
 
-		args->known_revision = known_revision;
+		args->known_era = known.era;
+		args->known_revision = known.revision;
 		args->wants_items = wants_items;
 		args->wait_ms = wait_ms;
 		peer.reply = "";
@@ -262,9 +274,9 @@
 		kernel_message_send(k, kernel_service_find(k, "relay"), &call->message);
 	}
 
-	std::string ask(uint64_t known_revision)
+	std::string ask(struct position known)
 	{
-		ask_send(known_revision, known_revision > 0, 0);
+		ask_send(known, known.revision > 0, 0);
 		loop(1000, [&] { return !peer.reply.empty(); });
 		return peer.reply;
 	}
@@ -279,19 +291,23 @@
 	std::string run(const std::vector<std::string> &w) override
 	{
 		if (w[0] == "readers" || w[0] == "vms") {
-			/* readers|vms N REVISION: all of the other VMs, or three of them, read the
+			/* readers|vms N POSITION: all of the other VMs, or three of them, read the
 			 * store */
-			readers.assign(std::stoul(w[1]), {std::stoull(w[2]), 0, w[0] == "vms",
-							  std::stoull(w[2]), false, 0});
+			struct position position = position_of(w[2]);
+
+			readers.assign(std::stoul(w[1]),
+				       {position.revision, 0, w[0] == "vms", position.revision,
+					false, 0, position.era});
 			roster_send((unsigned int)readers.size(), 120);
 			readers_lose_store(false);
 		} else if (w[0] == "changes-take") { /* changes-take MS: from any reader */
 			for (auto &r : readers)
 				r.changes_ms = std::stoull(w[1]);
 		} else if (w[0] == "write" || w[0] == "write-nothing") {
-			/* write|write-nothing REVISION: with or without a key; all have read it */
+			/* write|write-nothing POSITION: with or without a key; all have read it */
 			for (auto &r : readers) {
-				r.revision = std::stoull(w[1]);
+				r.era = position_of(w[1]).era;
+				r.revision = position_of(w[1]).revision;
 				r.key_revision = w[0] == "write" ? r.revision : r.key_revision;
 			}
 			peer.changes_sent = 0;
@@ -306,10 +322,11 @@
 			return age_check(feed.removal_age_ms, w);
 		} else if (w[0] == "reply-age") { /* reply-age FROM_MS TO_MS: to another VM */
 			return age_check(peer.reply_age_ms, w);
-		} else if (w[0] == "known") { /* known REVISION within MS */
-			uint64_t revision = std::stoull(w[1]);
+		} else if (w[0] == "known") { /* known POSITION within MS */
+			struct position position = position_of(w[1]);
 
-			return loop(std::stoull(w[3]), [&] { return feed.revision >= revision; })
+			return loop(std::stoull(w[3]),
+				    [&] { return !position_is_after(position, feed.position); })
 				       ? "yes\n"
 				       : "no\n";
 		} else if (w[0] == "answers-at-most") { /* answers-at-most N: with changes */
@@ -327,18 +344,20 @@
 			readers.resize(3);
 			roster_send(3, (unsigned int)std::stoul(w[1]));
 			loop(100, [] { return false; });
-		} else if (w[0] == "store-answers") { /* store-answers REVISION: to this VM */
-			store_answer_send(std::stoull(w[1]), -1);
-		} else if (w[0] == "store-removes") { /* store-removes REVISION AGE_MS */
-			store_answer_send(std::stoull(w[1]), std::stoll(w[2]));
+		} else if (w[0] == "store-answers") { /* store-answers POSITION: to this VM */
+			store_answer_send(position_of(w[1]), -1);
+		} else if (w[0] == "store-lists") { /* store-lists POSITION: no key, to this VM */
+			store_answer_send(position_of(w[1]), -1, true);
+		} else if (w[0] == "store-removes") { /* store-removes POSITION AGE_MS */
+			store_answer_send(position_of(w[1]), std::stoll(w[2]));
 		} else if (w[0] == "asked") { /* by another VM that knows nothing */
-			return ask(0);
-		} else if (w[0] == "asked-since") { /* asked-since REVISION: for changes */
-			return ask(std::stoull(w[1]));
+			return ask({});
+		} else if (w[0] == "asked-since") { /* asked-since POSITION: for changes */
+			return ask(position_of(w[1]));
 		} else if (w[0] == "asked-for-later") {
-			/* asked-for-later REVISION: for its revision, once the store has answered
+			/* asked-for-later POSITION: for its position, once the store has answered
 			 */
-			ask_send(std::stoull(w[1]), false, 2800);
+			ask_send(position_of(w[1]), false, 2800);
 		} else if (w[0] == "replies") { /* replies within MS */
 			loop(std::stoull(w[2]), [&] { return !peer.reply.empty(); });
 			return peer.reply.empty() ? "no\n" : peer.reply;
