Take nothing back from a copy of the store that is older

After the store's return from a copy some seconds old, a leaf that drained got calls again, and an evacuation that had ended began again, until the writers had written again. Found by reading the first listing of a new era: all its values are later than any known position, although the copy holds them from before. By the same rule a leaf that is gone would be used, and a VM that starts would put a lower version in force.

Cause: in a new era the position does not tell a value that was written again from one of the copy.

Change: src/copycheck.c remembers what is known of each key, removals for a minute. In a later era, a leaf's entry is older if its process started earlier or, in the same process, if its report has a lower number; the same number is older if the leaf is known as gone, or as draining and listed as ready. A removed key of the operator is the same write if it has the same revision. A configuration of a lower version is not used.

Tests: check-store-return copy_takes_nothing_back failed on (the draining leaf was used, 503 behind the ended evacuation) and passes.

--- a/src/feed.c
+++ b/src/feed.c
@@ -2,6 +2,7 @@
 
 #include "address.h"
 #include "clock.h"
+#include "copycheck.h"
 #include "httpconn.h"
 #include "log.h"
 #include "message.h"
@@ -66,6 +67,9 @@
 	char *next_page; /* where the listing goes on; "" before the first page */
 	struct position position; /* of the store; all changes up to it are known */
 	struct position listing_position; /* of the listing's first page */
+	struct copycheck *copycheck;
+	uint64_t version; /* of the configuration that was sent to the services last */
+	uint64_t version_era; /* in which it was read */
 	bool era_fault_is_logged; /* on this connection */
 	uint64_t answered_ms; /* the store's last answer */
 	uint64_t next_call_ms; /* earliest time of the next call */
@@ -148,6 +152,13 @@
 	item->n_value = 0;
 }
 
+static void copy_value_log(const struct store_item *item, const char *why)
+{
+	log_event(LOG_LEVEL_INFO, "store_copy_outdated",
+		  "key=%.200s era=%" G_GUINT64_FORMAT " revision=%" G_GUINT64_FORMAT " why=\"%s\"",
+		  item->key, item->position.era, item->position.revision, why);
+}
+
 static void routes_apply(struct feed *f, struct store_item *item)
 {
 	static const char *const services[] = {"gateway", "membership", "directory"};
@@ -169,6 +180,14 @@
 		value_clear(item);
 		return;
 	}
+	if (item->position.era > f->version_era && map->version < f->version) {
+		copy_value_log(item, "lower version");
+		value_clear(item);
+		routemap_put(map);
+		return;
+	}
+	f->version = map->version;
+	f->version_era = item->position.era;
 	routemap_text_set(map, item->value, item->n_value);
 	for (size_t i = 0; i < G_N_ELEMENTS(services); i++)
 		kernel_message_send(k, kernel_service_find(k, services[i]),
@@ -204,6 +223,13 @@
 		value_clear(item);
 		return;
 	}
+	if (copycheck_is_older(f->copycheck, item->key, &report, item->position)) {
+		copy_value_log(item, "older report");
+		value_clear(item);
+		leaf_report_clear(&report);
+		return;
+	}
+	copycheck_value_note(f->copycheck, item->key, &report, item->position);
 	leaf_updates_add(updates, id, item->position.revision)->report = report;
 }
 
@@ -226,6 +252,12 @@
 			    &evacuation_changed_create(dc, is_begun, revision)->message);
 }
 
+static void evacuation_apply(struct feed *f, const struct store_item *item)
+{
+	copycheck_value_note(f->copycheck, item->key, NULL, item->position);
+	evacuation_send(f, item->key, true, item->position.revision);
+}
+
 static unsigned int removal_count(const struct feed *f, const GPtrArray *items)
 {
 	unsigned int n = 0;
@@ -245,16 +277,18 @@
 static void leaf_updates_send(struct feed *f, struct leaf_updates *updates)
 {
 	struct kernel *k = f->service.kernel;
+	uint64_t now_ms = clock_now_ms();
 	struct position position = {0};
 	char *key;
 
-	while ((key = registry_due_removal_take(f->registry, clock_now_ms(), &position))) {
+	while ((key = registry_due_removal_take(f->registry, now_ms, &position))) {
 		const char *id = key + strlen(f->adapter->leaf_prefix);
 
 		if (is_evacuation(f, key))
 			evacuation_send(f, key, false, position.revision);
 		else
 			leaf_updates_add(updates, id, position.revision)->is_removed = true;
+		copycheck_removal_note(f->copycheck, key, position.era, now_ms);
 		g_free(key);
 	}
 	if (updates->items->len > 0)
@@ -275,6 +309,32 @@
 			  known.era);
 }
 
+/* Takes out of a listing the keys that were removed after the copy of the store was made. */
+static void removed_keys_drop(const struct feed *f, struct store_answer *answer)
+{
+	for (guint i = answer->items->len; i > 0; i--) {
+		const struct store_item *item = g_ptr_array_index(answer->items, i - 1);
+		struct leaf_report report = {0};
+		bool is_older;
+
+		if (!item->value || !copycheck_is_removed(f->copycheck, item->key))
+			continue;
+		if (is_leaf(f, item))
+			is_older = f->adapter->ops->leaf_parse(f->adapter, item->value,
+							       item->n_value, &report, NULL) &&
+				   copycheck_is_older(f->copycheck, item->key, &report,
+						      item->position);
+		else
+			is_older =
+				copycheck_is_older(f->copycheck, item->key, NULL, item->position);
+		leaf_report_clear(&report);
+		if (!is_older)
+			continue;
+		copy_value_log(item, "removed since");
+		g_ptr_array_remove_index(answer->items, i - 1);
+	}
+}
+
 static void items_apply(struct feed *f, const struct store_answer *answer)
 {
 	struct leaf_updates *updates = leaf_updates_create();
@@ -288,9 +348,11 @@
 		if (!is_routes && !evacuates && !is_leaf(f, item))
 			continue;
 		if (!item->value) {
-			if (!is_routes)
-				registry_remove(f->registry, item->key, item->position,
-						holds_removals && !evacuates, item->read_ms);
+			if (!is_routes &&
+			    registry_remove(f->registry, item->key, item->position,
+					    holds_removals && !evacuates, item->read_ms))
+				copycheck_removal_note(f->copycheck, item->key, item->position.era,
+						       clock_now_ms());
 			continue;
 		}
 		if (!registry_put(f->registry, item->key, item->position)) {
@@ -300,7 +362,7 @@
 		if (is_routes)
 			routes_apply(f, item);
 		else if (evacuates) /* whatever the value is */
-			evacuation_send(f, item->key, true, item->position.revision);
+			evacuation_apply(f, item);
 		else
 			leaf_apply(f, updates, item);
 	}
@@ -402,6 +464,7 @@
 		registry_listing_begin(f->registry);
 		f->listing_position = answer->position;
 	}
+	removed_keys_drop(f, answer);
 	items_apply(f, answer);
 	items_trim(f, answer);
 	unreadable_keep(f, answer);
@@ -758,8 +821,10 @@
 		client_close(f);
 		f->next_call_ms = 0;
 	}
-	if (update->is_listing)
+	if (update->is_listing) {
 		registry_listing_begin(f->registry);
+		removed_keys_drop(f, &update->answer);
+	}
 	items_apply(f, &update->answer);
 	f->changed_ms = MAX(f->changed_ms, update->asked_ms);
 	if (update->is_listing)
@@ -803,6 +868,7 @@
 
 	http_conn_destroy(f->client);
 	registry_destroy(f->registry);
+	copycheck_destroy(f->copycheck);
 	event_free(f->tick);
 	if (f->listed)
 		g_ptr_array_free(f->listed, TRUE);
@@ -828,6 +894,7 @@
 	f->settings = *settings;
 	f->settings.store_address = g_strdup(settings->store_address);
 	f->registry = registry_create(settings->report_ms);
+	f->copycheck = copycheck_create();
 	f->told = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
 	f->tick = event_new(kernel_base(k), -1, EV_PERSIST, tick_handle, f);
 	if (!address_parse(settings->store_address, &f->store)) {
--- a/src/leafset.h
+++ b/src/leafset.h
@@ -63,6 +63,7 @@
 	unsigned int slots; /* calls that it runs concurrently */
 	unsigned int warmup_ms; /* remaining warm-up time, in which it is slower than usual */
 	uint64_t process_start_ms; /* start of the process, wall clock; 0: unknown */
+	uint64_t sequence; /* of the report, among those of the process; 0: unknown */
 };
 
 /* What a leaf says of itself in an answer. */
--- a/src/logevent.h
+++ b/src/logevent.h
@@ -62,6 +62,7 @@
 	X("store_era_refused",                                                                     \
 	  "the store names an era before the one known; its answer is unused")                     \
 	X("store_era_unusable", "the store names no era, or one that cannot be read")              \
+	X("store_copy_outdated", "a value of the store's older copy is not used; why")             \
 	X("store_reading", "whether this VM now reads the store or gets changes from peers; why")  \
 	X("readers_lost", "no reader answers as current any more; other VMs are asked as well")    \
 	X("second_reader_asked",                                                                   \
