Take no unknown key from an answer older than what is known

Cause, one in two places: an answer of the store that arrives late can hold a key that was removed since. As all that comes later is asked for from that position on, nothing ever tells that the key is gone.

Change: registry and mirror know the position up to which they have every change. An unknown key that was not written after it, in an answer given before it, was removed in between and is ignored. No removal has to be remembered for that. An answer given at or after this position is taken as before.

--- a/src/feed.c
+++ b/src/feed.c
@@ -355,7 +355,7 @@
 						       clock_now_ms());
 			continue;
 		}
-		if (!registry_put(f->registry, item->key, item->position)) {
+		if (!registry_put(f->registry, item->key, item->position, answer->position)) {
 			older_change_log(f, item);
 			continue;
 		}
@@ -442,7 +442,7 @@
 		item->key = g_strdup(u->key);
 		item->value = g_strdup("");
 		item->position = f->listing_position;
-		registry_put(f->registry, item->key, item->position);
+		registry_put(f->registry, item->key, item->position, answer->position);
 		g_ptr_array_add(answer->items, item);
 	}
 }
@@ -580,6 +580,7 @@
 	} else {
 		items_apply(f, &answer);
 		items_trim(f, &answer);
+		registry_complete(f->registry, answer.position);
 		f->position = position_max(f->position, answer.position);
 		if (answer.items->len > 0)
 			f->next_call_ms = clock_now_ms() + WATCH_PAUSE_MS;
@@ -829,6 +830,7 @@
 	f->changed_ms = MAX(f->changed_ms, update->asked_ms);
 	if (update->is_listing)
 		registry_listing_end(f->registry, position, clock_now_ms());
+	registry_complete(f->registry, position);
 	f->position = position_max(f->position, position);
 	/*
 	 * What the peer has read makes a listing by this VM unnecessary. While there is a
--- a/src/mirror.c
+++ b/src/mirror.c
@@ -61,13 +61,17 @@
 	}
 }
 
-static void item_apply(struct mirror *m, const struct store_item *item)
+/* answer: position of the answer with the item */
+static void item_apply(struct mirror *m, const struct store_item *item, struct position answer)
 {
 	const struct store_item *known = g_hash_table_lookup(m->items, item->key);
 	struct store_item *copy;
 
 	if (known && !position_is_after(item->position, known->position))
 		return;
+	if (!known && position_is_after(m->position, answer) &&
+	    !position_is_after(item->position, m->position))
+		return;
 	copy = item_copy(item);
 	/* The feed empties a malformed value. It must not remove what others know of the key. */
 	if (copy->value && copy->n_value == 0 && known && known->value) {
@@ -84,7 +88,7 @@
 void mirror_apply(struct mirror *m, const struct store_answer *answer)
 {
 	for (guint i = 0; i < answer->items->len; i++)
-		item_apply(m, g_ptr_array_index(answer->items, i));
+		item_apply(m, g_ptr_array_index(answer->items, i), answer->position);
 	m->position = position_max(m->position, answer->position);
 }
 
--- a/src/mirror.h
+++ b/src/mirror.h
@@ -16,7 +16,8 @@
 
 /*
  * Applies the changes of an answer of the store; an item not newer than the copy's is ignored. One
- * with an empty value leaves the value of a known key as last read.
+ * with an empty value leaves the value of a known key as last read. A key that the copy lacks is
+ * ignored if the answer is older than the copy and the key was not written since.
  */
 void mirror_apply(struct mirror *m, const struct store_answer *answer);
 /*
--- a/src/registry.c
+++ b/src/registry.c
@@ -28,6 +28,7 @@
 	GQueue removals; /* keys, owned; those not due yet are moved to the tail */
 	unsigned int listing; /* number of the current or last listing */
 	bool is_listing;
+	struct position complete; /* all changes up to it are known */
 	unsigned int report_ms;
 	uint64_t hold_until_ms; /* a removal is not due before this time */
 };
@@ -51,11 +52,16 @@
 	g_free(r);
 }
 
-bool registry_put(struct registry *r, const char *key, struct position position)
+bool registry_put(struct registry *r, const char *key, struct position position,
+		  struct position answer)
 {
 	struct entry *e = g_hash_table_lookup(r->entries, key);
 
 	if (!e) {
+		/* The key was removed between the answer and the changes that are known. */
+		if (position_is_after(r->complete, answer) &&
+		    !position_is_after(position, r->complete))
+			return false;
 		e = g_new0(struct entry, 1);
 		g_hash_table_insert(r->entries, g_strdup(key), e);
 	}
@@ -100,6 +106,11 @@
 	return true;
 }
 
+void registry_complete(struct registry *r, struct position position)
+{
+	r->complete = position_max(r->complete, position);
+}
+
 void registry_listing_begin(struct registry *r)
 {
 	r->listing++;
@@ -128,6 +139,7 @@
 		else
 			removal_note(r, key, e, position, now_ms);
 	}
+	registry_complete(r, position);
 }
 
 void registry_store_returned(struct registry *r, uint64_t now_ms)
--- a/src/registry.h
+++ b/src/registry.h
@@ -2,6 +2,11 @@
  * The store's keys that exist as far as this VM knows, with their positions, and the removals that
  * have not taken effect yet.
  *
+ * What the store said reaches a VM in several ways, so that an older answer can arrive after a
+ * newer one: a late page of a listing may hold keys that were removed since. The registry therefore
+ * knows the position up to which it has every change, and takes no unknown key from an older
+ * answer.
+ *
  * While the store is unreachable, entries can expire although their writers live; the writers put
  * them back within about two seconds of the store's return. So removals that are seen in that time
  * take effect only after it, and many removals at once are held back for as long. When a new era
@@ -23,10 +28,12 @@
 void registry_destroy(struct registry *r);
 
 /*
- * Notes that the key was last written at the position. Returns true when the value is new; a noted
- * removal of the key is then dropped. Returns false when this or a later change is known.
+ * Notes that the key was last written at the position, according to an answer that the store gave
+ * at answer. Returns true when the value is new; a noted removal of the key is then dropped.
+ * Returns false when this or a later change is known.
  */
-bool registry_put(struct registry *r, const char *key, struct position position);
+bool registry_put(struct registry *r, const char *key, struct position position,
+		  struct position answer);
 /* Position of the key's last known value; all 0: the key is unknown. */
 struct position registry_position(const struct registry *r, const char *key);
 /* True for a key that was put and whose removal has not taken effect. */
@@ -41,6 +48,9 @@
 bool registry_remove(struct registry *r, const char *key, struct position position, bool is_held,
 		     uint64_t read_ms);
 
+/* Notes that all changes up to the position were passed to the registry. */
+void registry_complete(struct registry *r, struct position position);
+
 /*
  * Mark the beginning and the end of a complete listing of the store. Each listed key is passed to
  * registry_put in between. The end notes the removal of all other keys that were not written after
--- a/tests/follower_test.cc
+++ b/tests/follower_test.cc
@@ -316,7 +316,7 @@
 		}
 		if (w.known.revision < 7)
 			w.read_ms = store_ms <= change_ms ? change_ms : w.changed_ms;
-		registry_put(registry, "leaf", {0, 1});
+		registry_put(registry, "leaf", {0, 1}, {0, 1});
 		registry_remove(registry, "leaf", {0, 7}, true, w.read_ms);
 		while (!(key = registry_due_removal_take(registry, w.now_ms, &removal)))
 			w.now_ms += STEP_MS;
--- a/tests/mirror_test.cc
+++ b/tests/mirror_test.cc
@@ -162,3 +162,21 @@
 	EXPECT_EQ(changes_since(m, 6, 2), "a ");
 	mirror_destroy(m);
 }
+
+/*
+ * Guards against a removed key that an older listing brings back, while the mirror goes on vouching
+ * for the later revision that it took from another VM (DRAIN; review case 6).
+ */
+TEST(mirror, older_listing_brings_no_removed_key_back)
+{
+	struct mirror *m = mirror_create();
+
+	apply(m, answer(8, {{"a", 3}}), true);
+	apply(m, answer(6, {{"a", 3}, {"b", 5}}), true);
+	EXPECT_EQ(changes_since(m, 0), "full a ");
+	apply(m, answer(6, {{"c", 9}}));
+	EXPECT_EQ(changes_since(m, 0), "full a c ");
+	apply(m, answer(9, {{"a", 3}, {"b", 5}}), true);
+	EXPECT_EQ(changes_since(m, 0), "full a b ");
+	mirror_destroy(m);
+}
--- a/tests/registry_test.cc
+++ b/tests/registry_test.cc
@@ -22,7 +22,12 @@
 		if (w[0][0] == '@')
 			now_ms = std::stoull(w[0].substr(1));
 		if (w[0] == "put")
-			return registry_put(r, w[1].c_str(), position_of(w[2])) ? "new\n" : "old\n";
+			/* put KEY POSITION [POSITION of the answer; default: after all changes] */
+			return registry_put(r, w[1].c_str(), position_of(w[2]),
+					    w.size() > 3 ? position_of(w[3])
+							 : position{UINT64_MAX, UINT64_MAX})
+				       ? "new\n"
+				       : "old\n";
 		if (w[0] == "remove")
 			/* remove KEY POSITION [held [READ_MS]] */
 			return registry_remove(r, w[1].c_str(), position_of(w[2]), w.size() > 3,
@@ -33,6 +38,8 @@
 			registry_listing_begin(r);
 		if (w[0] == "listing_end")
 			registry_listing_end(r, position_of(w[1]), now_ms);
+		if (w[0] == "complete")
+			registry_complete(r, position_of(w[1]));
 		if (w[0] == "store_returned")
 			registry_store_returned(r, now_ms);
 		if (w[0] == "due") {
