Bring the store back from older copies in the soak

Cause: no randomized run had a store that comes back from a copy of itself beside other faults.

The operator and the leaves write again what was lost, in any order. At the end versions are lost in a copy, and a move and a leaving leaf are checked when all daemons are settled.

--- a/fakes/routed_site.py
+++ b/fakes/routed_site.py
@@ -562,6 +562,7 @@
         self.drain_s, self.runs_by_request, self.signed_payloads, self.shard_sets = 3.0, {}, {}, []
         self.faults, self.idle_ms, self.body_bytes = [], 5000, 20000
         self.service_fields = {}  # further fields of each service of the configuration
+        self.config = b""  # as published last
 
     async def start(self):
         await self.store.start()
@@ -609,7 +610,8 @@
                                for n in sorted(services)],
                   "limits": {"maxHeaderBytes": 4096, "maxBodyBytes": self.body_bytes,
                              "headerTimeoutMs": 800, "idleTimeoutMs": self.idle_ms}}
-        self.store.put("op/config", json.dumps(config).encode())
+        self.config = json.dumps(config).encode()
+        self.store.put("op/config", self.config)
 
     def record_run(self, request_id, leaf, line, body):
         self.runs_by_request.setdefault(request_id, []).append((leaf.service, leaf.id, line, body))
--- a/soak/soak.py
+++ b/soak/soak.py
@@ -1,8 +1,9 @@
 #!/usr/bin/env python3
 """Randomized fault soak: injects faults into real daemons and checks their guarantees meanwhile.
 
-soak/soak.py [--seconds N] [--daemons N] [--parallel N] [--ranks] SEED...   one run for each seed
-With --ranks the daemons serve by rank, and bursts of a lower rank ask more than the leaves can do.
+soak/soak.py [--seconds N] [--daemons N] [--parallel N] [--ranks] [--returns] SEED...   one run for each seed
+With --ranks the daemons serve by rank, and bursts of a lower rank ask more than the leaves can do. With
+--returns the store comes back from older copies of itself, again and again.
 The seed determines the faults, their times and their targets. The timing of everything else depends on
 the machine. The exit status is 1 if a guarantee was violated; the logs of that run are kept.
 """
@@ -40,11 +41,13 @@
 class Soak:
     """One run: a site, its daemons, callers, and a sequence of faults drawn from the seed."""
 
-    def __init__(self, seed, seconds, n_daemons, port, has_ranks):
+    def __init__(self, seed, seconds, n_daemons, port, has_ranks, has_returns):
         self.random, self.seconds, self.port = random.Random(seed), seconds, port
         self.evacuation_random = random.Random(seed)  # of its own, so that the faults of a seed stay the same
         self.site, self.daemons, self.leaf_proxies, self.violations = Site(), [], {}, []
         self.n_daemons, self.running, self.tasks = n_daemons, True, []
+        self.has_returns, self.return_random = has_returns, random.Random(seed)
+        self.ended = set()  # ids of leaves that have ended
         self.has_ranks, self.windows = has_ranks, []  # of each window and rank: requests, those in time
         self.log_dir = tempfile.mkdtemp(prefix=f"soak-{seed}-")
         self.moves, self.move_at = [], {}  # service and time of each move of the route /move/
@@ -78,6 +81,8 @@
         return leaf
 
     async def setup(self):
+        if self.has_returns:
+            self.site.store.era_begin(1)
         await self.site.start()
         self.site.drain_s = 1e9  # leaving_watch() checks for late work, and only of settled daemons
         for shard in range(SHARDS):
@@ -283,6 +288,7 @@
         else:
             self.site.store.remove(f"servers/{leaf.id}")
         await self.leaving_watch(leaf, left_at)
+        self.ended.add(leaf.id)
         self.site.store.remove(f"servers/{leaf.id}")
         await self.leaf_proxies[leaf.id].stop()
 
@@ -370,6 +376,63 @@
                 self.site.store.put(f"servers/{leaf.id}", leaf.entry())
         self.store_fault_at = time.monotonic()
 
+    async def store_returns(self):
+        """Brings the store back from a copy some seconds old, twice or three times."""
+        r = self.return_random
+        for _ in range(r.randint(2, 3)):
+            taken = self.site.store.copy_take()
+            await asyncio.sleep(r.uniform(0.3, 3))
+            await self.store_return(taken, r)
+            await asyncio.sleep(r.uniform(0, 2))
+
+    async def store_return(self, taken, r):
+        self.store_fault_at = time.monotonic() + 1e6
+        self.note("the store returns from a copy")
+        await self.site.store.stop()
+        await asyncio.sleep(r.choice([0, r.uniform(0, 0.8)]))
+        lost = await self.come_back(taken)
+        if r.random() < 0.3:  # once more, before all is written again
+            await asyncio.sleep(r.uniform(0, 0.5))
+            await self.site.store.stop()
+            lost |= await self.come_back(taken)
+        await self.write_again(lost, r)
+        self.store_fault_at = time.monotonic()
+
+    async def come_back(self, taken):
+        """Brings the store back from the copy; the keys that were written or removed since."""
+        items = self.site.store.items
+        await self.site.store.come_back(taken)
+        copied = self.site.store.items
+        return {key for key in items.keys() | copied.keys() if items.get(key) != copied.get(key)}
+
+    async def write_again(self, lost, r):
+        """The operator and the leaves write again what the store has lost, in any order within about a second."""
+        await asyncio.sleep(r.uniform(0, 0.5))
+        for key in r.sample(sorted(lost), len(lost)):
+            kind, name = key.rsplit("/", 1)
+            if key == "op/config":
+                self.site.store.put(key, self.site.config)
+            elif kind == "op/evacuate" and self.evacuated and self.evacuated[0] == name:
+                self.site.store.put(key, b"{}")
+            elif kind == "servers" and name not in self.ended:
+                self.site.store.put(key, self.site.leaves[name].entry())
+            else:
+                self.site.store.remove(key)
+            if r.random() < 0.2:
+                await asyncio.sleep(r.uniform(0, 0.2))
+
+    async def later_changes(self):
+        """Changes behind a return that the callers and leaving_watch() check, since all daemons are settled."""
+        taken = self.site.store.copy_take()
+        for _ in range(4):
+            self.move()
+            await asyncio.sleep(0.4)
+        await self.store_return(taken, self.return_random)
+        await asyncio.sleep(SETTLE_S + 0.1)
+        self.move()
+        await self.replace("s0", True)
+        await asyncio.sleep(0.5)
+
     async def leaf_fault(self, leaf, mode, for_s):
         leaf.mode, leaf.rate = mode, self.random.choice([0.05, 0.3, 1.0])
         await asyncio.sleep(for_s)
@@ -438,6 +501,8 @@
         if self.has_ranks:
             self.tasks.append(asyncio.create_task(self.fault_run(self.rank_load())))
         self.tasks.append(asyncio.create_task(self.fault_run(self.evacuation())))
+        if self.has_returns:
+            self.tasks.append(asyncio.create_task(self.fault_run(self.store_returns())))
         callers += [asyncio.create_task(self.slow_caller(i)) for i in range(3)]
         until = time.monotonic() + self.seconds
         while time.monotonic() < until:
@@ -450,6 +515,8 @@
         await asyncio.gather(*self.tasks)
         if not await wait_for(self.serves_all, RECOVER_S):
             self.fail(f"not all daemons serve complete answers {RECOVER_S:.0f} s after the last fault")
+        if self.has_returns:
+            await self.fault_run(self.later_changes())
         self.running = False
         await asyncio.gather(*callers)
         if not await wait_for(self.holds_nothing, 3):
@@ -485,7 +552,8 @@
 
 async def seed_run(seed, arguments):
     # Each run has ports of its own: with shared ports, parallel runs would answer each other's callers.
-    soak = Soak(seed, arguments.seconds, arguments.daemons, free_ports(8 * arguments.daemons), arguments.ranks)
+    soak = Soak(seed, arguments.seconds, arguments.daemons, free_ports(8 * arguments.daemons), arguments.ranks,
+                arguments.returns)
     try:
         await soak.run()
     except Exception as error:  # pylint: disable=broad-except
@@ -510,6 +578,7 @@
     parser.add_argument("--daemons", type=int, default=4)
     parser.add_argument("--parallel", type=int, default=1)
     parser.add_argument("--ranks", action="store_true")
+    parser.add_argument("--returns", action="store_true")
     parser.add_argument("seeds", nargs="+", type=int)
     arguments = parser.parse_args()
     if arguments.parallel == 1:
@@ -527,7 +596,8 @@
         async with limit:
             process = await asyncio.create_subprocess_exec(
                 sys.executable, __file__, "--seconds", str(arguments.seconds), "--daemons",
-                str(arguments.daemons), *(["--ranks"] if arguments.ranks else []), str(seed))
+                str(arguments.daemons), *(["--ranks"] if arguments.ranks else []),
+                *(["--returns"] if arguments.returns else []), str(seed))
             codes.append(await process.wait())
 
     await asyncio.gather(*(one(seed) for seed in arguments.seeds))
