--- a/src/registry.c
+++ b/src/registry.c
@@ -135,7 +135,8 @@
 			continue;
 		if (e->position.era < position.era)
 			removal_note(r, key, e, position,
-				     now_ms + HOLD_MS + REPORTS_MISSED_MAX * r->report_ms);
+				     now_ms + HOLD_MS +
+					     (uint64_t)REPORTS_MISSED_MAX * r->report_ms);
 		else
 			removal_note(r, key, e, position, now_ms);
 	}
