Name the conditions of an answer in a new era

Cause: on reading the change anew, the condition under which an answer of a new era is dropped mixed a call with an effect into a test, and a name of the relay read as its opposite. Change: is_usable, asking_vm_is_behind, and the text of store_change_ignored; no other behaviour.

--- a/src/feed.c
+++ b/src/feed.c
@@ -687,14 +687,17 @@
 	unsigned int status = http_reader_status(answer);
 	bool begins_listing = f->state == FEED_LISTING && !*f->next_page;
 	uint64_t era = answer_era(f, answer);
+	bool is_usable;
 
 	f->has_call = false;
 	if (era < f->position.era) {
 		earlier_era_refuse(f, era);
 		return true;
 	}
-	if (era > f->position.era && era_begin(f, era) && !begins_listing && status == 200) {
-		store_answered(f); /* what it says is not complete in the new era */
+	/* In an era that begins with this answer, only the first page of a listing can be used. */
+	is_usable = era == f->position.era || !era_begin(f, era) || begins_listing;
+	if (status == 200 && !is_usable) {
+		store_answered(f);
 	} else if (status == 200) {
 		answer_apply(f, answer);
 	} else if (status == 410) {
--- a/src/logevent.h
+++ b/src/logevent.h
@@ -57,7 +57,8 @@
 	X("store_back", "the store answers again; how long it did not")                            \
 	X("store_listed", "all keys of the store were read")                                       \
 	X("store_history_lost", "the store has dropped its history; all keys are read again")      \
-	X("store_change_ignored", "the store's revision of a key is below the one known")          \
+	X("store_change_ignored",                                                                  \
+	  "a key in an answer of the store is older than what is known of it")                     \
 	X("store_era_begun", "the store is back from an older copy; all keys are read again")      \
 	X("store_era_refused",                                                                     \
 	  "the store names an era before the one known; its answer is unused")                     \
--- a/src/relay.c
+++ b/src/relay.c
@@ -74,8 +74,8 @@
 	return (struct position){era, args->known_revision};
 }
 
-/* True when this VM has changes that the asking VM lacks. */
-static bool query_lacks_changes(const struct relay *r, const struct peer_call *call)
+/* True when the asking VM lacks changes that this VM has. */
+static bool asking_vm_is_behind(const struct relay *r, const struct peer_call *call)
 {
 	return position_is_after(mirror_position(r->mirror), known_position(r, call));
 }
@@ -120,7 +120,7 @@
 	result->is_current = reads_itself(r);
 	result->era = mirror_position(r->mirror).era;
 	result->revision = mirror_position(r->mirror).revision;
-	if (args->wants_items && result->is_current && query_lacks_changes(r, call)) {
+	if (args->wants_items && result->is_current && asking_vm_is_behind(r, call)) {
 		mirror_changes_since(r->mirror, known_position(r, call), &answer, &is_full);
 		items_encode(result, &answer, clock_now_ms());
 		store_answer_clear(&answer);
@@ -138,7 +138,7 @@
 
 static bool waiter_is_due(const struct relay *r, const struct waiter *w, uint64_t now_ms)
 {
-	return !reads_itself(r) || query_lacks_changes(r, w->call) || now_ms >= w->until_ms;
+	return !reads_itself(r) || asking_vm_is_behind(r, w->call) || now_ms >= w->until_ms;
 }
 
 /* is_confirmed: the store has answered now, so all waiting queries are due. */
@@ -168,7 +168,7 @@
 	const apr_feed_args *args = call->args;
 	struct waiter *w;
 
-	if (!reads_itself(r) || query_lacks_changes(r, call)) {
+	if (!reads_itself(r) || asking_vm_is_behind(r, call)) {
 		peer_query_answer(r, call);
 		return;
 	}
